Serve a request over the full path as separate processes

Entries place packets by connection ID or rendezvous hashing, agents terminate QUIC and exchange requests with a backend server, both follow the platform.

--- /dev/null
+++ b/agent/board.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/node"
+	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+// Health is what the backend server's health endpoint last said.
+type Health uint8
+
+// Health answers.
+const (
+	HealthUnknown Health = iota
+	HealthGood
+	HealthDraining
+	HealthFailing
+)
+
+// Board holds the facts that an agent's controllers read and write.
+type Board struct {
+	Config Config
+	Node   *node.Facts
+	Keys   *keyring.Ring
+	Health Health
+	// State is the host's state as the lifecycle controller decided it.
+	State tunnel.HostState
+	// StateSince is when State last changed.
+	StateSince time.Time
+	// StopRequested is set once the process was told to end.
+	StopRequested bool
+	// DrainDone is set once the flows of a leaving host have ended.
+	DrainDone bool
+}
+
+// NewBoard returns the board of an agent that has just started.
+func NewBoard(config Config, keys *keyring.Ring) *Board {
+	return &Board{
+		Config: config,
+		Node:   node.NewFacts(config.Self),
+		Keys:   keys,
+		State:  tunnel.HostDown,
+	}
+}
+
+// NodeUpdated applies an update of the shared facts.
+type NodeUpdated struct {
+	Update node.Update
+}
+
+// Apply implements blackboard.Event.
+func (e NodeUpdated) Apply(now time.Time, board *Board) {
+	e.Update.ApplyTo(now, board.Node)
+}
+
+// HealthSeen brings the backend server's health answer.
+type HealthSeen struct {
+	Health Health
+}
+
+// Apply implements blackboard.Event.
+func (e HealthSeen) Apply(_ time.Time, board *Board) {
+	board.Health = e.Health
+}
+
+// StopRequested tells that the process is to end gracefully.
+type StopRequested struct{}
+
+// Apply implements blackboard.Event.
+func (StopRequested) Apply(_ time.Time, board *Board) {
+	board.StopRequested = true
+}
+
+// DrainDone tells that the flows of a leaving host have ended.
+type DrainDone struct{}
+
+// Apply implements blackboard.Event.
+func (DrainDone) Apply(_ time.Time, board *Board) {
+	board.DrainDone = true
+}
+
+// View is the immutable snapshot that traffic goroutines read.
+type View struct {
+	Revision uint64
+	Service  fleet.Service
+	Tag      uint32
+	State    tunnel.HostState
+	Zone     uint8
+	Keys     *keyring.Keys
+}
--- /dev/null
+++ b/connid/connid.go
@@ -0,0 +1,144 @@
+// Package connid encodes the owner of a flow into a QUIC connection ID, so
+// that any entry can place any packet of an established flow without state.
+//
+// The layout follows the idea of QUIC-LB (draft-ietf-quic-load-balancers):
+// the first octet carries the key generation in its top three bits, the
+// other 16 octets are one AES block over the owner's address, incarnation, zone
+// and service tag and a serial number. The service tag authenticates the block: an ID
+// that was made up decodes to the tag of the service addressed with
+// probability 2^-32.
+package connid
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/rand"
+	"encoding/binary"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/keyring"
+)
+
+// Size is the length of an issued connection ID in bytes.
+const Size = 1 + aes.BlockSize
+
+const (
+	generationShift = 5
+	keySize         = 16
+)
+
+// Owner identifies the agent that terminates a flow.
+type Owner struct {
+	// Addr is the IPv4 address and port of the agent's tunnel socket.
+	Addr netip.AddrPort
+	// Incarnation changes with each start of the agent.
+	Incarnation uint16
+	// Zone is the number of the agent's availability zone.
+	Zone uint8
+	// Service is the tag of the flow's service.
+	Service uint32
+}
+
+// Codec encodes and decodes connection IDs under a set of keys.
+type Codec struct {
+	active uint8
+	blocks [keyring.MaxGeneration + 1]cipher.Block
+}
+
+// NewCodec returns a codec for the keys.
+func NewCodec(keys *keyring.Keys) (*Codec, error) {
+	codec := &Codec{active: keys.Active}
+	for _, key := range keys.Keys {
+		secret, err := key.Derive("connection id", keySize)
+		if err != nil {
+			return nil, err
+		}
+		block, err := aes.NewCipher(secret)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		codec.blocks[key.Generation] = block
+	}
+	return codec, nil
+}
+
+// Encode writes the ID of the owner's flow with the given serial to dst,
+// which must have Size bytes. The low 24 bits of the serials of one
+// incarnation must differ.
+func (c *Codec) Encode(dst []byte, owner Owner, serial uint32) error {
+	if !owner.Addr.Addr().Is4() {
+		return &AddrError{Addr: owner.Addr}
+	}
+	var plain [aes.BlockSize]byte
+	ip := owner.Addr.Addr().As4()
+	copy(plain[0:4], ip[:])
+	binary.BigEndian.PutUint16(plain[4:6], owner.Addr.Port())
+	binary.BigEndian.PutUint16(plain[6:8], owner.Incarnation)
+	binary.BigEndian.PutUint32(plain[8:12], owner.Service)
+	binary.BigEndian.PutUint32(plain[12:16], serial)
+	plain[12] = owner.Zone
+	block := c.blocks[c.active]
+	block.Encrypt(dst[1:Size], plain[:])
+	dst[0] = c.active<<generationShift | dst[1]&(1<<generationShift-1)
+	return nil
+}
+
+// Decode returns the owner in id. It reports false when id has another
+// length, names a generation that is not accepted, or does not carry the
+// tag of the service.
+func (c *Codec) Decode(id []byte, service uint32) (Owner, bool) {
+	if len(id) != Size {
+		return Owner{}, false
+	}
+	block := c.blocks[id[0]>>generationShift]
+	if block == nil {
+		return Owner{}, false
+	}
+	var plain [aes.BlockSize]byte
+	block.Decrypt(plain[:], id[1:Size])
+	if binary.BigEndian.Uint32(plain[8:12]) != service {
+		return Owner{}, false
+	}
+	ip := netip.AddrFrom4([4]byte(plain[0:4]))
+	return Owner{
+		Addr:        netip.AddrPortFrom(ip, binary.BigEndian.Uint16(plain[4:6])),
+		Incarnation: binary.BigEndian.Uint16(plain[6:8]),
+		Zone:        plain[12],
+		Service:     service,
+	}, true
+}
+
+// Issuer issues the connection IDs of one agent. It is safe for concurrent
+// use.
+type Issuer struct {
+	owner  Owner
+	codec  atomic.Pointer[Codec]
+	serial atomic.Uint32
+}
+
+// NewIssuer returns an issuer whose serials start at a random number.
+func NewIssuer(codec *Codec, owner Owner) (*Issuer, error) {
+	var seed [4]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	issuer := &Issuer{owner: owner}
+	issuer.codec.Store(codec)
+	issuer.serial.Store(binary.BigEndian.Uint32(seed[:]))
+	return issuer, nil
+}
+
+// SetCodec changes the keys used for further IDs.
+func (i *Issuer) SetCodec(codec *Codec) {
+	i.codec.Store(codec)
+}
+
+// Next returns a new connection ID.
+func (i *Issuer) Next() ([]byte, error) {
+	id := make([]byte, Size)
+	err := i.codec.Load().Encode(id, i.owner, i.serial.Add(1))
+	return id, err
+}
--- /dev/null
+++ b/entry/placer.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericrock/turmericrock/connid"
+	"github.com/turmericrock/turmericrock/internal/quicwire"
+	"github.com/turmericrock/turmericrock/placement"
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+// Verdict tells what becomes of a caller's packet.
+type Verdict uint8
+
+// Verdicts. All but VerdictForward drop the packet.
+const (
+	VerdictForward Verdict = iota
+	VerdictNoService
+	VerdictMalformed
+	VerdictOversized
+	VerdictUnknownFlow
+	VerdictZoneOut
+	VerdictForeignAddr
+	VerdictNoHost
+	verdictCount
+)
+
+// String returns the verdict's name for metrics.
+func (v Verdict) String() string {
+	return [verdictCount]string{
+		"forwarded",
+		"no_service",
+		"malformed",
+		"oversized",
+		"unknown_flow",
+		"zone_out",
+		"foreign_address",
+		"no_host",
+	}[v]
+}
+
+// Decision is the placement of one packet.
+type Decision struct {
+	Verdict Verdict
+	Kind    tunnel.Kind
+	Service uint32
+	Agent   netip.AddrPort
+	// Second is the second choice for a new flow.
+	Second netip.AddrPort
+	// Incarnation is the owner's, 0 for a new flow.
+	Incarnation uint16
+}
+
+// Place decides where the packet from src to the service address dst goes.
+func Place(view *View, src, dst netip.AddrPort, packet []byte) Decision {
+	service := view.Services[dst]
+	if service == nil {
+		return Decision{Verdict: VerdictNoService}
+	}
+	if len(packet) > tunnel.MaxPayload {
+		return Decision{Verdict: VerdictOversized}
+	}
+	parsed := quicwire.Parse(packet, connid.Size)
+	if parsed.Form == quicwire.FormInvalid {
+		return Decision{Verdict: VerdictMalformed}
+	}
+	if owner, ok := view.ConnIDs.Decode(parsed.DCID, service.Tag); ok {
+		return placeOwned(view, owner)
+	}
+	if parsed.Form != quicwire.FormInitial {
+		return Decision{Verdict: VerdictUnknownFlow}
+	}
+	return placeNew(service, flowKey(src, parsed.DCID))
+}
+
+func placeOwned(view *View, owner connid.Owner) Decision {
+	if view.ZonesOut[owner.Zone] {
+		return Decision{Verdict: VerdictZoneOut}
+	}
+	if !view.agentAddr(owner.Addr) {
+		return Decision{Verdict: VerdictForeignAddr}
+	}
+	return Decision{
+		Verdict:     VerdictForward,
+		Kind:        tunnel.KindFlow,
+		Service:     owner.Service,
+		Agent:       owner.Addr,
+		Incarnation: owner.Incarnation,
+	}
+}
+
+func placeNew(service *ServiceView, key uint64) Decision {
+	first, second := placement.Choose(key, service.Candidates)
+	if first == placement.None {
+		return Decision{Verdict: VerdictNoHost}
+	}
+	decision := Decision{
+		Verdict: VerdictForward,
+		Kind:    tunnel.KindNew,
+		Service: service.Tag,
+		Agent:   service.Hosts[first].Addr,
+	}
+	if second != placement.None {
+		decision.Second = service.Hosts[second].Addr
+	}
+	return decision
+}
+
+// flowKey hashes the caller's address and the connection ID that it chose, so
+// that many flows behind one address spread over hosts.
+func flowKey(src netip.AddrPort, dcid []byte) uint64 {
+	ip := src.Addr().As16()
+	key := placement.Mix(xxhash.Sum64(dcid))
+	key ^= binary.BigEndian.Uint64(ip[8:])
+	return placement.Mix(key ^ uint64(src.Port())<<48)
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"net/netip"
+
+	"github.com/turmericrock/turmericrock/connid"
+	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/placement"
+)
+
+// View is the immutable snapshot that traffic goroutines place packets by.
+type View struct {
+	// Revision is the configuration revision in force.
+	Revision uint64
+	// Keys are the keys in use.
+	Keys *keyring.Keys
+	// ConnIDs decodes connection IDs.
+	ConnIDs *connid.Codec
+	// Services holds the services by the address that callers use.
+	Services map[netip.AddrPort]*ServiceView
+	// ZonesOut holds the zone numbers that are out of service.
+	ZonesOut [256]bool
+	// AgentNetworks bounds the addresses of owners.
+	AgentNetworks []netip.Prefix
+}
+
+// ServiceView is one service in a View.
+type ServiceView struct {
+	Tag uint32
+	// Candidates and Hosts have the same order.
+	Candidates []placement.Candidate
+	Hosts      []HostView
+}
+
+// HostView is one eligible host in a View.
+type HostView struct {
+	Addr netip.AddrPort
+}
+
+func (v *View) agentAddr(addr netip.AddrPort) bool {
+	for _, network := range v.AgentNetworks {
+		if network.Contains(addr.Addr()) {
+			return addr.Port() != 0
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/netip"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Zone is one availability zone and whether operators have taken it out.
+type Zone struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	// Number stands for the zone in connection IDs, 1 to 255.
+	Number uint8 `json:"number"`
+	Out    bool  `json:"out"`
+}
+
+// PartRef names one part of a configuration by the digest of its content.
+type PartRef struct {
+	Name   string `json:"name"`
+	Digest string `json:"digest"`
+	Size   int    `json:"size"`
+}
+
+// Manifest is the root of a configuration.
+type Manifest struct {
+	Revision uint64    `json:"revision"`
+	Zones    []Zone    `json:"zones"`
+	Parts    []PartRef `json:"parts"`
+}
+
+// Part holds some of the services of a configuration.
+type Part struct {
+	Services []Service `json:"services"`
+}
+
+// Config is a whole, validated configuration.
+type Config struct {
+	Manifest Manifest
+	// Digest identifies the content of the manifest and so, through the
+	// digests of its parts, of the whole configuration.
+	Digest string
+
+	services []Service
+	byAddr   map[netip.AddrPort]int
+	byID     map[ServiceID]int
+	zones    map[string]Zone
+}
+
+// Encode returns the canonical bytes of a manifest, a part or a VM list.
+func Encode(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	return data, errors.WithStack(err)
+}
+
+// Digest returns the hex SHA-256 of data.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// DecodeManifest reads a manifest. The error is a *DecodeError.
+func DecodeManifest(data []byte) (Manifest, error) {
+	return decode[Manifest]("manifest", data)
+}
+
+// DecodePart reads a part. The error is a *DecodeError.
+func DecodePart(data []byte) (Part, error) {
+	return decode[Part]("part", data)
+}
+
+// DecodeVMList reads a list of VMs. The error is a *DecodeError.
+func DecodeVMList(data []byte) (VMList, error) {
+	return decode[VMList]("vm list", data)
+}
+
+func decode[T any](kind string, data []byte) (T, error) {
+	var value T
+	if err := json.Unmarshal(data, &value); err != nil {
+		return value, &DecodeError{Kind: kind, Err: err}
+	}
+	return value, nil
+}
+
+// Assemble checks the parts against the manifest's digests and validates the
+// whole. Parts are keyed by digest. It accepts all of a configuration or
+// none of it. With partial set, parts that the manifest names and parts
+// lacks are left out; an agent uses it to hold its own service alone.
+func Assemble(manifest Manifest, parts map[string][]byte, partial bool) (*Config, error) {
+	root, err := Encode(manifest)
+	if err != nil {
+		return nil, err
+	}
+	config := &Config{Manifest: manifest, Digest: Digest(root)}
+	for _, ref := range manifest.Parts {
+		data, found := parts[ref.Digest]
+		if !found && partial {
+			continue
+		}
+		if !found || Digest(data) != ref.Digest {
+			return nil, &PartError{Part: ref.Name, Digest: ref.Digest, Missing: !found}
+		}
+		part, err := DecodePart(data)
+		if err != nil {
+			return nil, err
+		}
+		config.services = append(config.services, part.Services...)
+	}
+	if err := config.index(); err != nil {
+		return nil, err
+	}
+	return config, nil
+}
+
+// Services returns the services in order of their IDs.
+func (c *Config) Services() []Service {
+	return c.services
+}
+
+// Service returns the service with the ID.
+func (c *Config) Service(id ServiceID) (Service, bool) {
+	i, found := c.byID[id]
+	if !found {
+		return Service{}, false
+	}
+	return c.services[i], true
+}
+
+// ServiceAt returns the service at the address.
+func (c *Config) ServiceAt(addr netip.AddrPort) (Service, bool) {
+	i, found := c.byAddr[addr]
+	if !found {
+		return Service{}, false
+	}
+	return c.services[i], true
+}
+
+// Zone returns the zone with the name.
+func (c *Config) Zone(name string) (Zone, bool) {
+	zone, found := c.zones[name]
+	return zone, found
+}
+
+// ZoneOut reports whether operators have taken the zone out. A zone that is
+// not declared counts as out.
+func (c *Config) ZoneOut(name string) bool {
+	zone, found := c.zones[name]
+	return !found || zone.Out
+}
+
+// ZonesOut returns which zone numbers are out of service.
+func (c *Config) ZonesOut() [256]bool {
+	var out [256]bool
+	for _, zone := range c.Manifest.Zones {
+		out[zone.Number] = zone.Out
+	}
+	return out
+}
+
+// Revision returns the revision of the configuration.
+func (c *Config) Revision() uint64 {
+	return c.Manifest.Revision
+}
+
+func (c *Config) index() error {
+	slices.SortFunc(c.services, func(a, b Service) int {
+		return compareID(a.ID, b.ID)
+	})
+	if err := Validate(c.Manifest.Zones, c.services); err != nil {
+		return err
+	}
+	c.byAddr = make(map[netip.AddrPort]int, len(c.services))
+	c.byID = make(map[ServiceID]int, len(c.services))
+	c.zones = make(map[string]Zone, len(c.Manifest.Zones))
+	for i, service := range c.services {
+		c.byAddr[service.Addr] = i
+		c.byID[service.ID] = i
+	}
+	for _, zone := range c.Manifest.Zones {
+		c.zones[zone.Name] = zone
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/quicwire/quicwire.go
@@ -0,0 +1,87 @@
+// Package quicwire reads the version-independent fields of QUIC packets
+// (RFC 8999) and the packet type of version 1 (RFC 9000).
+package quicwire
+
+import "encoding/binary"
+
+// Form tells how a packet may be placed.
+type Form uint8
+
+// Forms of packets.
+const (
+	// FormInvalid is no QUIC packet that is served.
+	FormInvalid Form = iota
+	// FormShort has a connection ID issued by an agent.
+	FormShort
+	// FormInitial may open a flow.
+	FormInitial
+	// FormLong is any other packet with a long header.
+	FormLong
+)
+
+// MinInitial is the least size of a datagram that opens a flow (RFC 9000,
+// section 14.1), in bytes.
+const MinInitial = 1200
+
+const (
+	longHeader      = 0x80
+	typeMask        = 0x30
+	typeInitial     = 0x00
+	longDCIDAt      = 6
+	maxConnIDLength = 20
+)
+
+// Packet is the parsed start of a datagram. DCID shares its memory.
+type Packet struct {
+	Form    Form
+	Version uint32
+	DCID    []byte
+}
+
+// Parse reads the first packet of a datagram. shortSize is the length of the
+// connection IDs in short headers.
+func Parse(datagram []byte, shortSize int) Packet {
+	if len(datagram) == 0 {
+		return Packet{}
+	}
+	if datagram[0]&longHeader == 0 {
+		return parseShort(datagram, shortSize)
+	}
+	return parseLong(datagram)
+}
+
+func parseShort(datagram []byte, size int) Packet {
+	if len(datagram) <= size {
+		return Packet{}
+	}
+	return Packet{Form: FormShort, DCID: datagram[1 : 1+size]}
+}
+
+func parseLong(datagram []byte) Packet {
+	if len(datagram) < longDCIDAt {
+		return Packet{}
+	}
+	length := int(datagram[longDCIDAt-1])
+	end := longDCIDAt + length
+	if length > maxConnIDLength || len(datagram) <= end {
+		return Packet{}
+	}
+	packet := Packet{
+		Form:    FormLong,
+		Version: binary.BigEndian.Uint32(datagram[1:5]),
+		DCID:    datagram[longDCIDAt:end],
+	}
+	if opensFlow(packet.Version, datagram) {
+		packet.Form = FormInitial
+	}
+	return packet
+}
+
+// opensFlow reports whether the datagram may open a flow. Versions other than
+// 1 are passed to an agent, which answers with Version Negotiation.
+func opensFlow(version uint32, datagram []byte) bool {
+	if version == 0 || len(datagram) < MinInitial {
+		return false
+	}
+	return version != 1 || datagram[0]&typeMask == typeInitial
+}
--- /dev/null
+++ b/internal/standin/pki/pki.go
@@ -0,0 +1,115 @@
+// Package pki makes throw-away certificates for tests and the demo.
+package pki
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Authority signs certificates.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewAuthority returns an authority with a key of its own.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "test authority"},
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(24 * time.Hour),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &Authority{certificate: certificate, key: key}, nil
+}
+
+// Pool returns the authority as trusted roots.
+func (a *Authority) Pool() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return pool
+}
+
+// PEM returns the authority's certificate.
+func (a *Authority) PEM() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.certificate.Raw})
+}
+
+// Issue returns the PEM certificate and key for the names, valid for servers
+// and clients on any loopback address.
+func (a *Authority) Issue(names ...string) (certificate, key []byte, err error) {
+	leaf, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, errors.WithStack(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: names[0]},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(24 * time.Hour),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		DNSNames:     names,
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &leaf.PublicKey, a.key)
+	if err != nil {
+		return nil, nil, errors.WithStack(err)
+	}
+	raw, err := x509.MarshalECPrivateKey(leaf)
+	if err != nil {
+		return nil, nil, errors.WithStack(err)
+	}
+	certificate = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	key = pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: raw})
+	return certificate, key, nil
+}
+
+// IssueFiles writes NAME.crt and NAME.key to the folder.
+func (a *Authority) IssueFiles(folder, name string, names ...string) error {
+	certificate, key, err := a.Issue(names...)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(folder, name+".crt"), certificate, 0o600); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.WriteFile(filepath.Join(folder, name+".key"), key, 0o600))
+}
+
+// TLS returns a certificate for the names as a tls.Certificate.
+func (a *Authority) TLS(names ...string) (tls.Certificate, error) {
+	certificate, key, err := a.Issue(names...)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	pair, err := tls.X509KeyPair(certificate, key)
+	return pair, errors.WithStack(err)
+}
--- /dev/null
+++ b/internal/standin/world/world.go
@@ -0,0 +1,245 @@
+// Package world runs entries and agents as separate processes on loopback,
+// between stand-ins for the platform, the fabric and the backend servers. The
+// demo and the scenarios are written against it.
+package world
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/standin/backend"
+	"github.com/turmericrock/turmericrock/internal/standin/fabric"
+	"github.com/turmericrock/turmericrock/internal/standin/pki"
+	standin "github.com/turmericrock/turmericrock/internal/standin/platform"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+// Config holds the settings of a World.
+type Config struct {
+	// Binary is the path of the turmericrock binary.
+	Binary string
+	// Folder takes settings, keys and logs.
+	Folder string
+	// Zones are the availability zones.
+	Zones []fleet.Zone
+	// Services are declared without addresses, which the world chooses.
+	Services []fleet.Service
+	// Seed seeds the fabric.
+	Seed uint64
+}
+
+// World is a running fleet with its stand-ins.
+type World struct {
+	config    Config
+	authority *pki.Authority
+	Platform  *standin.Platform
+	Ledger    *backend.Ledger
+	server    *httptest.Server
+
+	mu       sync.Mutex
+	revision uint64
+	zones    []fleet.Zone
+	services []fleet.Service
+	fabrics  map[fleet.ServiceID]*fabric.Fabric
+	nodes    map[string]*Node
+}
+
+// New starts the stand-ins and publishes the first configuration.
+func New(config Config) (*World, error) {
+	authority, err := pki.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	w := &World{
+		config:    config,
+		authority: authority,
+		Platform:  standin.New(),
+		Ledger:    backend.NewLedger(),
+		zones:     slices.Clone(config.Zones),
+		fabrics:   make(map[fleet.ServiceID]*fabric.Fabric),
+		nodes:     make(map[string]*Node),
+	}
+	w.server = httptest.NewServer(w.Platform)
+	if err := w.writeSecrets(); err != nil {
+		return nil, err
+	}
+	if err := w.startFabrics(); err != nil {
+		return nil, err
+	}
+	if err := w.Publish(); err != nil {
+		return nil, err
+	}
+	return w, w.publishVMs()
+}
+
+// Close ends all that the world started.
+func (w *World) Close() {
+	w.mu.Lock()
+	nodes := make([]*Node, 0, len(w.nodes))
+	for _, n := range w.nodes {
+		nodes = append(nodes, n)
+	}
+	w.mu.Unlock()
+	for _, n := range nodes {
+		n.Kill()
+	}
+	for _, f := range w.fabrics {
+		f.Close()
+	}
+	w.server.CloseClientConnections()
+	w.server.Close()
+}
+
+// Fabric returns the fabric before the service.
+func (w *World) Fabric(id fleet.ServiceID) *fabric.Fabric {
+	return w.fabrics[id]
+}
+
+// Publish puts the declarations on the platform under the next revision.
+func (w *World) Publish() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	data, err := fleet.Encode(fleet.Part{Services: w.services})
+	if err != nil {
+		return err
+	}
+	manifest := fleet.Manifest{
+		Revision: w.revision,
+		Zones:    w.zones,
+		Parts:    []fleet.PartRef{{Name: "all", Digest: fleet.Digest(data), Size: len(data)}},
+	}
+	root, err := fleet.Encode(manifest)
+	if err != nil {
+		return err
+	}
+	w.Platform.Put(platform.KeyPart(fleet.Digest(data)), data)
+	w.Platform.Put(platform.KeyManifest, root)
+	return nil
+}
+
+// SetZoneOut takes a zone out of service, or brings it back, and publishes.
+func (w *World) SetZoneOut(name string, out bool) error {
+	w.mu.Lock()
+	zones := slices.Clone(w.zones)
+	for i := range zones {
+		if zones[i].Name == name {
+			zones[i].Out = out
+		}
+	}
+	w.zones = zones
+	w.mu.Unlock()
+	return w.Publish()
+}
+
+// publishVMs puts the VM lists on the platform.
+func (w *World) publishVMs() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, zone := range w.zones {
+		list := fleet.VMList{Zone: zone.Name}
+		for _, n := range w.nodes {
+			if n.vm.Zone == zone.Name && n.listed {
+				list.VMs = append(list.VMs, n.vm)
+			}
+		}
+		slices.SortFunc(list.VMs, func(a, b fleet.VM) int {
+			return a.Addr.Compare(b.Addr)
+		})
+		data, err := fleet.Encode(list)
+		if err != nil {
+			return err
+		}
+		w.Platform.Put(platform.KeyVMs(zone.Name), data)
+	}
+	return nil
+}
+
+// sprayEntries tells the fabrics which entries live.
+func (w *World) sprayEntries() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, service := range w.services {
+		var addrs []netip.AddrPort
+		for _, n := range w.nodes {
+			if n.vm.Role == fleet.RoleEntry && n.listed {
+				addrs = append(addrs, n.listen[i])
+			}
+		}
+		w.fabrics[service.ID].SetEntries(addrs)
+	}
+}
+
+// startFabrics gives each service an address of its own with one port for
+// all, as entries listen on one port.
+func (w *World) startFabrics() error {
+	port := uint16(0)
+	for i, service := range w.config.Services {
+		ip := netip.AddrFrom4([4]byte{127, 1, byte(i), 1})
+		f, err := fabric.Listen(netip.AddrPortFrom(ip, port), w.config.Seed+uint64(i))
+		if err != nil {
+			return err
+		}
+		port = f.Addr().Port()
+		service.Addr = f.Addr()
+		w.services = append(w.services, service)
+		w.fabrics[service.ID] = f
+	}
+	return nil
+}
+
+func (w *World) writeSecrets() error {
+	if err := os.MkdirAll(w.config.Folder, 0o755); err != nil {
+		return errors.WithStack(err)
+	}
+	var secret [32]byte
+	if _, err := rand.Read(secret[:]); err != nil {
+		return errors.WithStack(err)
+	}
+	keys := fmt.Sprintf("[keys]\nactive = 1\n\n[key 1]\nsecret = %s\n", hex.EncodeToString(secret[:]))
+	if err := os.WriteFile(w.path("keys.ini"), []byte(keys), 0o600); err != nil {
+		return errors.WithStack(err)
+	}
+	for _, service := range w.config.Services {
+		if err := w.authority.IssueFiles(w.config.Folder, certificateName(service.ID), ServerName(service.ID)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) path(name string) string {
+	return filepath.Join(w.config.Folder, name)
+}
+
+// ServerName returns the TLS name of a service.
+func ServerName(id fleet.ServiceID) string {
+	return id.Name + "." + id.Customer + ".test"
+}
+
+func certificateName(id fleet.ServiceID) string {
+	return id.Customer + "-" + id.Name
+}
+
+// freePort returns a UDP and TCP port that the kernel finds free on the IP.
+func freePort(ip netip.Addr) (netip.AddrPort, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)))
+	if err != nil {
+		return netip.AddrPort{}, errors.WithStack(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort(), nil
+}
+
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
--- /dev/null
+++ b/keyring/errors.go
@@ -0,0 +1,24 @@
+package keyring
+
+import "fmt"
+
+// KeysError reports a set of keys that cannot be used.
+type KeysError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *KeysError) Error() string {
+	return "keys: " + e.Reason
+}
+
+// FileError reports a key file that cannot be read.
+type FileError struct {
+	File   string
+	Reason string
+}
+
+// Error implements error.
+func (e *FileError) Error() string {
+	return fmt.Sprintf("key file %s: %s", e.File, e.Reason)
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,57 @@
+// Package placement chooses hosts for new flows by weighted rendezvous
+// hashing. It knows nothing of sockets, clocks or QUIC: a flow is an opaque
+// key and a host is a seed and a weight.
+package placement
+
+import "math"
+
+// Candidate is a host that may take new flows.
+type Candidate struct {
+	// Seed identifies the host in the hash. It is the same on every entry.
+	Seed uint64
+	// Weight is the share of new flows relative to the other candidates. A
+	// candidate with a weight of 0 or less is not chosen.
+	Weight float64
+}
+
+// None is the index that stands for no candidate.
+const None = -1
+
+// Choose returns the indices of the first and the second choice for the key,
+// or None.
+func Choose(key uint64, candidates []Candidate) (first, second int) {
+	first, second = None, None
+	best, next := math.Inf(-1), math.Inf(-1)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Weight <= 0 {
+			continue
+		}
+		s := score(key, c)
+		switch {
+		case s > best:
+			second, next = first, best
+			first, best = i, s
+		case s > next:
+			second, next = i, s
+		}
+	}
+	return first, second
+}
+
+// score follows the logarithmic method of weighted rendezvous hashing: the
+// candidate with the greatest weight / -ln(u) wins, u uniform in (0, 1).
+func score(key uint64, c *Candidate) float64 {
+	u := (float64(Mix(key^c.Seed)>>11) + 0.5) / (1 << 53)
+	return c.Weight / -math.Log(u)
+}
+
+// Mix is the finalizer of SplitMix64: a bijection that spreads each input bit
+// over the word.
+func Mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
