--- a/internal/node/facts.go
+++ b/internal/node/facts.go
@@ -130,3 +130,15 @@
 	}
 	return strconv.FormatUint(c.Revision(), 10)
 }
+
+// ZoneOpen reports whether packets may go into the availability zone.
+func (f *Facts) ZoneOpen(_ time.Time, zone string) bool {
+	config := f.Holder.Config()
+	return config != nil && !config.ZoneOut(zone)
+}
+
+// Current reports whether the facts may be acted on. They may not after the
+// process was paused, until the configuration in force is confirmed again.
+func (f *Facts) Current(_ time.Time) bool {
+	return f.Holder.Config() != nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,18 @@
 	LogLevel string
 	// Ops is the address of the local HTTP endpoint for operators.
 	Ops netip.AddrPort
+	// Mesh are the settings of the links to other processes.
+	Mesh Mesh
+}
+
+// Mesh are the settings of the links between the system's processes.
+type Mesh struct {
+	// Address is the TCP address on which peers are accepted.
+	Address netip.AddrPort
+	// Certificate, Key and Authority name PEM files for mutual TLS.
+	Certificate string
+	Key         string
+	Authority   string
 }
 
 // Entry are the settings of an entry.
@@ -83,6 +95,16 @@
 		KeyFile:  r.required("keys", "file", "a key file"),
 		LogLevel: r.text("log", "level", "info"),
 		Ops:      r.addrPort("ops", "address"),
+		Mesh:     r.mesh(),
+	}
+}
+
+func (r *reader) mesh() Mesh {
+	return Mesh{
+		Address:     r.addrPort("mesh", "address"),
+		Certificate: r.required("mesh", "certificate", "a PEM file"),
+		Key:         r.required("mesh", "key", "a PEM file"),
+		Authority:   r.required("mesh", "authority", "a PEM file"),
 	}
 }
 
@@ -90,6 +112,7 @@
 	return fleet.VM{
 		ID:    r.required("node", "id", "the VM's name"),
 		Addr:  r.addrPort("node", "address"),
+		Mesh:  r.addrPort("mesh", "address"),
 		Zone:  r.required("node", "zone", "an availability zone"),
 		Role:  role,
 		State: fleet.VMLive,
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -211,6 +211,12 @@
 	if err := os.WriteFile(w.path("keys.ini"), []byte(keys), 0o600); err != nil {
 		return errors.WithStack(err)
 	}
+	if err := os.WriteFile(w.path("authority.crt"), w.authority.PEM(), 0o600); err != nil {
+		return errors.WithStack(err)
+	}
+	if err := w.authority.IssueFiles(w.config.Folder, "mesh", MeshName); err != nil {
+		return err
+	}
 	for _, service := range w.config.Services {
 		if err := w.authority.IssueFiles(w.config.Folder, certificateName(service.ID), ServerName(service.ID)); err != nil {
 			return err
@@ -223,6 +229,9 @@
 	return filepath.Join(w.config.Folder, name)
 }
 
+// MeshName is the TLS name of every process on the mesh.
+const MeshName = "mesh.turmericrock"
+
 // ServerName returns the TLS name of a service.
 func ServerName(id fleet.ServiceID) string {
 	return id.Name + "." + id.Customer + ".test"
