--- /dev/null
+++ b/dissemination/codec.go
@@ -0,0 +1,170 @@
+package dissemination
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/fleet"
+)
+
+// MaxMessage is the size limit of an encoded message in bytes. A part of the
+// greatest size fits.
+const MaxMessage = 2 << 20
+
+const (
+	maxElements   = 1 << 16
+	maxNesting    = 8
+	maxFields     = 64
+	maxIDLength   = 255 // bytes
+	digestSize    = 32  // bytes
+	maxZoneStates = 256
+)
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxFields,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the bytes of a message.
+func Encode(message Message) ([]byte, error) {
+	data, err := encoder.Marshal(message)
+	return data, errors.WithStack(err)
+}
+
+// Decode reads a message and checks it. The error is a *MessageError.
+func Decode(data []byte) (Message, error) {
+	var message Message
+	if len(data) > MaxMessage {
+		return message, &MessageError{Cause: "size"}
+	}
+	if err := decoder.Unmarshal(data, &message); err != nil {
+		return Message{}, &MessageError{Cause: "encoding", Err: err}
+	}
+	if cause := message.fault(); cause != "" {
+		return Message{}, &MessageError{Cause: cause}
+	}
+	return message, nil
+}
+
+// fault returns what is wrong with a message, or nothing.
+func (m Message) fault() string {
+	kinds := 0
+	for _, set := range []bool{m.Hello != nil, m.State != nil, m.Want != nil, m.Value != nil} {
+		if set {
+			kinds++
+		}
+	}
+	switch {
+	case kinds != 1:
+		return "kind"
+	case m.Hello != nil:
+		return m.Hello.fault()
+	case m.State != nil:
+		return m.State.fault()
+	case m.Want != nil:
+		return m.Want.fault()
+	default:
+		return m.Value.fault()
+	}
+}
+
+func (h *Hello) fault() string {
+	switch {
+	case h.Protocol != Protocol:
+		return "protocol"
+	case h.ID == "" || len(h.ID) > maxIDLength:
+		return "id"
+	case !fleet.ValidName(h.Zone):
+		return "zone"
+	default:
+		return ""
+	}
+}
+
+func (s *State) fault() string {
+	if !validDigest(s.Digest) || (s.Revision == 0) != (len(s.Digest) == 0) {
+		return "digest"
+	}
+	if len(s.Zones) > maxZoneStates {
+		return "zone"
+	}
+	for _, zone := range s.Zones {
+		if !fleet.ValidName(zone.Zone) {
+			return "zone"
+		}
+	}
+	return ""
+}
+
+func (w *Want) fault() string {
+	if !validDigest(w.Manifest) || !validDigest(w.Base) || !validDigests(w.Parts) {
+		return "digest"
+	}
+	for _, list := range w.Lists {
+		if !fleet.ValidName(list.Zone) {
+			return "zone"
+		}
+	}
+	return ""
+}
+
+func (v *Value) fault() string {
+	if !validDigests(v.Missing) || (v.Manifest != nil && !validDigest(v.Manifest.Base)) {
+		return "digest"
+	}
+	for _, list := range v.Lists {
+		if cause := list.fault(); cause != "" {
+			return cause
+		}
+	}
+	return ""
+}
+
+func (l *ListValue) fault() string {
+	if !fleet.ValidName(l.Zone) {
+		return "zone"
+	}
+	for _, vm := range l.Set {
+		if vm.ID == "" || len(vm.ID) > maxIDLength || !vm.Addr.IsValid() || vm.Zone != l.Zone {
+			return "vm"
+		}
+	}
+	return ""
+}
+
+func validDigests(digests [][]byte) bool {
+	for _, digest := range digests {
+		if len(digest) != digestSize {
+			return false
+		}
+	}
+	return true
+}
+
+// validDigest reports whether a digest is absent or has the right size.
+func validDigest(digest []byte) bool {
+	return len(digest) == 0 || len(digest) == digestSize
+}
--- /dev/null
+++ b/dissemination/config.go
@@ -0,0 +1,76 @@
+package dissemination
+
+import (
+	"time"
+
+	"github.com/turmericrock/turmericrock/fleet"
+)
+
+// Config holds the settings of a Replica.
+type Config struct {
+	// Self describes the node's VM.
+	Self fleet.VM
+	// Seeds are mesh addresses to ask while no VM list is known.
+	Seeds []fleet.VM
+	// FleetLimit is the greatest number of nodes in the fleet. The rate of a
+	// node's own reads follows from it.
+	FleetLimit int
+	// Watchers is the number of nodes in each zone that follow the platform.
+	Watchers int
+	// Spares is the number of nodes after the watchers that may take the
+	// place of silent ones.
+	Spares int
+	// Parents is the number of peers that a node polls.
+	Parents int
+	// Branch is the number of nodes for which a node is the first parent.
+	Branch int
+	// MaxInbound bounds the links that other nodes open to this one.
+	MaxInbound int
+	// Heartbeat is the time between two polls of a peer.
+	Heartbeat time.Duration
+	// SilentAfter is how long a polled peer may leave polls unanswered.
+	SilentAfter time.Duration
+	// WatchWait is how long a watch waits at the platform.
+	WatchWait time.Duration
+	// OwnReadAfter is the age of the last confirmation from which a node
+	// reads for itself.
+	OwnReadAfter time.Duration
+	// OwnReads is the greatest rate of own reads over the fleet, in reads a
+	// second.
+	OwnReads int
+	// WatcherReads is the greatest rate of reads over all watchers and
+	// spares, in reads a second.
+	WatcherReads int
+	// Zones is the least number of zones among which WatcherReads is divided.
+	Zones int
+	// ConfirmLimit is the age up to which a confirmation vouches for the
+	// state of the zones.
+	ConfirmLimit time.Duration
+	// PauseGap is the gap between two steps that counts as a pause.
+	PauseGap time.Duration
+	// WakeFallback is how long after a pause a node that reaches nobody
+	// waits for a confirmation.
+	WakeFallback time.Duration
+}
+
+// DefaultConfig returns the settings that need no value from operators.
+func DefaultConfig() Config {
+	return Config{
+		FleetLimit:   8000,
+		Watchers:     3,
+		Spares:       3,
+		Parents:      2,
+		Branch:       8,
+		MaxInbound:   48,
+		Heartbeat:    time.Second,
+		SilentAfter:  3 * time.Second,
+		WatchWait:    time.Second,
+		OwnReadAfter: 6 * time.Second,
+		OwnReads:     1000,
+		WatcherReads: 840,
+		Zones:        7,
+		ConfirmLimit: 6 * time.Second,
+		PauseGap:     time.Second,
+		WakeFallback: 10 * time.Second,
+	}
+}
--- /dev/null
+++ b/dissemination/link.go
@@ -0,0 +1,198 @@
+package dissemination
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/turmericrock/turmericrock/fleet"
+)
+
+// link is one link to another node. Outbound links are polled, inbound ones
+// are answered.
+type link struct {
+	id      LinkID
+	inbound bool
+	vm      fleet.VM
+	hello   Hello
+	up      bool
+	since   time.Time
+	wanted  bool
+
+	nextPoll  time.Time
+	lastProbe uint64
+	// heardAt is when the peer last answered a poll or, inbound, polled.
+	heardAt time.Time
+	// echo is the latest probe of the other side.
+	echo uint64
+	// told is the revision and the list versions last sent over the link.
+	told map[string]uint64
+	// state is the latest state of the other side.
+	state State
+}
+
+const (
+	// dialGap is the least time between two links that a node opens.
+	dialGap = 100 * time.Millisecond
+	// dialTimeout is how long a link may take to open.
+	dialTimeout = 5 * time.Second
+	// inboundSilent is how long an inbound link may be without a poll.
+	inboundSilent = 10 * time.Second
+)
+
+func (r *Replica) sortedLinks() []*link {
+	ids := slices.Sorted(maps.Keys(r.links))
+	links := make([]*link, 0, len(ids))
+	for _, id := range ids {
+		links = append(links, r.links[id])
+	}
+	return links
+}
+
+func (r *Replica) linkOpened(now time.Time, event LinkOpened) {
+	if event.Inbound {
+		r.accept(now, event)
+		return
+	}
+	l := r.links[event.Link]
+	if l == nil {
+		r.act(Close{Link: event.Link, Cause: "unwanted"})
+		return
+	}
+	l.hello = event.Hello
+	if l.vm.ID != "" && l.vm.ID != event.Hello.ID {
+		r.drop(l, "replaced")
+		r.failed(now, r.peer(l.vm), StatusReplaced)
+		return
+	}
+	l.up = true
+	l.since = now
+	l.heardAt = now
+	l.nextPoll = now
+	r.pollLink(now, l)
+}
+
+func (r *Replica) accept(now time.Time, event LinkOpened) {
+	inbound := 0
+	for _, l := range r.links {
+		if l.inbound {
+			inbound++
+		}
+	}
+	if inbound >= r.config.MaxInbound {
+		r.counts.Full++
+		r.act(Close{Link: event.Link, Cause: "full"})
+		return
+	}
+	r.links[event.Link] = &link{
+		id:      event.Link,
+		inbound: true,
+		hello:   event.Hello,
+		up:      true,
+		since:   now,
+		heardAt: now,
+		told:    make(map[string]uint64),
+	}
+}
+
+func (r *Replica) linkClosed(now time.Time, event LinkClosed) {
+	l := r.links[event.Link]
+	if l == nil {
+		return
+	}
+	delete(r.links, event.Link)
+	if l.inbound || l.vm.ID == "" {
+		return
+	}
+	status := StatusDead
+	if event.Refused {
+		status = StatusGone
+	}
+	r.failed(now, r.peer(l.vm), status)
+}
+
+func (r *Replica) drop(l *link, cause string) {
+	delete(r.links, l.id)
+	r.act(Close{Link: l.id, Cause: cause})
+}
+
+// checkLinks drops links whose other side is silent.
+func (r *Replica) checkLinks(now time.Time) {
+	for _, l := range r.sortedLinks() {
+		switch {
+		case l.inbound && now.Sub(l.heardAt) > inboundSilent:
+			r.drop(l, "silent")
+		case !l.inbound && !l.up && now.Sub(l.since) > dialTimeout:
+			r.drop(l, "timeout")
+			r.linkFailed(now, l, StatusDead)
+		case !l.inbound && l.up && now.Sub(l.heardAt) > r.config.SilentAfter:
+			r.counts.Silent++
+			r.drop(l, "silent")
+			r.linkFailed(now, l, StatusSilent)
+		}
+	}
+}
+
+func (r *Replica) linkFailed(now time.Time, l *link, status Status) {
+	if l.vm.ID != "" {
+		r.failed(now, r.peer(l.vm), status)
+	}
+}
+
+// chooseLinks opens at most one link and closes those that are no longer
+// wanted, once the wanted ones stand.
+func (r *Replica) chooseLinks(now time.Time) {
+	wanted := r.wantedPeers(now)
+	byID := make(map[string]*link)
+	for _, l := range r.links {
+		l.wanted = false
+		if !l.inbound {
+			byID[peerKey(l.vm)] = l
+		}
+	}
+	standing := 0
+	for _, vm := range wanted {
+		l := byID[peerKey(vm)]
+		if l == nil {
+			r.dial(now, vm)
+			continue
+		}
+		l.wanted = true
+		if l.up {
+			standing++
+		}
+	}
+	if standing < len(wanted) {
+		return
+	}
+	for _, l := range r.sortedLinks() {
+		if !l.inbound && !l.wanted {
+			r.drop(l, "unwanted")
+		}
+	}
+}
+
+// peerKey names a peer; a seed has no ID.
+func peerKey(vm fleet.VM) string {
+	if vm.ID != "" {
+		return vm.ID
+	}
+	return vm.Mesh.String()
+}
+
+func (r *Replica) dial(now time.Time, vm fleet.VM) {
+	if now.Before(r.nextDial) {
+		return
+	}
+	r.nextDial = now.Add(r.jitter(dialGap))
+	l := &link{id: r.nextLink, vm: vm, since: now, wanted: true, told: make(map[string]uint64)}
+	r.nextLink += 2
+	r.links[l.id] = l
+	r.counts.Dials++
+	r.act(Dial{Link: l.id, Peer: vm, Hello: r.Hello()})
+}
+
+// Hello returns the first message on each link.
+func (r *Replica) Hello() Hello {
+	return Hello{Protocol: Protocol, ID: r.config.Self.ID, Zone: r.config.Self.Zone, All: r.full()}
+}
--- /dev/null
+++ b/dissemination/role.go
@@ -0,0 +1,159 @@
+package dissemination
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/turmericrock/turmericrock/fleet"
+)
+
+// rank returns the node's rank in its zone and whether it is listed.
+func (r *Replica) rank() (rank int, listed bool) {
+	order := r.order(r.config.Self.Zone)
+	if order == nil {
+		return 0, false
+	}
+	return order.Rank(r.config.Self)
+}
+
+// Watching reports whether the node follows the platform for its zone: it is
+// one of the first in the order, or one of the spares after them and takes
+// the place of one that does not answer.
+func (r *Replica) Watching(now time.Time) bool {
+	rank, listed := r.rank()
+	if !listed || rank >= r.config.Watchers+r.config.Spares {
+		return false
+	}
+	order := r.order(r.config.Self.Zone)
+	before := 0
+	for i := range rank {
+		if !r.avoided(now, order.At(i).ID) {
+			before++
+		}
+	}
+	return before < r.config.Watchers
+}
+
+// full reports whether the node holds the whole configuration and the lists
+// of every zone.
+func (r *Replica) full() bool {
+	if r.config.Self.Role == fleet.RoleEntry {
+		return true
+	}
+	rank, listed := r.rank()
+	if !listed {
+		return false
+	}
+	return Full(r.config, rank, r.order(r.config.Self.Zone).Len())
+}
+
+// wantedPeers returns the peers to poll, best first.
+func (r *Replica) wantedPeers(now time.Time) []fleet.VM {
+	order := r.order(r.config.Self.Zone)
+	if order == nil || order.Len() == 0 {
+		return r.seeds()
+	}
+	rank, listed := order.Rank(r.config.Self)
+	if listed && rank < r.config.Watchers+r.config.Spares && r.Watching(now) {
+		return r.watcherPeers(now, order, rank)
+	}
+	wanted := r.pick(now, order, r.parentRanks(order, rank, listed), r.config.Parents)
+	if len(wanted) == 0 && r.holder.Config() == nil {
+		return r.seeds()
+	}
+	return wanted
+}
+
+// parentRanks returns the ranks of possible parents. Nobody chooses a node
+// that is not listed, so it may poll the watchers whatever its place.
+func (r *Replica) parentRanks(order *Order, rank int, listed bool) []int {
+	candidates := Candidates(r.config, r.config.Self.ID, rank)
+	if listed {
+		return candidates
+	}
+	for i := range min(r.config.Watchers, order.Len()) {
+		if !slices.Contains(candidates, i) {
+			candidates = append(candidates, i)
+		}
+	}
+	return candidates
+}
+
+func (r *Replica) pick(now time.Time, order *Order, ranks []int, count int) []fleet.VM {
+	var picked []fleet.VM
+	for _, rank := range ranks {
+		vm := order.At(rank)
+		if len(picked) < count && vm.ID != r.config.Self.ID && !r.avoided(now, vm.ID) {
+			picked = append(picked, vm)
+		}
+	}
+	return picked
+}
+
+// watcherPeers returns the next watcher of the zone, so that one that lost
+// the platform hears of it, and one watcher in each other zone.
+func (r *Replica) watcherPeers(now time.Time, order *Order, rank int) []fleet.VM {
+	watchers := min(r.config.Watchers, order.Len())
+	var others []int
+	for i := 1; i <= watchers; i++ {
+		others = append(others, (rank+i)%watchers)
+	}
+	wanted := r.pick(now, order, others, 1)
+	for _, zone := range r.zones() {
+		other := r.order(zone)
+		if zone == r.config.Self.Zone || other == nil || other.Len() == 0 {
+			continue
+		}
+		wanted = append(wanted, r.pick(now, other, r.crossRanks(other, rank), 1)...)
+	}
+	return wanted
+}
+
+// crossRanks returns the ranks of the watchers and spares of another zone,
+// from the node's own rank on.
+func (r *Replica) crossRanks(order *Order, rank int) []int {
+	watchers := min(r.config.Watchers, order.Len())
+	var ranks []int
+	for i := range watchers {
+		ranks = append(ranks, (rank+i)%watchers)
+	}
+	for i := watchers; i < min(watchers+r.config.Spares, order.Len()); i++ {
+		ranks = append(ranks, i)
+	}
+	return ranks
+}
+
+// zones returns the names of the zones that are declared or listed.
+func (r *Replica) zones() []string {
+	names := make(map[string]bool)
+	names[r.config.Self.Zone] = true
+	if held := r.holder.Config(); held != nil {
+		for _, zone := range held.Manifest.Zones {
+			names[zone.Name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// listedZones returns the zones whose lists the node needs.
+func (r *Replica) listedZones() []string {
+	if r.full() {
+		return r.zones()
+	}
+	return []string{r.config.Self.Zone}
+}
+
+// seeds returns two of the addresses to ask at the start.
+func (r *Replica) seeds() []fleet.VM {
+	count := min(r.config.Parents, len(r.config.Seeds))
+	first := 0
+	if count > 0 {
+		first = int(mix(placeOf(&r.config.Self).hash) % uint64(len(r.config.Seeds)))
+	}
+	var picked []fleet.VM
+	for i := range count {
+		picked = append(picked, r.config.Seeds[(first+i)%len(r.config.Seeds)])
+	}
+	return picked
+}
--- /dev/null
+++ b/dissemination/values.go
@@ -0,0 +1,98 @@
+package dissemination
+
+import (
+	"slices"
+
+	"github.com/turmericrock/turmericrock/fleet"
+)
+
+// valueStore holds manifests and parts by digest.
+type valueStore struct {
+	parts map[string][]byte
+	// manifests holds the latest manifests, oldest first, so that a node can
+	// tell a difference to those that are behind.
+	manifests []heldManifest
+}
+
+type heldManifest struct {
+	digest   string
+	manifest fleet.Manifest
+	raw      []byte
+}
+
+const manifestHistory = 4
+
+func newValueStore() valueStore {
+	return valueStore{parts: make(map[string][]byte)}
+}
+
+func (s *valueStore) manifest(digest string) (heldManifest, bool) {
+	i := slices.IndexFunc(s.manifests, func(m heldManifest) bool { return m.digest == digest })
+	if i < 0 {
+		return heldManifest{}, false
+	}
+	return s.manifests[i], true
+}
+
+// keep holds a manifest that is now in force and forgets what no manifest
+// held names.
+func (s *valueStore) keep(m heldManifest) {
+	if _, found := s.manifest(m.digest); found {
+		return
+	}
+	s.manifests = append(s.manifests, m)
+	if len(s.manifests) > manifestHistory {
+		s.manifests = slices.Delete(s.manifests, 0, 1)
+	}
+	s.forgetParts(m.manifest)
+}
+
+// forgetParts drops the parts that neither the manifest nor the one before it
+// names.
+func (s *valueStore) forgetParts(current fleet.Manifest) {
+	named := make(map[string]bool, len(current.Parts))
+	for _, m := range s.manifests[max(0, len(s.manifests)-2):] {
+		for _, ref := range m.manifest.Parts {
+			named[ref.Digest] = true
+		}
+	}
+	for digest := range s.parts {
+		if !named[digest] {
+			delete(s.parts, digest)
+		}
+	}
+}
+
+// tell returns the manifest with the digest, as a difference from base when
+// that is held and shorter.
+func (s *valueStore) tell(digest, base string) *ManifestValue {
+	to, found := s.manifest(digest)
+	if !found {
+		return nil
+	}
+	whole := &ManifestValue{Whole: to.raw}
+	from, found := s.manifest(base)
+	if !found {
+		return whole
+	}
+	value, err := DiffManifests(from.manifest, to.manifest)
+	if err != nil {
+		return whole
+	}
+	merged, err := MergeManifest(from.manifest, value)
+	if err != nil || digestOf(merged) != digest {
+		return whole
+	}
+	value.Base = rawDigest(base)
+	return value
+}
+
+// digestOf returns the digest of a manifest, or nothing when it cannot be
+// encoded.
+func digestOf(manifest fleet.Manifest) string {
+	data, err := fleet.Encode(manifest)
+	if err != nil {
+		return ""
+	}
+	return fleet.Digest(data)
+}
--- /dev/null
+++ b/mesh/config.go
@@ -0,0 +1,89 @@
+// Package mesh carries the messages of package dissemination between
+// processes: WebSocket with CBOR over mutual TLS. It opens, accepts and
+// closes links as it is told and decides nothing itself.
+package mesh
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/dissemination"
+)
+
+// ServerName is the TLS name in every process's certificate.
+const ServerName = "mesh.turmericrock"
+
+// Config holds the settings of a Mesh.
+type Config struct {
+	// Address is the TCP address on which links are accepted.
+	Address netip.AddrPort
+	// TLS holds the process's certificate, and the authority as RootCAs.
+	TLS *tls.Config
+	// Hello is what the process answers on an accepted link.
+	Hello dissemination.Hello
+	// SendQueue is the number of messages that wait on one link at most.
+	SendQueue int
+	// MaxLinks bounds the links that are accepted and not closed yet.
+	MaxLinks int
+	// OpenTimeout bounds how long a link may take to open.
+	OpenTimeout time.Duration
+	// WriteTimeout bounds how long one message may take to send.
+	WriteTimeout time.Duration
+}
+
+// DefaultConfig returns the settings that need no value from operators.
+func DefaultConfig() Config {
+	return Config{
+		SendQueue:    64,
+		MaxLinks:     128,
+		OpenTimeout:  4 * time.Second,
+		WriteTimeout: 5 * time.Second,
+	}
+}
+
+// LoadTLS reads the process's certificate and key and the authority that
+// signs those of its peers, all PEM files.
+func LoadTLS(certificate, key, authority string) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	data, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, &AuthorityError{File: authority}
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+}
+
+// serverTLS accepts only peers with a certificate for ServerName.
+func serverTLS(base *tls.Config) *tls.Config {
+	config := base.Clone()
+	config.ClientCAs = base.RootCAs
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	config.NextProtos = []string{"http/1.1"}
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		if err := state.PeerCertificates[0].VerifyHostname(ServerName); err != nil {
+			return &NameError{Err: err}
+		}
+		return nil
+	}
+	return config
+}
+
+func clientTLS(base *tls.Config) *tls.Config {
+	config := base.Clone()
+	config.ServerName = ServerName
+	config.ClientSessionCache = tls.NewLRUClientSessionCache(sessionCache)
+	return config
+}
+
+const sessionCache = 32
--- /dev/null
+++ b/mesh/listener.go
@@ -0,0 +1,113 @@
+package mesh
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// handshakeListener hands out connections whose TLS handshake is done, and
+// counts those that are refused by cause.
+type handshakeListener struct {
+	net.Listener
+	config  *tls.Config
+	timeout time.Duration
+	counts  *counters
+	limit   chan struct{}
+	ready   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func newHandshakeListener(inner net.Listener, config Config, counts *counters) *handshakeListener {
+	l := &handshakeListener{
+		Listener: inner,
+		config:   serverTLS(config.TLS),
+		timeout:  config.OpenTimeout,
+		counts:   counts,
+		limit:    make(chan struct{}, config.MaxLinks),
+		ready:    make(chan net.Conn),
+		done:     make(chan struct{}),
+	}
+	go l.acceptAll()
+	return l
+}
+
+func (l *handshakeListener) acceptAll() {
+	for {
+		conn, err := l.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			l.once.Do(func() { close(l.done) })
+			return
+		}
+		if err != nil {
+			continue
+		}
+		select {
+		case l.limit <- struct{}{}:
+			go l.handshake(&countedConn{Conn: conn, release: func() { <-l.limit }})
+		default:
+			l.counts.add(causeFull)
+			_ = conn.Close()
+		}
+	}
+}
+
+func (l *handshakeListener) handshake(conn net.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), l.timeout)
+	defer cancel()
+	secure := tls.Server(conn, l.config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		l.counts.add(handshakeCause(err))
+		_ = conn.Close()
+		return
+	}
+	select {
+	case l.ready <- secure:
+	case <-l.done:
+		_ = conn.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (l *handshakeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.ready:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// countedConn gives its place back when it is closed.
+type countedConn struct {
+	net.Conn
+	release func()
+	once    sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(c.release)
+	return c.Conn.Close()
+}
+
+func handshakeCause(err error) string {
+	var verification *tls.CertificateVerificationError
+	var name *NameError
+	var network net.Error
+	switch {
+	case errors.As(err, &name):
+		return causeName
+	case errors.As(err, &verification):
+		return causeCertificate
+	case errors.As(err, &network) && network.Timeout():
+		return causeTimeout
+	default:
+		return causeHandshake
+	}
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,316 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/dissemination"
+)
+
+const path = "/mesh"
+
+// Mesh holds the links of one process. It is safe for concurrent use.
+type Mesh struct {
+	config Config
+	post   func(dissemination.Event)
+	client *http.Client
+	counts *counters
+
+	mu       sync.Mutex
+	ctx      context.Context
+	links    map[dissemination.LinkID]*link
+	nextLink dissemination.LinkID
+}
+
+// New returns a mesh that hands what happens to post, which must not block.
+func New(config Config, post func(dissemination.Event)) *Mesh {
+	transport := &http.Transport{
+		TLSClientConfig:     clientTLS(config.TLS),
+		TLSHandshakeTimeout: config.OpenTimeout,
+		DisableKeepAlives:   true,
+	}
+	return &Mesh{
+		config:   config,
+		post:     post,
+		client:   &http.Client{Transport: transport},
+		counts:   newCounters(),
+		links:    make(map[dissemination.LinkID]*link),
+		nextLink: 2,
+	}
+}
+
+// Run accepts links until ctx ends, and then closes every link.
+func (m *Mesh) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", m.config.Address.String())
+	if err != nil {
+		return &LinkError{Cause: "listen", Err: err}
+	}
+	return m.Serve(ctx, listener)
+}
+
+// Serve is Run over a listener of the caller.
+func (m *Mesh) Serve(ctx context.Context, listener net.Listener) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.mu.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, m.accept)
+	server := &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: m.config.OpenTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(newHandshakeListener(listener, m.config, m.counts))
+	m.closeAll()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return &LinkError{Cause: "listen", Err: err}
+}
+
+// Open opens a link to the peer in the background. LinkOpened or LinkClosed
+// tells of the outcome.
+func (m *Mesh) Open(dial dissemination.Dial) {
+	m.mu.Lock()
+	ctx := m.ctx
+	m.mu.Unlock()
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	go m.dial(ctx, dial)
+}
+
+// Send queues a message. A link whose queue is full is closed: its peer does
+// not keep up.
+func (m *Mesh) Send(id dissemination.LinkID, message dissemination.Message) {
+	l := m.link(id)
+	if l == nil {
+		return
+	}
+	data, err := dissemination.Encode(message)
+	if err != nil {
+		return
+	}
+	select {
+	case l.queue <- data:
+	default:
+		m.counts.add(causeSlow)
+		l.close()
+	}
+}
+
+// Close closes a link.
+func (m *Mesh) Close(id dissemination.LinkID) {
+	if l := m.link(id); l != nil {
+		l.close()
+	}
+}
+
+func (m *Mesh) link(id dissemination.LinkID) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[id]
+}
+
+func (m *Mesh) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.close()
+	}
+}
+
+func (m *Mesh) dial(ctx context.Context, dial dissemination.Dial) {
+	conn, hello, err := m.open(ctx, dial.Peer.Mesh, dial.Hello)
+	if err != nil {
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		cause := causeDial
+		if refused {
+			cause = causeRefused
+		}
+		m.counts.add(cause)
+		m.post(dissemination.LinkClosed{Link: dial.Link, Refused: refused})
+		return
+	}
+	m.run(ctx, dial.Link, conn, dissemination.LinkOpened{Link: dial.Link, Hello: hello})
+}
+
+func (m *Mesh) open(ctx context.Context, addr netip.AddrPort, hello dissemination.Hello) (*websocket.Conn, dissemination.Hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.config.OpenTimeout)
+	defer cancel()
+	options := &websocket.DialOptions{HTTPClient: m.client, CompressionMode: websocket.CompressionDisabled}
+	conn, _, err := websocket.Dial(ctx, "wss://"+addr.String()+path, options)
+	if err != nil {
+		return nil, dissemination.Hello{}, &LinkError{Cause: causeDial, Err: err}
+	}
+	conn.SetReadLimit(dissemination.MaxMessage)
+	answer, err := greet(ctx, conn, hello)
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, dissemination.Hello{}, err
+	}
+	return conn, answer, nil
+}
+
+// greet sends a Hello and waits for the other side's.
+func greet(ctx context.Context, conn *websocket.Conn, hello dissemination.Hello) (dissemination.Hello, error) {
+	data, err := dissemination.Encode(dissemination.Message{Hello: &hello})
+	if err != nil {
+		return dissemination.Hello{}, err
+	}
+	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return dissemination.Hello{}, &LinkError{Cause: causeHello, Err: err}
+	}
+	return awaitHello(ctx, conn)
+}
+
+func awaitHello(ctx context.Context, conn *websocket.Conn) (dissemination.Hello, error) {
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return dissemination.Hello{}, &LinkError{Cause: causeHello, Err: err}
+	}
+	message, err := dissemination.Decode(data)
+	if err != nil {
+		return dissemination.Hello{}, err
+	}
+	if message.Hello == nil {
+		return dissemination.Hello{}, &dissemination.MessageError{Cause: causeHello}
+	}
+	return *message.Hello, nil
+}
+
+func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		m.counts.add(causeUpgrade)
+		return
+	}
+	conn.SetReadLimit(dissemination.MaxMessage)
+	ctx, cancel := context.WithTimeout(r.Context(), m.config.OpenTimeout)
+	hello, err := awaitHello(ctx, conn)
+	cancel()
+	if err != nil {
+		m.counts.add(causeOf(err))
+		_ = conn.CloseNow()
+		return
+	}
+	m.mu.Lock()
+	id := m.nextLink
+	m.nextLink += 2
+	m.mu.Unlock()
+	m.run(context.WithoutCancel(r.Context()), id, conn, dissemination.LinkOpened{Link: id, Hello: hello, Inbound: true})
+}
+
+// causeOf returns the cause that an error of a message is counted under.
+func causeOf(err error) string {
+	var message *dissemination.MessageError
+	if errors.As(err, &message) {
+		return message.Cause
+	}
+	return causeHello
+}
+
+// run serves a link until it ends.
+func (m *Mesh) run(ctx context.Context, id dissemination.LinkID, conn *websocket.Conn, opened dissemination.LinkOpened) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l := &link{
+		id:     id,
+		conn:   conn,
+		queue:  make(chan []byte, m.config.SendQueue),
+		cancel: cancel,
+		mesh:   m,
+	}
+	if opened.Inbound {
+		l.answer(m.config.Hello)
+	}
+	m.mu.Lock()
+	m.links[id] = l
+	m.mu.Unlock()
+	m.counts.opened(1)
+	m.post(opened)
+	go l.write(ctx, m.config.WriteTimeout)
+	l.read(ctx)
+	m.mu.Lock()
+	delete(m.links, id)
+	m.mu.Unlock()
+	m.counts.opened(-1)
+	m.post(dissemination.LinkClosed{Link: id})
+}
+
+// link is one WebSocket connection.
+type link struct {
+	id     dissemination.LinkID
+	conn   *websocket.Conn
+	queue  chan []byte
+	cancel context.CancelFunc
+	mesh   *Mesh
+}
+
+func (l *link) close() {
+	l.cancel()
+}
+
+func (l *link) answer(hello dissemination.Hello) {
+	if data, err := dissemination.Encode(dissemination.Message{Hello: &hello}); err == nil {
+		l.queue <- data
+	}
+}
+
+// read hands messages on until the link ends. A message that is not valid
+// ends it.
+func (l *link) read(ctx context.Context) {
+	defer l.cancel()
+	defer func() { _ = l.conn.CloseNow() }()
+	for {
+		kind, data, err := l.conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		l.mesh.counts.message(true, len(data))
+		if kind != websocket.MessageBinary {
+			l.mesh.counts.add(causeText)
+			return
+		}
+		message, err := dissemination.Decode(data)
+		if err != nil {
+			l.mesh.counts.add(causeOf(err))
+			return
+		}
+		l.mesh.post(dissemination.Received{Link: l.id, Message: message})
+	}
+}
+
+func (l *link) write(ctx context.Context, timeout time.Duration) {
+	defer l.cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case data := <-l.queue:
+			if err := l.writeOne(ctx, data, timeout); err != nil {
+				l.mesh.counts.add(causeWrite)
+				return
+			}
+			l.mesh.counts.message(false, len(data))
+		}
+	}
+}
+
+func (l *link) writeOne(ctx context.Context, data []byte, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return l.conn.Write(ctx, websocket.MessageBinary, data)
+}
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/invariant"
 )
 
 // Verdict tells what became of an offer.
@@ -49,25 +50,47 @@
 	conflicts uint64
 }
 
-// Offer considers a validated configuration that was current at the time
-// given by asOf, and returns the verdict.
-func (h *Holder) Offer(config *fleet.Config, asOf time.Time) Verdict {
+// Judge returns the verdict that an offer of the revision with the digest
+// would get. It changes nothing.
+func (h *Holder) Judge(number uint64, digest string) Verdict {
 	switch {
-	case h.config == nil || config.Revision() > h.config.Revision():
-		h.config = config
-		h.confirmed = asOf
+	case h.config == nil || number > h.config.Revision():
 		return Accepted
-	case config.Revision() < h.config.Revision():
+	case number < h.config.Revision():
 		return Stale
-	case config.Digest != h.config.Digest:
-		h.conflicts++
+	case digest != h.config.Digest:
 		return Conflicting
 	default:
-		h.Confirm(config.Revision(), asOf)
 		return Confirmed
 	}
 }
 
+// Offer considers a validated configuration that was current at the time
+// given by asOf, and returns the verdict.
+func (h *Holder) Offer(config *fleet.Config, asOf time.Time) Verdict {
+	verdict := h.Judge(config.Revision(), config.Digest)
+	switch verdict {
+	case Accepted:
+		invariant.Check("revision_rises", config.Revision() > h.Revision())
+		h.config = config
+		h.confirmed = asOf
+	case Confirmed:
+		h.complete(config)
+		h.Confirm(config.Revision(), asOf)
+	case Conflicting:
+		h.conflicts++
+	}
+	return verdict
+}
+
+// complete takes an offer that equals what is in force and holds more of its
+// services.
+func (h *Holder) complete(config *fleet.Config) {
+	if len(config.Services()) > len(h.config.Services()) {
+		h.config = config
+	}
+}
+
 // Confirm notes that the revision was current at the time given by asOf. A
 // confirmation of another revision than the one in force is ignored.
 func (h *Holder) Confirm(revision uint64, asOf time.Time) {
@@ -97,6 +120,12 @@
 	return now.Sub(h.confirmed)
 }
 
+// ConfirmedAt returns the latest time at which the configuration in force is
+// known to have been current.
+func (h *Holder) ConfirmedAt() time.Time {
+	return h.confirmed
+}
+
 // Conflicts counts offers with the revision in force and other content.
 func (h *Holder) Conflicts() uint64 {
 	return h.conflicts
