--- a/internal/fleetgen/fleetgen.go
+++ b/internal/fleetgen/fleetgen.go
@@ -56,6 +56,13 @@
 	servicePort = 443
 )
 
+// Second octets of generated addresses.
+const (
+	serviceNetwork = 210
+	entryNetwork   = 211
+	hostNetwork    = 212
+)
+
 // Generate returns the fleet of the size. Equal arguments give equal fleets.
 func Generate(size Size, revision uint64) (*Fleet, error) {
 	services := generateServices(size)
@@ -97,7 +104,7 @@
 	for i := range services {
 		services[i] = fleet.Service{
 			ID:          fleet.ServiceID{Customer: fmt.Sprintf("customer-%d", i%2), Name: fmt.Sprintf("service-%d", i/2)},
-			Addr:        netip.AddrPortFrom(address(10, i), servicePort),
+			Addr:        netip.AddrPortFrom(address(serviceNetwork, i), servicePort),
 			Slots:       5,
 			Connections: 2000,
 			Zones:       []string{ZoneName(i % size.Zones), ZoneName((i + 1) % size.Zones)},
@@ -149,9 +156,9 @@
 }
 
 func vm(prefix string, i int, zone string, role fleet.Role, service fleet.ServiceID) fleet.VM {
-	network := byte(11)
+	network := byte(entryNetwork)
 	if role == fleet.RoleAgent {
-		network = 12
+		network = hostNetwork
 	}
 	ip := address(network, i)
 	return fleet.VM{
@@ -165,8 +172,9 @@
 	}
 }
 
-// address returns host i of the network. Hosts are never 0 or 255.
+// address returns the loopback address of host i in the network, so that a
+// process given a generated fleet reaches nothing else.
 func address(network byte, i int) netip.Addr {
 	const perOctet = 250
-	return netip.AddrFrom4([4]byte{network, byte(i / (perOctet * perOctet)), byte(i / perOctet % perOctet), byte(i%perOctet + 1)})
+	return netip.AddrFrom4([4]byte{127, network, byte(i / perOctet), byte(i%perOctet + 1)})
 }
