--- /dev/null
+++ b/internal/slopes/cmd/main.go
@@ -0,0 +1,52 @@
+// Command slopes measures how costs grow and writes the capacity page.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/turmericrock/turmericrock/internal/slopes"
+)
+
+func main() {
+	binary := flag.String("binary", "bin/turmericrock", "the shipped `binary`")
+	out := flag.String("out", "", "measure and write the slopes `file`")
+	from := flag.String("from", "docs/slopes.json", "the slopes `file` to work the page out from")
+	page := flag.String("page", "", "write the capacity `page`")
+	flag.Parse()
+	if err := run(*binary, *out, *from, *page); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(binary, out, from, page string) error {
+	if out != "" {
+		file, err := slopes.Take(slopes.Measures(binary), show)
+		if err != nil {
+			return err
+		}
+		if err := file.Save(out); err != nil {
+			return err
+		}
+	}
+	if page == "" {
+		return nil
+	}
+	file, err := slopes.Load(from)
+	if err != nil {
+		return err
+	}
+	text, err := slopes.Page(file)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(page, []byte(text), 0o644)
+}
+
+func show(series slopes.Series) {
+	fmt.Printf("%s %.6g %s/%s\n", series.Name, series.Fit.Slope, series.Unit, series.Per)
+	fmt.Printf("%s_intercept %.6g %s\n", series.Name, series.Fit.Intercept, series.Unit)
+	fmt.Printf("%s_error %.3g ratio\n", series.Name, series.Fit.Error)
+}
--- /dev/null
+++ b/internal/slopes/measure.go
@@ -0,0 +1,63 @@
+package slopes
+
+import (
+	"runtime"
+	"time"
+)
+
+// Measure measures one cost at several sizes.
+type Measure struct {
+	Name  string
+	Unit  string
+	Per   string
+	Sizes []float64
+	// Run returns the cost at the size.
+	Run func(size float64) (float64, error)
+}
+
+// Take runs the measure at each size and fits the line.
+func (m Measure) Take() (Series, error) {
+	series := Series{Name: m.Name, Unit: m.Unit, Per: m.Per}
+	for _, size := range m.Sizes {
+		cost, err := m.Run(size)
+		if err != nil {
+			return series, &MeasureError{Name: m.Name, Size: size, Err: err}
+		}
+		series.Points = append(series.Points, Point{X: size, Y: cost})
+	}
+	series.Fit = FitLine(series.Points)
+	return series, nil
+}
+
+const repeats = 5
+
+// fastest returns the shortest of several runs, the one least disturbed by
+// other load on the machine.
+func fastest(run func()) time.Duration {
+	best := time.Duration(1<<63 - 1)
+	for range repeats {
+		start := time.Now()
+		run()
+		best = min(best, time.Since(start))
+	}
+	return best
+}
+
+// heapOf returns the bytes of heap that stay in use by what build returns,
+// apart from the input that it is built from.
+func heapOf(input any, build func() any) float64 {
+	before := heapInUse()
+	held := build()
+	after := heapInUse()
+	runtime.KeepAlive(held)
+	runtime.KeepAlive(input)
+	return float64(after) - float64(before)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/internal/standin/world/process.go
@@ -0,0 +1,57 @@
+package world
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Usage is what a process has used.
+type Usage struct {
+	// Processor is the processor time, user and system.
+	Processor time.Duration
+	// Resident is the resident memory in bytes.
+	Resident uint64
+}
+
+// Usage returns what the node's process has used so far.
+func (n *Node) Usage() (Usage, error) {
+	return processUsage(n.command.Process.Pid)
+}
+
+const (
+	clockTick  = 10 * time.Millisecond
+	fieldUser  = 11
+	fieldSys   = 12
+	fieldPages = 21
+)
+
+// processUsage reads the fields of /proc/PID/stat that follow the command's
+// name.
+func processUsage(pid int) (Usage, error) {
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return Usage{}, errors.WithStack(err)
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	user, err := strconv.ParseUint(fields[fieldUser], 10, 64)
+	if err != nil {
+		return Usage{}, errors.WithStack(err)
+	}
+	system, err := strconv.ParseUint(fields[fieldSys], 10, 64)
+	if err != nil {
+		return Usage{}, errors.WithStack(err)
+	}
+	pages, err := strconv.ParseUint(fields[fieldPages], 10, 64)
+	if err != nil {
+		return Usage{}, errors.WithStack(err)
+	}
+	return Usage{
+		Processor: time.Duration(user+system) * clockTick,
+		Resident:  pages * uint64(os.Getpagesize()),
+	}, nil
+}
