--- a/internal/slopes/flows.go
+++ b/internal/slopes/flows.go
@@ -175,33 +175,38 @@
 	return run(ctx, f)
 }
 
+const smallZone = "zone-1"
+
+func smallService(id fleet.ServiceID) fleet.Service {
+	return fleet.Service{
+		ID:          id,
+		Slots:       openAtOnce,
+		Connections: 10_000,
+		Zones:       []string{smallZone},
+	}
+}
+
 func startSmallFleet(binary, folder string) (*smallFleet, error) {
 	absolute, err := filepath.Abs(binary)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	const zone = "zone-1"
 	id := fleet.ServiceID{Customer: "customer-1", Name: "proofs"}
 	w, err := world.New(world.Config{
-		Binary: absolute,
-		Folder: folder,
-		Zones:  []fleet.Zone{{Name: zone, Region: "region-1", Number: 1}},
-		Services: []fleet.Service{{
-			ID:          id,
-			Slots:       openAtOnce,
-			Connections: 10_000,
-			Zones:       []string{zone},
-		}},
+		Binary:   absolute,
+		Folder:   folder,
+		Zones:    []fleet.Zone{{Name: smallZone, Region: "region-1", Number: 1}},
+		Services: []fleet.Service{smallService(id)},
 	})
 	if err != nil {
 		return nil, err
 	}
 	f := &smallFleet{world: w, service: id}
-	if f.entry, err = w.StartEntry("entry-1", zone); err != nil {
+	if f.entry, err = w.StartEntry("entry-1", smallZone); err != nil {
 		w.Close()
 		return nil, err
 	}
-	if f.agent, err = w.StartAgent("host-1", zone, id, backend.Config{Slots: 2 * openAtOnce}); err != nil {
+	if f.agent, err = w.StartAgent("host-1", smallZone, id, backend.Config{Slots: 2 * openAtOnce}); err != nil {
 		w.Close()
 		return nil, err
 	}
--- a/internal/slopes/run.go
+++ b/internal/slopes/run.go
@@ -9,7 +9,8 @@
 // Measures returns every measure. The binary is the shipped one.
 func Measures(binary string) []Measure {
 	measures := controlMeasures()
-	return append(measures, flowMeasures(binary)...)
+	measures = append(measures, flowMeasures(binary)...)
+	return append(measures, idleMeasures(binary)...)
 }
 
 // Take runs the measures and tells of each series as it is done.
