Carry the second choice's load, probes and report sequences in the tunnel

Cause: an entry could ask a silent agent for nothing but a caller's packet, a replayed report looked like a new one, and the first choice passed a flow on only when it was full. The agent answers probes and passes a new flow on to a less loaded second choice. connid.Decoder keeps its scratch block off the heap.

--- a/agent/packetconn.go
+++ b/agent/packetconn.go
@@ -9,6 +9,7 @@
 	"github.com/turmericrock/turmericrock/connid"
 	"github.com/turmericrock/turmericrock/internal/quicwire"
 	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/placement"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -48,6 +49,7 @@
 	keys       *keyring.Keys
 	handshakes *handshakes
 	reported   map[netip.AddrPort]time.Time
+	sequence   uint64
 }
 
 // ReadFrom implements net.PacketConn.
@@ -85,6 +87,9 @@
 	case tunnel.KindFlow:
 		c.counters.Delivered.Add(1)
 		return payload, net.UDPAddrFromAddrPort(header.Caller)
+	case tunnel.KindProbe:
+		c.report(header.Entry)
+		return nil, nil
 	case tunnel.KindNew, tunnel.KindPassed:
 		c.report(header.Entry)
 		return c.receiveNew(&header, payload, len(datagram))
@@ -119,13 +124,25 @@
 
 // choose decides on a new flow. The second choice does not pass it on.
 func (c *packetConn) choose(header *tunnel.Header) flowDecision {
-	if c.gate.roomForFlow() {
+	mayPass := header.Kind == tunnel.KindNew && header.Second.IsValid()
+	room := c.gate.roomForFlow()
+	switch {
+	case mayPass && (!room || c.lessLoaded(header.SecondLoad)):
+		return flowPassed
+	case room:
 		return flowTaken
+	default:
+		return flowRefused
 	}
-	if header.Kind == tunnel.KindNew && header.Second.IsValid() {
-		return flowPassed
+}
+
+// lessLoaded reports whether the second choice has the lesser load.
+func (c *packetConn) lessLoaded(second tunnel.Load) bool {
+	if second == tunnel.UnknownLoad {
+		return false
 	}
-	return flowRefused
+	own := c.gate.report(c.incarnation).Load()
+	return placement.PreferSecond(uint64(own), uint64(second))
 }
 
 // pass sends the datagram in buf on to the second choice.
@@ -152,13 +169,22 @@
 		clear(c.reported)
 	}
 	c.reported[entry] = now
-	payload, err := tunnel.EncodeReport(c.gate.report(c.incarnation))
+	c.sequence++
+	report := c.gate.report(c.incarnation)
+	report.Sequence = c.sequence
+	payload, err := tunnel.EncodeReport(report)
 	if err != nil {
 		return
 	}
 	buf := make([]byte, tunnel.HeaderSize+len(payload)+tunnel.TagSize)
 	copy(buf[tunnel.HeaderSize:], payload)
-	datagram := c.codec.Seal(buf, len(payload), &tunnel.Header{Kind: tunnel.KindReport, Caller: entry})
+	datagram := c.codec.Seal(buf, len(payload), &tunnel.Header{
+		Kind:     tunnel.KindReport,
+		Service:  c.views.Load().Tag,
+		Revision: report.Revision,
+		Caller:   entry,
+		Second:   c.self,
+	})
 	_, _ = c.tunnel.WriteToUDPAddrPort(datagram, entry)
 }
 
--- a/connid/connid.go
+++ b/connid/connid.go
@@ -90,6 +90,18 @@
 // length, names a generation that is not accepted, or does not carry the
 // tag of the service.
 func (c *Codec) Decode(id []byte, service uint32) (Owner, bool) {
+	var d Decoder
+	return d.Decode(c, id, service)
+}
+
+// Decoder decodes connection IDs without allocating. It is not safe for
+// concurrent use: each goroutine has its own.
+type Decoder struct {
+	plain [aes.BlockSize]byte
+}
+
+// Decode is Codec.Decode.
+func (d *Decoder) Decode(c *Codec, id []byte, service uint32) (Owner, bool) {
 	if len(id) != Size {
 		return Owner{}, false
 	}
@@ -97,7 +109,7 @@
 	if block == nil {
 		return Owner{}, false
 	}
-	var plain [aes.BlockSize]byte
+	plain := &d.plain
 	block.Decrypt(plain[:], id[1:Size])
 	if binary.BigEndian.Uint32(plain[8:12]) != service {
 		return Owner{}, false
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -39,6 +39,14 @@
 	return first, second
 }
 
+// PreferSecond reports whether the first choice passes a new flow on, given
+// the flows relative to capacity at both. The first choice decides once for a
+// flow, from its own exact load, so that entries with different reports still
+// bring all packets of a handshake to one host.
+func PreferSecond(first, second uint64) bool {
+	return first > second
+}
+
 // score follows the logarithmic method of weighted rendezvous hashing: the
 // candidate with the greatest weight / -ln(u) wins, u uniform in (0, 1).
 func score(key uint64, c *Candidate) float64 {
--- a/tunnel/report.go
+++ b/tunnel/report.go
@@ -1,6 +1,8 @@
 package tunnel
 
 import (
+	"math"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -60,6 +62,25 @@
 	InService uint32 `cbor:"6,keyasint"`
 	// Capacity is the admitted share of the declared slots, 0 to 1000.
 	Capacity uint16 `cbor:"7,keyasint"`
+	// Sequence rises with each report of one incarnation. The first is 1.
+	Sequence uint64 `cbor:"8,keyasint"`
+}
+
+// Load is a host's number of flows relative to its capacity. UnknownLoad
+// compares with none.
+type Load uint32
+
+// UnknownLoad is the load of a host whose reports are missing or old.
+const UnknownLoad Load = 0
+
+// fullCapacity is Report.Capacity of a host that admits its declared slots.
+const fullCapacity = 1000
+
+// Load returns the load of the host: one more than the flows that it would
+// hold at full capacity.
+func (r Report) Load() Load {
+	scaled := uint64(r.Flows) * fullCapacity / uint64(max(1, r.Capacity))
+	return Load(min(scaled, math.MaxUint32-1) + 1)
 }
 
 // EncodeReport returns the payload of a KindReport datagram.
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -21,7 +21,7 @@
 
 // Sizes in bytes.
 const (
-	HeaderSize = 58
+	HeaderSize = 62
 	TagSize    = 16
 	// MaxPayload is the largest packet of a caller that is carried. Larger
 	// ones are dropped, so that a caller's path MTU discovery stays below it.
@@ -50,6 +50,8 @@
 	KindPassed Kind = 3
 	// KindReport carries a load report from an agent to an entry.
 	KindReport Kind = 4
+	// KindProbe asks an agent for a load report. It has no payload.
+	KindProbe Kind = 5
 )
 
 // Header precedes the payload.
@@ -66,7 +68,10 @@
 	// Entry is the IPv4 address to which load reports go.
 	Entry netip.AddrPort
 	// Second is the IPv4 address of the second choice of KindNew, or invalid.
+	// In KindReport it is the address of the agent that reports.
 	Second netip.AddrPort
+	// SecondLoad is the load of the second choice as last reported.
+	SecondLoad Load
 }
 
 // Codec seals and opens datagrams under a set of keys. Sealing is not safe
@@ -150,6 +155,7 @@
 	binary.BigEndian.PutUint16(buf[32:34], h.Caller.Port())
 	putAddr4(buf[34:40], h.Entry)
 	putAddr4(buf[40:46], h.Second)
+	binary.BigEndian.PutUint32(buf[46:50], uint32(h.SecondLoad))
 }
 
 func parseHeader(buf []byte) Header {
@@ -162,6 +168,7 @@
 		Caller:      netip.AddrPortFrom(caller, binary.BigEndian.Uint16(buf[32:34])),
 		Entry:       addr4(buf[34:40]),
 		Second:      addr4(buf[40:46]),
+		SecondLoad:  Load(binary.BigEndian.Uint32(buf[46:50])),
 	}
 }
 
