Show an agent's state, limits and refusals by cause

Operators had counters without a reader. Agent.Status returns a typed struct with json tags, Ready tells why no new flow is taken, and Collect emits the same figures as metrics. Causes are a type of their own. The view carries when it was confirmed and until when it may be acted on. agent.go is split into files by what they hold.

--- a/agent/board.go
+++ b/agent/board.go
@@ -88,6 +88,18 @@
 	Service  fleet.Service
 	Tag      uint32
 	State    tunnel.HostState
-	Zone     uint8
-	Keys     *keyring.Keys
+	// Since is when State last changed.
+	Since time.Time
+	// ConfirmedAt is when Revision was last known to be current.
+	ConfirmedAt time.Time
+	// ValidUntil is when the view may no longer be acted on, unless control
+	// has published another.
+	ValidUntil time.Time
+	Zone       uint8
+	Keys       *keyring.Keys
+}
+
+// Valid reports whether traffic may act on the view.
+func (v *View) Valid(now time.Time) bool {
+	return v != nil && now.Before(v.ValidUntil)
 }
--- a/agent/errors.go
+++ b/agent/errors.go
@@ -4,8 +4,7 @@
 
 // NotRunError reports a request that the backend server did not begin.
 type NotRunError struct {
-	// Cause is a short word for metrics.
-	Cause string
+	Cause Cause
 	Err   error
 }
 
@@ -21,8 +20,7 @@
 
 // UnknownError reports a request that the backend server may have run.
 type UnknownError struct {
-	// Cause is a short word for metrics.
-	Cause string
+	Cause Cause
 	Err   error
 }
 
@@ -35,3 +33,13 @@
 func (e *UnknownError) Unwrap() error {
 	return e.Err
 }
+
+// NotReadyError reports an agent that takes no new flows.
+type NotReadyError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *NotReadyError) Error() string {
+	return "not ready: " + e.Reason
+}
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -68,18 +68,18 @@
 	ctx = context.WithValue(ctx, sentKey{}, sent)
 	response, err := x.transport.RoundTrip(x.outgoing(ctx, r))
 	if err != nil && !sent.Load() {
-		return nil, &NotRunError{Cause: "backend_unreachable", Err: err}
+		return nil, &NotRunError{Cause: CauseBackendUnreachable, Err: err}
 	}
 	if err != nil {
-		return nil, &UnknownError{Cause: "backend_failed", Err: err}
+		return nil, &UnknownError{Cause: CauseBackendFailed, Err: err}
 	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) != "" {
 		_ = response.Body.Close()
-		return nil, &NotRunError{Cause: "backend_shed"}
+		return nil, &NotRunError{Cause: CauseBackendShed}
 	}
 	if !delimited(r.Method, response) {
 		_ = response.Body.Close()
-		return nil, &UnknownError{Cause: "undelimited_answer"}
+		return nil, &UnknownError{Cause: CauseUndelimited}
 	}
 	return response, nil
 }
--- a/agent/front.go
+++ b/agent/front.go
@@ -44,13 +44,13 @@
 func (f *front) serve(w http.ResponseWriter, r *http.Request) error {
 	view := f.views.Load()
 	if view.State == tunnel.HostLeaving || view.State == tunnel.HostZoneOut {
-		return &NotRunError{Cause: view.State.String()}
+		return &NotRunError{Cause: leavingCause(view.State)}
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), f.timeout(r))
 	defer cancel()
 	if !isStream(view, r) {
 		if !f.admit(ctx) {
-			return &NotRunError{Cause: "no_slot"}
+			return &NotRunError{Cause: CauseNoSlot}
 		}
 		defer f.gate.end()
 	}
@@ -62,7 +62,7 @@
 	copyHeader(w.Header(), response.Header)
 	w.WriteHeader(response.StatusCode)
 	if err := copyBody(w, response.Body); err != nil {
-		return &UnknownError{Cause: "answer_cut", Err: err}
+		return &UnknownError{Cause: CauseAnswerCut, Err: err}
 	}
 	return nil
 }
@@ -114,3 +114,10 @@
 		dst.Del(name)
 	}
 }
+
+func leavingCause(state tunnel.HostState) Cause {
+	if state == tunnel.HostZoneOut {
+		return CauseZoneOut
+	}
+	return CauseLeaving
+}
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -116,7 +116,7 @@
 
 func (g *gate) refresh() {
 	view := g.views.Load()
-	if view == g.view {
+	if view == g.view || view == nil {
 		return
 	}
 	g.view = view
@@ -127,3 +127,13 @@
 		ColdShare:   admission.DefaultColdShare,
 	})
 }
+
+// fill sets the figures that the limiter holds.
+func (g *gate) fill(status *Status) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh()
+	status.Flows = g.limiter.Flows()
+	status.InService = g.limiter.InService()
+	status.Limit = g.limiter.Limit(time.Now())
+}
--- a/agent/lifecycle.go
+++ b/agent/lifecycle.go
@@ -40,9 +40,14 @@
 //	any      -> zone out  operators have taken the zone out
 //	zone out -> cold      operators have brought the zone back
 type Lifecycle struct {
-	draining bool
+	draining   bool
+	validUntil time.Time
 }
 
+// viewLifetime is how long traffic may act on a view after control last found
+// the facts current. A process that was paused wakes with its view expired.
+const viewLifetime = 1500 * time.Millisecond
+
 // Step implements blackboard.Controller.
 func (l *Lifecycle) Step(now time.Time, board *Board) []blackboard.Effect {
 	effects := board.Node.TakeEffects()
@@ -57,14 +62,20 @@
 	next := l.next(now, board, config, service)
 	effects = append(effects, l.enter(now, board, next)...)
 	effects = append(effects, l.drain(now, board, service)...)
+	if board.Node.Current(now) {
+		l.validUntil = now.Add(viewLifetime)
+	}
 	zone, _ := config.Zone(board.Config.Self.Zone)
 	view := &View{
-		Revision: config.Revision(),
-		Service:  service,
-		Tag:      service.ID.Tag(),
-		State:    board.State,
-		Zone:     zone.Number,
-		Keys:     board.Keys.Load(),
+		Revision:    config.Revision(),
+		Service:     service,
+		Tag:         service.ID.Tag(),
+		State:       board.State,
+		Since:       board.StateSince,
+		ConfirmedAt: now.Add(-board.Node.Holder.Age(now)),
+		ValidUntil:  l.validUntil,
+		Zone:        zone.Number,
+		Keys:        board.Keys.Load(),
 	}
 	return append(effects, ViewChanged{View: view})
 }
--- a/agent/packetconn.go
+++ b/agent/packetconn.go
@@ -12,17 +12,6 @@
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
-// Counters counts tunnel datagrams and flows by what became of them.
-type Counters struct {
-	Delivered    atomic.Uint64
-	Passed       atomic.Uint64
-	Refused      atomic.Uint64
-	Forged       atomic.Uint64
-	WrongService atomic.Uint64
-	NotReady     atomic.Uint64
-	Malformed    atomic.Uint64
-}
-
 // refusedAddr marks packets of a flow that is to be refused, so that the
 // QUIC listener answers with CONNECTION_REFUSED.
 type refusedAddr struct {
@@ -69,27 +58,27 @@
 func (c *packetConn) receive(datagram []byte, _ netip.AddrPort) ([]byte, net.Addr) {
 	view := c.views.Load()
 	if view == nil || !c.refreshKeys(view.Keys) {
-		c.counters.NotReady.Add(1)
+		c.counters.add(CauseNotReady)
 		return nil, nil
 	}
 	header, payload, err := c.codec.Open(datagram)
 	if err != nil {
-		c.counters.Forged.Add(1)
+		c.counters.add(CauseForged)
 		return nil, nil
 	}
 	if header.Service != view.Tag {
-		c.counters.WrongService.Add(1)
+		c.counters.add(CauseWrongService)
 		return nil, nil
 	}
 	switch header.Kind {
 	case tunnel.KindFlow:
-		c.counters.Delivered.Add(1)
+		c.counters.delivered.Add(1)
 		return payload, net.UDPAddrFromAddrPort(header.Caller)
 	case tunnel.KindNew, tunnel.KindPassed:
 		c.report(header.Entry)
 		return c.receiveNew(&header, payload, len(datagram))
 	default:
-		c.counters.Malformed.Add(1)
+		c.counters.add(CauseMalformed)
 		return nil, nil
 	}
 }
@@ -97,7 +86,7 @@
 func (c *packetConn) receiveNew(header *tunnel.Header, payload []byte, size int) ([]byte, net.Addr) {
 	packet := quicwire.Parse(payload, connid.Size)
 	if packet.Form != quicwire.FormInitial {
-		c.counters.Malformed.Add(1)
+		c.counters.add(CauseMalformed)
 		return nil, nil
 	}
 	decision := c.handshakes.decide(time.Now(), packet.DCID, func() flowDecision {
@@ -106,13 +95,13 @@
 	caller := net.UDPAddrFromAddrPort(header.Caller)
 	switch decision {
 	case flowTaken:
-		c.counters.Delivered.Add(1)
+		c.counters.delivered.Add(1)
 		return payload, caller
 	case flowPassed:
 		c.pass(header, size)
 		return nil, nil
 	default:
-		c.counters.Refused.Add(1)
+		c.counters.add(CauseFlowRefused)
 		return payload, &refusedAddr{UDPAddr: *caller}
 	}
 }
@@ -138,7 +127,7 @@
 	passed.Second = netip.AddrPort{}
 	payload := size - tunnel.HeaderSize - tunnel.TagSize
 	datagram := c.codec.Seal(c.buf, payload, &passed)
-	c.counters.Passed.Add(1)
+	c.counters.passed.Add(1)
 	_, _ = c.tunnel.WriteToUDPAddrPort(datagram, header.Second)
 }
 
