Read declarations, bundle them, and move silent flows to a new path

Operators had no way to declare services and the caller could not leave a silent path. internal/inifile reads typed values with one-line errors, internal/declare reads a folder of declarations and splits it into parts by the hash of each service's ID.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -5,6 +5,8 @@
 // NotRunError reports a request that no backend server began.
 type NotRunError struct {
 	Err error
+	// Attempts is the number of times that the request was tried.
+	Attempts int
 }
 
 // Error implements error.
@@ -20,6 +22,8 @@
 // UnknownError reports a request that a backend server may have run.
 type UnknownError struct {
 	Err error
+	// Attempts is the number of times that the request was tried.
+	Attempts int
 }
 
 // Error implements error.
@@ -31,3 +35,46 @@
 func (e *UnknownError) Unwrap() error {
 	return e.Err
 }
+
+// RequestError reports a request that cannot be sent.
+type RequestError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *RequestError) Error() string {
+	return fmt.Sprintf("invalid request: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *RequestError) Unwrap() error {
+	return e.Err
+}
+
+// ClosedError reports the use of a client after Close.
+type ClosedError struct{}
+
+// Error implements error.
+func (*ClosedError) Error() string {
+	return "client is closed"
+}
+
+// LostError reports a request that was given up because its flow is silent
+// and another flow to the service has been established.
+type LostError struct{}
+
+// Error implements error.
+func (*LostError) Error() string {
+	return "flow went silent"
+}
+
+// TruncatedError reports an answer that ended before its declared length.
+type TruncatedError struct {
+	Got  int64
+	Want int64
+}
+
+// Error implements error.
+func (e *TruncatedError) Error() string {
+	return fmt.Sprintf("answer has %d of %d bytes", e.Got, e.Want)
+}
--- /dev/null
+++ b/caller/path.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	// watchInterval is the time between two looks at a flow.
+	watchInterval = 100 * time.Millisecond
+	// maxCandidates bounds the new paths that are tried at a time, since each
+	// takes a connection ID that the agent has issued.
+	maxCandidates = 2
+	// maxProbeTimeout bounds a check of a path on a flow that stays silent.
+	maxProbeTimeout = 4 * time.Second
+	// roundTrips is added to KeepAlive as room for the answer on slow paths.
+	roundTrips = 4
+)
+
+// silence measures how long nothing has arrived. It counts ticks and not
+// time, so that a process that was paused does not mistake its own pause for
+// silence.
+type silence struct {
+	packets uint64
+	quiet   time.Duration
+}
+
+// observe returns how long nothing has arrived by this tick.
+func (s *silence) observe(packets uint64, tick time.Duration) time.Duration {
+	if packets != s.packets {
+		s.packets = packets
+		s.quiet = 0
+		return 0
+	}
+	s.quiet += tick
+	return s.quiet
+}
+
+// limit returns how long a path with the round-trip time may be silent.
+func (c *Config) limit(rtt time.Duration) time.Duration {
+	return max(c.SilentAfter, c.KeepAlive+roundTrips*rtt)
+}
+
+// watch moves the flow to a new local address whenever its path goes silent,
+// until the flow ends. It calls replace when that does not help at once.
+func (f *flow) watch(replace func(*flow)) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	var s silence
+	for {
+		select {
+		case <-f.quic.Context().Done():
+			return
+		case <-ticker.C:
+		}
+		stats := f.quic.ConnectionStats()
+		if s.observe(stats.PacketsReceived, watchInterval) < f.config.limit(stats.SmoothedRTT) {
+			continue
+		}
+		f.silent.Store(true)
+		f.revive(replace)
+		f.silent.Store(false)
+		s.quiet = 0
+	}
+}
+
+// candidate is a new path that is being checked.
+type candidate struct {
+	link *link
+	path *quic.Path
+}
+
+// revive checks new paths until one answers, the old one does, or the flow
+// ends.
+func (f *flow) revive(replace func(*flow)) {
+	before := f.quic.ConnectionStats().PacketsReceived
+	var candidates []candidate
+	timeout := f.config.ProbeTimeout
+	for round := 0; f.usable(); round++ {
+		if len(candidates) < maxCandidates {
+			candidates = f.propose(candidates)
+		}
+		if len(candidates) == 0 {
+			return
+		}
+		chosen := candidates[round%len(candidates)]
+		if f.check(chosen, timeout) {
+			f.park(chosen.link)
+			f.migrated()
+			return
+		}
+		if f.quic.ConnectionStats().PacketsReceived != before {
+			f.abandon(candidates)
+			return
+		}
+		if round == 0 {
+			go replace(f)
+		}
+		timeout = min(2*timeout, maxProbeTimeout)
+	}
+}
+
+// propose adds a path from a new local address.
+func (f *flow) propose(candidates []candidate) []candidate {
+	l, err := f.config.newLink()
+	if err != nil {
+		return candidates
+	}
+	path, err := f.quic.AddPath(l.transport)
+	if err != nil {
+		l.close()
+		return candidates
+	}
+	f.add(l)
+	return append(candidates, candidate{link: l, path: path})
+}
+
+// check reports whether the path answers, and moves the flow there if so.
+func (f *flow) check(c candidate, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(f.quic.Context(), timeout)
+	defer cancel()
+	if err := c.path.Probe(ctx); err != nil {
+		return false
+	}
+	return c.path.Switch() == nil
+}
+
+func (f *flow) abandon(candidates []candidate) {
+	for _, c := range candidates {
+		_ = c.path.Close()
+		c.link.socket.park()
+	}
+}
--- /dev/null
+++ b/caller/socket.go
@@ -0,0 +1,89 @@
+package caller
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// socket is a local address. A transport that loses its socket ends the
+// flows on it, also those that have moved elsewhere; so a socket that is no
+// longer needed is parked: it gives up its port, and reads wait for Close.
+type socket struct {
+	udp    *net.UDPConn
+	closed chan struct{}
+
+	mu     sync.Mutex
+	parked bool
+	once   sync.Once
+}
+
+func newSocket(network string) (*socket, error) {
+	udp, err := net.ListenUDP(network, nil)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &socket{udp: udp, closed: make(chan struct{})}, nil
+}
+
+// park gives up the port.
+func (s *socket) park() {
+	s.mu.Lock()
+	s.parked = true
+	s.mu.Unlock()
+	_ = s.udp.Close()
+}
+
+func (s *socket) isParked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parked
+}
+
+// ReadFrom implements net.PacketConn.
+func (s *socket) ReadFrom(p []byte) (int, net.Addr, error) {
+	n, addr, err := s.udp.ReadFrom(p)
+	if err != nil && s.isParked() {
+		<-s.closed
+	}
+	return n, addr, err
+}
+
+// WriteTo implements net.PacketConn. What is sent on a parked socket is lost.
+func (s *socket) WriteTo(p []byte, addr net.Addr) (int, error) {
+	n, err := s.udp.WriteTo(p, addr)
+	if err != nil && s.isParked() {
+		return len(p), nil
+	}
+	return n, err
+}
+
+// Close implements net.PacketConn.
+func (s *socket) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return s.udp.Close()
+}
+
+// LocalAddr implements net.PacketConn.
+func (s *socket) LocalAddr() net.Addr { return s.udp.LocalAddr() }
+
+// SetDeadline implements net.PacketConn.
+func (s *socket) SetDeadline(t time.Time) error { return s.udp.SetDeadline(t) }
+
+// SetReadDeadline implements net.PacketConn.
+func (s *socket) SetReadDeadline(t time.Time) error { return s.udp.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.PacketConn.
+func (s *socket) SetWriteDeadline(t time.Time) error { return s.udp.SetWriteDeadline(t) }
+
+// SetReadBuffer is asked for by the QUIC library.
+func (s *socket) SetReadBuffer(bytes int) error { return s.udp.SetReadBuffer(bytes) }
+
+// SetWriteBuffer is asked for by the QUIC library.
+func (s *socket) SetWriteBuffer(bytes int) error { return s.udp.SetWriteBuffer(bytes) }
+
+// SyscallConn is asked for by the QUIC library.
+func (s *socket) SyscallConn() (syscall.RawConn, error) { return s.udp.SyscallConn() }
--- /dev/null
+++ b/caller/stats.go
@@ -0,0 +1,40 @@
+package caller
+
+import "sync/atomic"
+
+// Stats is what a client has counted.
+type Stats struct {
+	// Flows is the number of flows opened.
+	Flows uint64
+	// Migrations is the number of times that a flow moved to a new local
+	// address.
+	Migrations uint64
+	// Replaced is the number of silent flows that another one replaced.
+	Replaced uint64
+	// Refused is the number of attempts refused by H3_REQUEST_REJECTED.
+	Refused uint64
+	// Repeats is the number of attempts after the first.
+	Repeats uint64
+	// OverBudget is the number of repeats that the retry budget forbade.
+	OverBudget uint64
+}
+
+type counters struct {
+	flows      atomic.Uint64
+	migrations atomic.Uint64
+	replaced   atomic.Uint64
+	refused    atomic.Uint64
+	repeats    atomic.Uint64
+	overBudget atomic.Uint64
+}
+
+func (c *counters) stats() Stats {
+	return Stats{
+		Flows:      c.flows.Load(),
+		Migrations: c.migrations.Load(),
+		Replaced:   c.replaced.Load(),
+		Refused:    c.refused.Load(),
+		Repeats:    c.repeats.Load(),
+		OverBudget: c.overBudget.Load(),
+	}
+}
--- /dev/null
+++ b/internal/declare/bundle.go
@@ -0,0 +1,101 @@
+package declare
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+// Bundle is what a publishing step puts on the platform. The same
+// declarations and revision give the same bytes.
+type Bundle struct {
+	Manifest fleet.Manifest
+	// Root is the value of platform.KeyManifest.
+	Root []byte
+	// Parts holds the other values by the digest of their content.
+	Parts map[string][]byte
+}
+
+// NewBundle encodes the declarations under the revision. The error is a
+// *SizeError or one of package fleet.
+func NewBundle(d *Declarations, revision uint64) (*Bundle, error) {
+	for count := fleet.PartCount; ; count *= 2 {
+		bundle, err := encode(d, revision, count)
+		if err != nil {
+			return nil, err
+		}
+		err = bundle.checkSizes()
+		if err != nil && count < fleet.MaxPartCount {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		_, err = fleet.Assemble(bundle.Manifest, bundle.Parts, false)
+		return bundle, err
+	}
+}
+
+// Largest returns the size of the largest part in bytes.
+func (b *Bundle) Largest() int {
+	largest := 0
+	for _, data := range b.Parts {
+		largest = max(largest, len(data))
+	}
+	return largest
+}
+
+// Changed returns the parts that are not in the manifest before this one.
+func (b *Bundle) Changed(previous fleet.Manifest) []fleet.PartRef {
+	var changed []fleet.PartRef
+	for _, ref := range b.Manifest.Parts {
+		known := slices.ContainsFunc(previous.Parts, func(old fleet.PartRef) bool {
+			return old.Digest == ref.Digest
+		})
+		if !known {
+			changed = append(changed, ref)
+		}
+	}
+	return changed
+}
+
+func encode(d *Declarations, revision uint64, count int) (*Bundle, error) {
+	bundle := &Bundle{
+		Manifest: fleet.Manifest{Revision: revision, Zones: d.Zones, Parts: []fleet.PartRef{}},
+		Parts:    make(map[string][]byte),
+	}
+	services := make(map[string][]fleet.Service)
+	for _, service := range d.Services {
+		name := fleet.PartName(service.ID, count)
+		services[name] = append(services[name], service)
+	}
+	for name, members := range services {
+		data, err := fleet.Encode(fleet.Part{Services: members})
+		if err != nil {
+			return nil, err
+		}
+		ref := fleet.PartRef{Name: name, Digest: fleet.Digest(data), Size: len(data)}
+		bundle.Manifest.Parts = append(bundle.Manifest.Parts, ref)
+		bundle.Parts[ref.Digest] = data
+	}
+	slices.SortFunc(bundle.Manifest.Parts, func(a, b fleet.PartRef) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+	root, err := fleet.Encode(bundle.Manifest)
+	bundle.Root = root
+	return bundle, err
+}
+
+func (b *Bundle) checkSizes() error {
+	if len(b.Root) > platform.MaxValue {
+		return &SizeError{Value: platform.KeyManifest, Size: len(b.Root), Limit: platform.MaxValue}
+	}
+	for _, ref := range b.Manifest.Parts {
+		if ref.Size > platform.MaxValue {
+			return &SizeError{Value: "part " + ref.Name, Size: ref.Size, Limit: platform.MaxValue}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/inifile/errors.go
@@ -0,0 +1,86 @@
+package inifile
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem tells what is wrong with a place in a file.
+type Problem uint8
+
+// Problems.
+const (
+	// Invalid means that the value is not allowed.
+	Invalid Problem = iota + 1
+	// Missing means that a required key is not there.
+	Missing
+	// Unknown means that there is no such section or key.
+	Unknown
+	// Repeated means that a section or key is there more than once.
+	Repeated
+	// Unreadable means that the file cannot be read as INI.
+	Unreadable
+)
+
+// Error reports a place in a file that cannot be used, in one line.
+type Error struct {
+	File    string
+	Section string
+	Key     string
+	Value   string
+	Problem Problem
+	// Allowed tells what would be valid.
+	Allowed string
+	Err     error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File + ":")
+	if e.Section != "" {
+		b.WriteString(" [" + e.Section + "]")
+	}
+	if e.Key != "" {
+		b.WriteString(" " + e.Key)
+	}
+	b.WriteString(e.problem())
+	if e.Allowed != "" {
+		b.WriteString("; allowed is " + e.Allowed)
+	}
+	return b.String()
+}
+
+func (e *Error) problem() string {
+	switch e.Problem {
+	case Missing:
+		return " is missing"
+	case Unknown:
+		return e.value() + " is not known"
+	case Repeated:
+		return e.value() + " is there more than once"
+	case Unreadable:
+		return fmt.Sprintf(" cannot be read: %s", oneLine(e.Err))
+	default:
+		return e.value() + " is not valid"
+	}
+}
+
+func (e *Error) value() string {
+	if e.Key == "" {
+		return ""
+	}
+	return fmt.Sprintf(" = %q", e.Value)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+func oneLine(err error) string {
+	if err == nil {
+		return "unknown cause"
+	}
+	return strings.Join(strings.Fields(err.Error()), " ")
+}
--- /dev/null
+++ b/internal/inifile/values.go
@@ -0,0 +1,140 @@
+package inifile
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Text returns a value, or fallback where the key is not there.
+func (f *File) Text(section, key, fallback string) string {
+	value, found := f.raw(section, key)
+	if !found {
+		return fallback
+	}
+	return value
+}
+
+// Required returns a value that must be there.
+func (f *File) Required(section, key, allowed string) string {
+	value, found := f.raw(section, key)
+	if !found {
+		f.report(&Error{Section: section, Key: key, Problem: Missing, Allowed: allowed})
+	} else if value == "" {
+		f.Fail(section, key, value, allowed)
+	}
+	return value
+}
+
+// OneOf returns a value from a set, or fallback where the key is not there.
+func (f *File) OneOf(section, key, fallback string, allowed ...string) string {
+	value := f.Text(section, key, fallback)
+	if !slices.Contains(allowed, value) {
+		f.Fail(section, key, value, strings.Join(allowed, " or "))
+	}
+	return value
+}
+
+// Bool returns yes or no, or fallback where the key is not there.
+func (f *File) Bool(section, key string, fallback bool) bool {
+	value, found := f.raw(section, key)
+	if !found {
+		return fallback
+	}
+	switch value {
+	case "yes", "true":
+		return true
+	case "no", "false":
+		return false
+	default:
+		f.Fail(section, key, value, "yes or no")
+		return fallback
+	}
+}
+
+// AddrPort returns an address that must be there.
+func (f *File) AddrPort(section, key, allowed string) netip.AddrPort {
+	value := f.Required(section, key, allowed)
+	addr, err := netip.ParseAddrPort(value)
+	if err != nil {
+		f.Fail(section, key, value, allowed)
+	}
+	return addr
+}
+
+// AddrPorts returns a list of addresses, at least one.
+func (f *File) AddrPorts(section, key, allowed string) []netip.AddrPort {
+	return list(f, section, key, allowed, netip.ParseAddrPort)
+}
+
+// Prefixes returns a list of networks, at least one.
+func (f *File) Prefixes(section, key, allowed string) []netip.Prefix {
+	return list(f, section, key, allowed, netip.ParsePrefix)
+}
+
+// List returns a list of words. It is empty where the key is not there.
+func (f *File) List(section, key string) []string {
+	value, _ := f.raw(section, key)
+	return fields(value)
+}
+
+// Number returns a whole number from low to high, or fallback where the key
+// is not there.
+func (f *File) Number(section, key string, fallback, low, high int) int {
+	value, found := f.raw(section, key)
+	if !found {
+		return fallback
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < low || n > high {
+		f.Fail(section, key, value, numberRange(low, high))
+	}
+	return n
+}
+
+// RequiredNumber returns a whole number from low to high that must be there.
+func (f *File) RequiredNumber(section, key string, low, high int) int {
+	f.Required(section, key, numberRange(low, high))
+	return f.Number(section, key, low, low, high)
+}
+
+// Duration returns a duration from low to high, or fallback where the key is
+// not there.
+func (f *File) Duration(section, key string, fallback, low, high time.Duration) time.Duration {
+	value, found := f.raw(section, key)
+	if !found {
+		return fallback
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d < low || d > high {
+		f.Fail(section, key, value, "a duration with its unit, "+low.String()+" to "+high.String())
+	}
+	return d
+}
+
+func list[T any](f *File, section, key, allowed string, parse func(string) (T, error)) []T {
+	value := f.Required(section, key, allowed)
+	var items []T
+	for _, field := range fields(value) {
+		item, err := parse(field)
+		if err != nil {
+			f.Fail(section, key, value, allowed)
+			return nil
+		}
+		items = append(items, item)
+	}
+	if len(items) == 0 {
+		f.Fail(section, key, value, allowed)
+	}
+	return items
+}
+
+func numberRange(low, high int) string {
+	return "a whole number, " + strconv.Itoa(low) + " to " + strconv.Itoa(high)
+}
+
+func fields(list string) []string {
+	return strings.FieldsFunc(list, func(c rune) bool { return c == ',' || c == ' ' || c == '\t' })
+}
