Bring the configuration over the mesh instead of from the platform to each node

Every node followed the platform by itself: 3 watches and 8 lists a node. Now a few watchers in each zone follow it and the others poll parents over the mesh.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,7 @@
 	trail       *audit.Trail
 	incarnation uint16
 	engine      *blackboard.Engine[*Board]
+	control     *node.Control
 	views       atomic.Pointer[View]
 	ready       chan struct{}
 	gate        *gate
@@ -59,7 +60,10 @@
 	}
 	a.gate = newGate(&a.views, time.Now())
 	a.flows = newFlowTable(&front{config: config, views: &a.views, gate: a.gate, exchange: x, log: log})
-	a.engine = blackboard.New(blackboard.DefaultConfig(), NewBoard(config, ring), a, &Lifecycle{})
+	board := NewBoard(config, ring)
+	board.Node.Configure(config.Control, node.NewRandom())
+	a.control = node.NewControl(config.Mesh, board.Node, reader, log, a.deliver)
+	a.engine = blackboard.New(blackboard.DefaultConfig(), board, a, stepper, &Lifecycle{})
 	return a, nil
 }
 
@@ -80,6 +84,8 @@
 		a.endOnce.Do(func() { close(a.ended) })
 	case audit.Record:
 		a.trail.Add(effect)
+	default:
+		a.control.Execute(effect)
 	}
 }
 
@@ -130,11 +136,18 @@
 	return nil
 }
 
+// deliver hands an update to the control goroutine.
+func (a *Agent) deliver(ctx context.Context, update node.Update) {
+	a.engine.Deliver(ctx, NodeUpdated{Update: update})
+}
+
+// stepper runs the replica before the controllers that act on the facts.
+var stepper = node.Stepper[*Board]{Facts: func(board *Board) *node.Facts { return board.Node }}
+
 func (a *Agent) follow(ctx context.Context) {
-	post := func(update node.Update) {
-		a.engine.Post(NodeUpdated{Update: update})
+	if err := a.control.Run(ctx); err != nil {
+		a.log.WithField("error", err).Error("mesh_failed")
 	}
-	node.NewFollower(a.reader, post, a.log).Run(ctx)
 }
 
 func (a *Agent) accept(ctx context.Context, listener *quic.Listener) {
--- a/agent/config.go
+++ b/agent/config.go
@@ -8,7 +8,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/mesh"
 )
 
 // Config holds the settings of an agent.
@@ -36,6 +38,10 @@
 	// LeaveGrace is the time between the decision to leave and the GOAWAY on
 	// established flows, in which entries learn of it.
 	LeaveGrace time.Duration
+	// Mesh holds the settings of the links to other processes.
+	Mesh mesh.Config
+	// Control tells how the agent takes part in spreading the configuration.
+	Control dissemination.Config
 }
 
 // DefaultConfig returns the settings that need no value from operators.
@@ -47,5 +53,7 @@
 		IdleTimeout:    60 * time.Second,
 		HealthInterval: 500 * time.Millisecond,
 		LeaveGrace:     time.Second,
+		Mesh:           mesh.DefaultConfig(),
+		Control:        dissemination.DefaultConfig(),
 	}
 }
--- a/blackboard/blackboard.go
+++ b/blackboard/blackboard.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// Deliver queues an event that must not be lost, and waits for room until ctx
+// ends.
+func (e *Engine[B]) Deliver(ctx context.Context, event Event[B]) {
+	select {
+	case e.queue <- event:
+	case <-ctx.Done():
+	}
+}
+
 // Step applies the events and runs every controller once.
 func (e *Engine[B]) Step(now time.Time, events ...Event[B]) {
 	for _, event := range events {
--- a/dissemination/pending.go
+++ b/dissemination/pending.go
@@ -76,14 +76,11 @@
 }
 
 // needed returns the digests of the parts that the node holds: all of them,
-// or the one that is named after its service.
+// or the one that holds its service.
 func (r *Replica) needed(manifest *fleet.Manifest) []string {
 	if !r.full() {
-		name := r.config.Self.Service.String()
-		for _, ref := range manifest.Parts {
-			if ref.Name == name {
-				return []string{ref.Digest}
-			}
+		if ref, found := manifest.PartFor(r.config.Self.Service); found {
+			return []string{ref.Digest}
 		}
 	}
 	digests := make([]string, 0, len(manifest.Parts))
--- a/entry/config.go
+++ b/entry/config.go
@@ -8,7 +8,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/mesh"
 )
 
 // Config holds the settings of an entry.
@@ -27,6 +29,10 @@
 	// SuspectAfter is how long a host that was sent new flows may be silent
 	// before it is avoided.
 	SuspectAfter time.Duration
+	// Mesh holds the settings of the links to other processes.
+	Mesh mesh.Config
+	// Control tells how the entry takes part in spreading the configuration.
+	Control dissemination.Config
 }
 
 // Listener is one socket that receives callers' packets.
@@ -45,5 +51,7 @@
 		Workers:      1,
 		BatchSize:    64,
 		SuspectAfter: 2 * time.Second,
+		Mesh:         mesh.DefaultConfig(),
+		Control:      dissemination.DefaultConfig(),
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	log      *logrus.Logger
 	trail    *audit.Trail
 	engine   *blackboard.Engine[*Board]
+	control  *node.Control
 	views    atomic.Pointer[View]
 	counters Counters
 }
@@ -37,7 +38,9 @@
 func New(config Config, ring *keyring.Ring, reader platform.Reader, log *logrus.Logger, trail *audit.Trail) *Entry {
 	e := &Entry{config: config, ring: ring, reader: reader, log: log, trail: trail}
 	board := NewBoard(config, ring)
-	e.engine = blackboard.New(blackboard.DefaultConfig(), board, e, &Viewer{})
+	board.Node.Configure(config.Control, node.NewRandom())
+	e.control = node.NewControl(config.Mesh, board.Node, reader, log, e.deliver)
+	e.engine = blackboard.New(blackboard.DefaultConfig(), board, e, stepper, &Viewer{})
 	return e
 }
 
@@ -48,6 +51,8 @@
 		e.views.Store(effect.View)
 	case audit.Record:
 		e.trail.Add(effect)
+	default:
+		e.control.Execute(effect)
 	}
 }
 
@@ -90,11 +95,18 @@
 	return nil
 }
 
+// deliver hands an update to the control goroutine.
+func (e *Entry) deliver(ctx context.Context, update node.Update) {
+	e.engine.Deliver(ctx, NodeUpdated{Update: update})
+}
+
+// stepper runs the replica before the controllers that act on the facts.
+var stepper = node.Stepper[*Board]{Facts: func(board *Board) *node.Facts { return board.Node }}
+
 func (e *Entry) follow(ctx context.Context) {
-	post := func(update node.Update) {
-		e.engine.Post(NodeUpdated{Update: update})
+	if err := e.control.Run(ctx); err != nil {
+		e.log.WithField("error", err).Error("mesh_failed")
 	}
-	node.NewFollower(e.reader, post, e.log).Run(ctx)
 }
 
 func (e *Entry) listenAll(ctx context.Context, tunnelConn net.PacketConn) ([]net.PacketConn, []*worker, error) {
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -11,6 +11,7 @@
 	"github.com/turmericrock/turmericrock/agent"
 	"github.com/turmericrock/turmericrock/entry"
 	"github.com/turmericrock/turmericrock/internal/settings"
+	"github.com/turmericrock/turmericrock/mesh"
 	"github.com/turmericrock/turmericrock/platform"
 )
 
@@ -44,6 +45,9 @@
 	if err != nil {
 		return usageError(os.Stderr, err)
 	}
+	if loaded.Entry.Mesh.TLS, err = loadMeshTLS(loaded.Mesh); err != nil {
+		return usageError(os.Stderr, err)
+	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
 	reader := platform.NewHTTPReader(loaded.Platform)
@@ -91,6 +95,9 @@
 		Certificates: []tls.Certificate{certificate},
 		MinVersion:   tls.VersionTLS13,
 	}
+	if loaded.Agent.Mesh.TLS, err = loadMeshTLS(loaded.Mesh); err != nil {
+		return usageError(os.Stderr, err)
+	}
 	reader := platform.NewHTTPReader(loaded.Platform)
 	a, err := agent.New(loaded.Agent, b.ring, reader, b.log, b.trail)
 	if err != nil {
@@ -104,3 +111,7 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+func loadMeshTLS(settings settings.Mesh) (*tls.Config, error) {
+	return mesh.LoadTLS(settings.Certificate, settings.Key, settings.Authority)
+}
--- a/internal/node/facts.go
+++ b/internal/node/facts.go
@@ -3,10 +3,14 @@
 package node
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericrock/turmericrock/blackboard"
+	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
 	"github.com/turmericrock/turmericrock/internal/audit"
 	"github.com/turmericrock/turmericrock/revision"
@@ -20,12 +24,24 @@
 	// Lists holds the platform's VM lists by zone.
 	Lists map[string]fleet.VMList
 
-	effects []blackboard.Effect
+	replica    *dissemination.Replica
+	violations int64
+	snapshotAt time.Time
+	effects    []blackboard.Effect
 }
 
 // NewFacts returns the facts of a process that knows only itself.
 func NewFacts(self fleet.VM) *Facts {
-	return &Facts{Self: self, Lists: make(map[string]fleet.VMList)}
+	f := &Facts{Self: self, Lists: make(map[string]fleet.VMList)}
+	f.Configure(dissemination.DefaultConfig(), rand.New(rand.NewPCG(xxhash.Sum64String(self.ID), 0)))
+	return f
+}
+
+// Configure sets how the process takes part in spreading the configuration,
+// before anything is known.
+func (f *Facts) Configure(config dissemination.Config, random *rand.Rand) {
+	config.Self = f.Self
+	f.replica = dissemination.New(config, &f.Holder, dissemination.DefaultBuilder{}, random)
 }
 
 // Audit notes a change for the audit trail.
@@ -65,12 +81,16 @@
 func (u ConfigOffered) ApplyTo(now time.Time, facts *Facts) {
 	before := facts.Holder.Config()
 	verdict := facts.Holder.Offer(u.Config, u.AsOf)
-	if verdict == revision.Accepted {
-		facts.Audit(now, "configuration", revisionOf(before), revisionOf(u.Config), "published", u.Source)
-		auditZones(now, facts, before, u)
-	}
-	if verdict == revision.Conflicting {
-		facts.Audit(now, "configuration", revisionOf(before), revisionOf(before), "conflict", u.Source)
+	facts.auditConfig(now, before, u.Config, verdict, u.Source)
+}
+
+func (f *Facts) auditConfig(now time.Time, before, after *fleet.Config, verdict revision.Verdict, source string) {
+	switch verdict {
+	case revision.Accepted:
+		f.Audit(now, "configuration", revisionOf(before), revisionOf(after), "published", source)
+		f.auditZones(now, before, after, source)
+	case revision.Conflicting:
+		f.Audit(now, "configuration", revisionOf(before), revisionOf(before), "conflict", source)
 	}
 }
 
@@ -97,14 +117,18 @@
 	if found && held.Version >= u.List.Version {
 		return
 	}
-	facts.Lists[u.List.Zone] = u.List
-	from := strconv.FormatUint(held.Version, 10)
-	to := strconv.FormatUint(u.List.Version, 10)
-	facts.Audit(now, "vm_list/"+u.List.Zone, from, to, "platform", u.Source)
+	facts.setList(now, held, u.List, u.Source)
 }
 
-func auditZones(now time.Time, facts *Facts, before *fleet.Config, u ConfigOffered) {
-	for _, zone := range u.Config.Manifest.Zones {
+func (f *Facts) setList(now time.Time, before, after fleet.VMList, source string) {
+	f.Lists[after.Zone] = after
+	from := strconv.FormatUint(before.Version, 10)
+	to := strconv.FormatUint(after.Version, 10)
+	f.Audit(now, "vm_list/"+after.Zone, from, to, "platform", source)
+}
+
+func (f *Facts) auditZones(now time.Time, before, after *fleet.Config, source string) {
+	for _, zone := range after.Manifest.Zones {
 		was := "undeclared"
 		if before != nil {
 			if old, found := before.Zone(zone.Name); found {
@@ -112,7 +136,7 @@
 			}
 		}
 		if is := zoneState(zone); is != was {
-			facts.Audit(now, "zone/"+zone.Name, was, is, "published", u.Source)
+			f.Audit(now, "zone/"+zone.Name, was, is, "published", source)
 		}
 	}
 }
@@ -130,15 +154,3 @@
 	}
 	return strconv.FormatUint(c.Revision(), 10)
 }
-
-// ZoneOpen reports whether packets may go into the availability zone.
-func (f *Facts) ZoneOpen(_ time.Time, zone string) bool {
-	config := f.Holder.Config()
-	return config != nil && !config.ZoneOut(zone)
-}
-
-// Current reports whether the facts may be acted on. They may not after the
-// process was paused, until the configuration in force is confirmed again.
-func (f *Facts) Current(_ time.Time) bool {
-	return f.Holder.Config() != nil
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/turmericrock/turmericrock/agent"
+	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/entry"
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/mesh"
 )
 
 // Common are the settings of every role.
@@ -33,6 +35,10 @@
 	Certificate string
 	Key         string
 	Authority   string
+	// Seeds are addresses to ask while no VM list is known.
+	Seeds []netip.AddrPort
+	// FleetLimit is the greatest number of nodes in the fleet.
+	FleetLimit int
 }
 
 // Entry are the settings of an entry.
@@ -66,6 +72,7 @@
 	config.Workers = r.number("entry", "workers", config.Workers, 1, 256)
 	config.SuspectAfter = r.duration("entry", "suspect_after", config.SuspectAfter, time.Second, time.Minute)
 	settings := Entry{Common: r.common(), Entry: config}
+	settings.Mesh.apply(&settings.Entry.Mesh, &settings.Entry.Control)
 	return settings, r.finish()
 }
 
@@ -86,6 +93,7 @@
 		Certificate: r.required("agent", "certificate", "a PEM file"),
 		Key:         r.required("agent", "key", "a PEM file"),
 	}
+	settings.Mesh.apply(&settings.Agent.Mesh, &settings.Agent.Control)
 	return settings, r.finish()
 }
 
@@ -105,6 +113,26 @@
 		Certificate: r.required("mesh", "certificate", "a PEM file"),
 		Key:         r.required("mesh", "key", "a PEM file"),
 		Authority:   r.required("mesh", "authority", "a PEM file"),
+		Seeds:       r.seeds(),
+		FleetLimit:  r.number("mesh", "fleet_limit", dissemination.DefaultConfig().FleetLimit, 1, maxFleet),
+	}
+}
+
+const maxFleet = 100_000 // nodes
+
+func (r *reader) seeds() []netip.AddrPort {
+	if _, found := r.raw("mesh", "seeds"); !found {
+		return nil
+	}
+	return r.addrPorts("mesh", "seeds")
+}
+
+// apply fills in what the mesh's settings tell.
+func (m Mesh) apply(links *mesh.Config, control *dissemination.Config) {
+	links.Address = m.Address
+	control.FleetLimit = m.FleetLimit
+	for _, addr := range m.Seeds {
+		control.Seeds = append(control.Seeds, fleet.VM{Mesh: addr})
 	}
 }
 
--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -176,7 +176,7 @@
 func (n *Node) commonSettings() string {
 	return fmt.Sprintf(
 		"[node]\nid = %s\nzone = %s\naddress = %s\n\n[platform]\nurl = %s\n\n[keys]\nfile = %s\n\n[log]\nlevel = info\n\n[ops]\naddress = %s\n\n"+
-			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\n",
+			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\nfleet_limit = 200\n",
 		n.vm.ID, n.vm.Zone, n.vm.Addr, n.world.server.URL, n.world.path("keys.ini"), n.ops,
 		n.vm.Mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"))
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -22,7 +22,7 @@
 // Mesh holds the links of one process. It is safe for concurrent use.
 type Mesh struct {
 	config Config
-	post   func(dissemination.Event)
+	post   func(context.Context, dissemination.Event)
 	client *http.Client
 	counts *counters
 
@@ -32,8 +32,9 @@
 	nextLink dissemination.LinkID
 }
 
-// New returns a mesh that hands what happens to post, which must not block.
-func New(config Config, post func(dissemination.Event)) *Mesh {
+// New returns a mesh that hands what happens to post. A link waits for post,
+// so its peer is slowed down and no event is lost.
+func New(config Config, post func(context.Context, dissemination.Event)) *Mesh {
 	transport := &http.Transport{
 		TLSClientConfig:     clientTLS(config.TLS),
 		TLSHandshakeTimeout: config.OpenTimeout,
@@ -83,13 +84,30 @@
 // Open opens a link to the peer in the background. LinkOpened or LinkClosed
 // tells of the outcome.
 func (m *Mesh) Open(dial dissemination.Dial) {
+	go m.dial(m.context(), dial)
+}
+
+// Do carries out an action of a replica. It ignores those that are not about
+// links.
+func (m *Mesh) Do(action dissemination.Action) {
+	switch action := action.(type) {
+	case dissemination.Dial:
+		m.Open(action)
+	case dissemination.Send:
+		m.Send(action.Link, action.Message)
+	case dissemination.Close:
+		m.Close(action.Link)
+	}
+}
+
+// context returns the context of Run, or one that does not end before it.
+func (m *Mesh) context() context.Context {
 	m.mu.Lock()
-	ctx := m.ctx
-	m.mu.Unlock()
-	if ctx == nil {
-		ctx = context.Background()
+	defer m.mu.Unlock()
+	if m.ctx == nil {
+		return context.Background()
 	}
-	go m.dial(ctx, dial)
+	return m.ctx
 }
 
 // Send queues a message. A link whose queue is full is closed: its peer does
@@ -141,7 +159,7 @@
 			cause = causeRefused
 		}
 		m.counts.add(cause)
-		m.post(dissemination.LinkClosed{Link: dial.Link, Refused: refused})
+		m.post(ctx, dissemination.LinkClosed{Link: dial.Link, Refused: refused})
 		return
 	}
 	m.run(ctx, dial.Link, conn, dissemination.LinkOpened{Link: dial.Link, Hello: hello})
@@ -210,7 +228,7 @@
 	id := m.nextLink
 	m.nextLink += 2
 	m.mu.Unlock()
-	m.run(context.WithoutCancel(r.Context()), id, conn, dissemination.LinkOpened{Link: id, Hello: hello, Inbound: true})
+	m.run(m.context(), id, conn, dissemination.LinkOpened{Link: id, Hello: hello, Inbound: true})
 }
 
 // causeOf returns the cause that an error of a message is counted under.
@@ -224,7 +242,7 @@
 
 // run serves a link until it ends.
 func (m *Mesh) run(ctx context.Context, id dissemination.LinkID, conn *websocket.Conn, opened dissemination.LinkOpened) {
-	ctx, cancel := context.WithCancel(ctx)
+	linkCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := &link{
 		id:     id,
@@ -240,14 +258,14 @@
 	m.links[id] = l
 	m.mu.Unlock()
 	m.counts.opened(1)
-	m.post(opened)
-	go l.write(ctx, m.config.WriteTimeout)
-	l.read(ctx)
+	m.post(ctx, opened)
+	go l.write(linkCtx, m.config.WriteTimeout)
+	l.read(linkCtx)
 	m.mu.Lock()
 	delete(m.links, id)
 	m.mu.Unlock()
 	m.counts.opened(-1)
-	m.post(dissemination.LinkClosed{Link: id})
+	m.post(ctx, dissemination.LinkClosed{Link: id})
 }
 
 // link is one WebSocket connection.
@@ -289,7 +307,7 @@
 			l.mesh.counts.add(causeOf(err))
 			return
 		}
-		l.mesh.post(dissemination.Received{Link: l.id, Message: message})
+		l.mesh.post(ctx, dissemination.Received{Link: l.id, Message: message})
 	}
 }
 
