Give each stand-in world a network of its own and finer faults

Cause: two worlds side by side shared loopback addresses, a fabric could not cut one direction, duplicate or notice a dead entry late, and no process could be cut off from the platform or restarted alone.

Change: each world claims a loopback /16 guarded by a listener; each node has an IP of its own, so ports found free stay free. The fabric duplicates, cuts a direction, silences one caller and takes changes after a lag. A gatekeeper cuts single readers off from the platform. Process, backend server and VM can be ended and started apart.

--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -1,6 +1,6 @@
 // Package fabric is a stand-in for the fabric that sprays callers' packets
-// over the entries. It can lose, delay and reorder packets and silence one
-// caller's path.
+// over the entries. It can lose, delay, reorder and duplicate packets, cut one
+// direction, silence callers' paths and notice a dead entry late.
 //
 // It listens on the service's address. Each caller gets a return address, a
 // socket of its own from which its packets go to entries and to which agents
@@ -18,15 +18,20 @@
 	"github.com/pkg/errors"
 )
 
-const maxPacket = 2048 // bytes
+const (
+	maxPacket  = 2048    // bytes
+	readBuffer = 4 << 20 // bytes
+)
 
 // Fabric serves one service address.
 type Fabric struct {
-	front *net.UDPConn
+	front  *net.UDPConn
+	backIP netip.Addr
 
 	mu      sync.Mutex
 	rng     *rand.Rand
 	entries []netip.AddrPort
+	pending *time.Timer
 	faults  Faults
 	paths   map[netip.AddrPort]*path
 	closed  bool
@@ -34,14 +39,20 @@
 	packets atomic.Uint64
 }
 
-// Faults are what the fabric does to packets, in either direction.
+// Faults are what the fabric does to packets.
 type Faults struct {
-	// Loss is the share of packets lost, 0 to 1.
+	// Loss is the share of packets lost in either direction, 0 to 1.
 	Loss float64
+	// Duplicate is the share of packets carried twice, 0 to 1.
+	Duplicate float64
 	// Delay is added to each packet, and up to Jitter on top of it, which
 	// reorders packets.
 	Delay  time.Duration
 	Jitter time.Duration
+	// CutForward drops every packet from callers.
+	CutForward bool
+	// CutBackward drops every packet to callers.
+	CutBackward bool
 }
 
 // path is one caller's way through the fabric.
@@ -51,17 +62,19 @@
 	silent atomic.Bool
 }
 
-// Listen starts a fabric for the service address.
-func Listen(addr netip.AddrPort, seed uint64) (*Fabric, error) {
+// Listen starts a fabric for the service address. Return addresses are taken
+// on backIP.
+func Listen(addr netip.AddrPort, backIP netip.Addr, seed uint64) (*Fabric, error) {
 	front, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	_ = front.SetReadBuffer(4 << 20)
+	_ = front.SetReadBuffer(readBuffer)
 	f := &Fabric{
-		front: front,
-		rng:   rand.New(rand.NewPCG(seed, 0)),
-		paths: make(map[netip.AddrPort]*path),
+		front:  front,
+		backIP: backIP,
+		rng:    rand.New(rand.NewPCG(seed, 0)),
+		paths:  make(map[netip.AddrPort]*path),
 	}
 	go f.run()
 	return f, nil
@@ -76,9 +89,30 @@
 func (f *Fabric) SetEntries(entries []netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.stopPending()
 	f.entries = append([]netip.AddrPort(nil), entries...)
 }
 
+// SetEntriesAfter replaces the addresses once the lag has passed, unless
+// another change comes first.
+func (f *Fabric) SetEntriesAfter(lag time.Duration, entries []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopPending()
+	if f.closed {
+		return
+	}
+	f.pending = time.AfterFunc(lag, func() { f.SetEntries(entries) })
+}
+
+// stopPending forgets a change to come. The caller holds mu.
+func (f *Fabric) stopPending() {
+	if f.pending != nil {
+		f.pending.Stop()
+		f.pending = nil
+	}
+}
+
 // SetFaults replaces the faults.
 func (f *Fabric) SetFaults(faults Faults) {
 	f.mu.Lock()
@@ -97,6 +131,19 @@
 	return len(f.paths)
 }
 
+// SilenceCaller drops all packets of one caller, for good, and reports
+// whether the caller was known.
+func (f *Fabric) SilenceCaller(caller netip.AddrPort) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.paths[caller]
+	if p == nil {
+		return false
+	}
+	p.silent.Store(true)
+	return true
+}
+
 // Packets returns the number of packets carried from callers.
 func (f *Fabric) Packets() uint64 {
 	return f.packets.Load()
@@ -107,6 +154,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
+	f.stopPending()
 	_ = f.front.Close()
 	for _, p := range f.paths {
 		_ = p.back.Close()
@@ -124,36 +172,59 @@
 			continue
 		}
 		f.packets.Add(1)
-		p, entry := f.route(caller)
-		if p == nil || p.silent.Load() {
+		p := f.path(caller)
+		if p == nil || p.silent.Load() || f.cutForward() {
 			continue
 		}
 		f.carry(buf[:n], func(packet []byte) {
-			_, _ = p.back.WriteToUDPAddrPort(packet, entry)
+			if entry, found := f.pick(); found {
+				_, _ = p.back.WriteToUDPAddrPort(packet, entry)
+			}
 		})
 	}
 }
 
-// route returns the caller's path and a random entry.
-func (f *Fabric) route(caller netip.AddrPort) (*path, netip.AddrPort) {
+func (f *Fabric) cutForward() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults.CutForward
+}
+
+func (f *Fabric) cutBackward() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed || len(f.entries) == 0 {
-		return nil, netip.AddrPort{}
+	return f.faults.CutBackward
+}
+
+// pick returns a random entry.
+func (f *Fabric) pick() (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.entries) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return f.entries[f.rng.IntN(len(f.entries))], true
+}
+
+// path returns the caller's path, or nil once the fabric is closed.
+func (f *Fabric) path(caller netip.AddrPort) *path {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil
 	}
-	entry := f.entries[f.rng.IntN(len(f.entries))]
 	p := f.paths[caller]
 	if p != nil {
-		return p, entry
+		return p
 	}
-	back, err := net.ListenUDP("udp4", &net.UDPAddr{IP: f.front.LocalAddr().(*net.UDPAddr).IP})
+	back, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(f.backIP, 0)))
 	if err != nil {
-		return nil, netip.AddrPort{}
+		return nil
 	}
 	p = &path{caller: caller, back: back}
 	f.paths[caller] = p
 	go f.answer(p)
-	return p, entry
+	return p
 }
 
 // answer carries packets back to the caller.
@@ -164,7 +235,7 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil || p.silent.Load() {
+		if err != nil || p.silent.Load() || f.cutBackward() {
 			continue
 		}
 		f.carry(buf[:n], func(packet []byte) {
@@ -178,17 +249,34 @@
 	f.mu.Lock()
 	faults := f.faults
 	lost := faults.Loss > 0 && f.rng.Float64() < faults.Loss
-	delay := faults.Delay
-	if faults.Jitter > 0 {
-		delay += time.Duration(f.rng.Int64N(int64(faults.Jitter)))
+	copies := 1
+	if faults.Duplicate > 0 && f.rng.Float64() < faults.Duplicate {
+		copies = 2
 	}
 	f.mu.Unlock()
-	switch {
-	case lost:
-	case delay == 0:
+	if lost {
+		return
+	}
+	for range copies {
+		f.carryOne(packet, faults, send)
+	}
+}
+
+func (f *Fabric) carryOne(packet []byte, faults Faults, send func([]byte)) {
+	delay := faults.Delay + f.jitter(faults)
+	if delay == 0 {
 		send(packet)
-	default:
-		held := append([]byte(nil), packet...)
-		time.AfterFunc(delay, func() { send(held) })
+		return
 	}
+	held := append([]byte(nil), packet...)
+	time.AfterFunc(delay, func() { send(held) })
+}
+
+func (f *Fabric) jitter(faults Faults) time.Duration {
+	if faults.Jitter <= 0 {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.rng.Int64N(int64(faults.Jitter)))
 }
--- /dev/null
+++ b/internal/standin/world/journal.go
@@ -0,0 +1,82 @@
+package world
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/turmericrock/turmericrock/internal/standin/backend"
+)
+
+// HeaderService carries the service that the caller meant, so that a backend
+// server can tell a request of another service.
+const HeaderService = "Request-Service"
+
+// Journal notes which hosts began which request, over all backend servers.
+type Journal struct {
+	mu      sync.Mutex
+	hosts   map[string][]string
+	crossed int
+}
+
+func newJournal() *Journal {
+	return &Journal{hosts: make(map[string][]string)}
+}
+
+// Hosts returns the hosts at which the request arrived, in order.
+func (j *Journal) Hosts(id string) []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.hosts[id]...)
+}
+
+// Crossed returns the number of requests that arrived at a backend server of
+// another service than the caller meant.
+func (j *Journal) Crossed() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.crossed
+}
+
+func (j *Journal) add(id, host string, crossed bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if id != "" {
+		j.hosts[id] = append(j.hosts[id], host)
+	}
+	if crossed {
+		j.crossed++
+	}
+}
+
+// observer stands before a backend server and notes what arrives.
+type observer struct {
+	next    http.Handler
+	journal *Journal
+	service string
+	host    string
+
+	mu    sync.Mutex
+	begun int
+}
+
+// ServeHTTP implements http.Handler.
+func (o *observer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/healthz") {
+		o.next.ServeHTTP(w, r)
+		return
+	}
+	meant := r.Header.Get(HeaderService)
+	o.journal.add(r.Header.Get(backend.HeaderRequestID), o.host, meant != "" && meant != o.service)
+	o.mu.Lock()
+	o.begun++
+	o.mu.Unlock()
+	o.next.ServeHTTP(w, r)
+}
+
+// count returns the number of requests that arrived.
+func (o *observer) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.begun
+}
--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -1,46 +1,52 @@
 package world
 
 import (
-	"context"
 	"crypto/tls"
 	"fmt"
-	"net"
-	"net/http"
-	"net/http/httptest"
 	"net/netip"
-	"os"
-	"os/exec"
 	"strings"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/turmericrock/turmericrock/caller"
 	"github.com/turmericrock/turmericrock/fleet"
 	"github.com/turmericrock/turmericrock/internal/standin/backend"
 )
 
-// Node is one process of the fleet, with its backend server when it is an
-// agent.
+// Node is one VM of the fleet: a process, with its backend server when the
+// process is an agent.
 type Node struct {
-	world   *World
-	vm      fleet.VM
-	ops     netip.AddrPort
-	listen  []netip.AddrPort
+	process
+
+	world  *World
+	vm     fleet.VM
+	ops    netip.AddrPort
+	listen []netip.AddrPort
+	// listed and sprayed tell what the platform and the fabric know.
 	listed  bool
-	command *exec.Cmd
-	done    chan struct{}
+	sprayed bool
 
+	// Backend is the backend server beside an agent.
 	Backend *backend.Backend
-	server  *httptest.Server
+	server  *server
 }
 
 // VM returns the node as the platform lists it.
 func (n *Node) VM() fleet.VM {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
 	return n.vm
 }
 
+// Ops returns the address of the node's endpoint for operators.
+func (n *Node) Ops() netip.AddrPort {
+	return n.ops
+}
+
+// Begun returns the number of requests that arrived at the backend server.
+func (n *Node) Begun() int {
+	return n.server.observer.count()
+}
+
 // StartEntry starts an entry and lists it.
 func (w *World) StartEntry(id, zone string) (*Node, error) {
 	n, err := w.newNode(id, zone, fleet.RoleEntry)
@@ -56,13 +62,11 @@
 		n.listen = append(n.listen, addr)
 		listen = append(listen, addr.String())
 	}
+	n.sprayed = true
 	settings := n.commonSettings() + fmt.Sprintf(
 		"\n[entry]\nlisten = %s\nservice_port = %d\nagent_networks = 127.0.0.0/8\n",
 		strings.Join(listen, ", "), w.services[0].Addr.Port())
-	if err := n.start("entry", settings); err != nil {
-		return nil, err
-	}
-	return n, w.add(n)
+	return n, w.launch(n, settings)
 }
 
 // StartAgent starts a backend server with its agent and lists it.
@@ -71,56 +75,86 @@
 	if err != nil {
 		return nil, err
 	}
+	return n, w.startAgent(n, service, config)
+}
+
+// ReplaceAgent starts a VM of another service on the address of a VM that is
+// gone, and lists it in its place.
+func (w *World) ReplaceAgent(old *Node, id string, service fleet.ServiceID, config backend.Config) (*Node, error) {
+	n, err := w.newNode(id, old.vm.Zone, fleet.RoleAgent)
+	if err != nil {
+		return nil, err
+	}
+	n.vm.Addr = old.vm.Addr
+	w.mu.Lock()
+	old.listed = false
+	w.mu.Unlock()
+	return n, w.startAgent(n, service, config)
+}
+
+func (w *World) startAgent(n *Node, service fleet.ServiceID, config backend.Config) error {
 	n.vm.Service = service
 	config.Service = service.String()
-	config.Host = id
+	config.Host = n.vm.ID
 	n.Backend = backend.New(config, w.Ledger)
-	n.server = httptest.NewServer(n.Backend)
+	server, err := startServer(n, w.Journal)
+	if err != nil {
+		return err
+	}
+	n.server = server
 	settings := n.commonSettings() + fmt.Sprintf(
-		"\n[agent]\nservice = %s\nbackend = %s\nreturn_address = 127.0.0.1:0\ncertificate = %s\nkey = %s\n",
-		service, n.server.URL,
+		"\n[agent]\nservice = %s\nbackend = %s\nreturn_address = %s\ncertificate = %s\nkey = %s\n",
+		service, n.server.url(), netip.AddrPortFrom(n.vm.Addr.Addr(), 0),
 		w.path(certificateName(service)+".crt"), w.path(certificateName(service)+".key"))
-	if err := n.start("agent", settings); err != nil {
-		return nil, err
+	return w.launch(n, settings)
+}
+
+// launch starts the node's process and makes it known.
+func (w *World) launch(n *Node, settings string) error {
+	w.mu.Lock()
+	w.nodes[n.vm.ID] = n
+	w.mu.Unlock()
+	binary := w.config.Binary
+	if err := n.prepare(binary, string(n.vm.Role), w.path(n.vm.ID), settings); err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
 	}
-	return n, w.add(n)
+	w.spray(0)
+	return w.publishVMs()
 }
 
-// Kill ends the process at once. The platform's list does not change.
+// Kill ends the VM at once: the process and the backend server. The
+// platform's list does not change; the fabric notices after a lag.
 func (n *Node) Kill() {
-	if n.command == nil {
-		return
-	}
-	_ = n.command.Process.Signal(syscall.SIGCONT)
-	_ = n.command.Process.Kill()
-	<-n.done
-	n.command = nil
+	n.KillProcess()
 	if n.server != nil {
-		n.server.CloseClientConnections()
-		n.server.Close()
+		n.server.stop()
 	}
+	n.world.mu.Lock()
+	n.sprayed = false
+	n.world.mu.Unlock()
+	n.world.spray(n.world.config.SprayLag)
 }
 
-// Stop asks the process to end gracefully and reports whether it did within
-// the time.
-func (n *Node) Stop(within time.Duration) bool {
-	_ = n.command.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-n.done:
-		return true
-	case <-time.After(within):
-		return false
-	}
+// KillBackend ends the backend server at once, connections included.
+func (n *Node) KillBackend() {
+	n.server.stop()
 }
 
-// Freeze stops the process without its notice.
-func (n *Node) Freeze() {
-	_ = n.command.Process.Signal(syscall.SIGSTOP)
+// StartBackend starts the backend server again, cold.
+func (n *Node) StartBackend() error {
+	n.Backend.Restart()
+	return n.server.start()
 }
 
-// Thaw ends a freeze.
-func (n *Node) Thaw() {
-	_ = n.command.Process.Signal(syscall.SIGCONT)
+// Withdraw takes an entry out of the fabric's spray at once.
+func (n *Node) Withdraw() {
+	n.world.mu.Lock()
+	n.sprayed = false
+	n.world.mu.Unlock()
+	n.world.spray(0)
 }
 
 // List changes how the platform lists the node: live, leaving or, with an
@@ -128,31 +162,45 @@
 func (w *World) List(n *Node, state fleet.VMState) error {
 	w.mu.Lock()
 	n.listed = state != ""
-	n.vm.State = state
+	if state != "" {
+		n.vm.State = state
+	}
 	w.mu.Unlock()
-	w.sprayEntries()
 	return w.publishVMs()
 }
 
+// Cut makes the platform unreachable for the node, or ends that.
+func (n *Node) Cut(cut bool) {
+	n.world.gatekeeper.cut(n.vm.ID, cut)
+}
+
 // Client returns a caller of the service.
 func (w *World) Client(id fleet.ServiceID) *caller.Client {
+	return caller.New(w.ClientConfig(id))
+}
+
+// ClientConfig returns the settings of a caller of the service.
+func (w *World) ClientConfig(id fleet.ServiceID) caller.Config {
 	config := caller.DefaultConfig()
 	config.Addr = w.fabrics[id].Addr()
 	config.ServerName = ServerName(id)
 	config.TLS = &tls.Config{RootCAs: w.authority.Pool(), MinVersion: tls.VersionTLS13}
-	return caller.New(config)
+	return config
 }
 
 func (w *World) newNode(id, zone string, role fleet.Role) (*Node, error) {
-	addr, err := freePort(loopback)
+	w.mu.Lock()
+	ip := w.network.node()
+	w.mu.Unlock()
+	addr, err := freePort(ip)
 	if err != nil {
 		return nil, err
 	}
-	ops, err := freeTCPPort()
+	ops, err := freeTCPPort(ip)
 	if err != nil {
 		return nil, err
 	}
-	mesh, err := freeTCPPort()
+	mesh, err := freeTCPPort(ip)
 	if err != nil {
 		return nil, err
 	}
@@ -161,70 +209,16 @@
 		vm:     fleet.VM{ID: id, Addr: addr, Mesh: mesh, Zone: zone, Role: role, State: fleet.VMLive},
 		ops:    ops,
 		listed: true,
-		done:   make(chan struct{}),
 	}, nil
 }
 
-func (w *World) add(n *Node) error {
-	w.mu.Lock()
-	w.nodes[n.vm.ID] = n
-	w.mu.Unlock()
-	w.sprayEntries()
-	return w.publishVMs()
-}
-
 func (n *Node) commonSettings() string {
 	return fmt.Sprintf(
-		"[node]\nid = %s\nzone = %s\naddress = %s\n\n[platform]\nurl = %s\n\n[keys]\nfile = %s\n\n[log]\nlevel = info\n\n[ops]\naddress = %s\n\n"+
+		"[node]\nid = %s\nzone = %s\naddress = %s\n\n[platform]\nurl = %s\n\n[keys]\nfile = %s\n\n[log]\nlevel = %s\n\n[ops]\naddress = %s\n\n"+
 			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\n",
-		n.vm.ID, n.vm.Zone, n.vm.Addr, n.world.server.URL, n.world.path("keys.ini"), n.ops,
+		n.vm.ID, n.vm.Zone, n.vm.Addr, n.world.gatekeeper.url(n.vm.ID), n.world.path("keys.ini"), n.world.config.LogLevel, n.ops,
 		n.vm.Mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"))
 }
 
-func (n *Node) start(role, settings string) error {
-	path := n.world.path(n.vm.ID + ".ini")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		return errors.WithStack(err)
-	}
-	log, err := os.Create(n.world.path(n.vm.ID + ".log"))
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	n.command = exec.Command(n.world.config.Binary, role, "-settings", path)
-	n.command.Stdout = log
-	n.command.Stderr = log
-	if err := n.command.Start(); err != nil {
-		return errors.WithStack(err)
-	}
-	go func() {
-		_ = n.command.Wait()
-		_ = log.Close()
-		close(n.done)
-	}()
-	return nil
-}
-
-// Ready waits until a request to the service is answered.
-func (w *World) Ready(ctx context.Context, id fleet.ServiceID) error {
-	client := w.Client(id)
-	defer client.Close()
-	for {
-		response, err := client.Do(ctx, caller.Request{Method: http.MethodGet, Path: "/ready"})
-		if err == nil && response.Status == http.StatusOK {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return errors.WithStack(ctx.Err())
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-}
-
-func freeTCPPort() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, errors.WithStack(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
-}
+// stopWait bounds the wait for a process that was killed.
+const stopWait = 10 * time.Second
--- /dev/null
+++ b/internal/standin/world/ready.go
@@ -0,0 +1,48 @@
+package world
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/caller"
+	"github.com/turmericrock/turmericrock/fleet"
+)
+
+const readyPoll = 100 * time.Millisecond
+
+// Ready waits until a request to the service is answered.
+func (w *World) Ready(ctx context.Context, id fleet.ServiceID) error {
+	client := w.Client(id)
+	defer client.Close()
+	return Await(ctx, func() bool {
+		response, err := client.Do(ctx, caller.Request{Method: http.MethodGet, Path: "/ready"})
+		return err == nil && response.Status == http.StatusOK
+	})
+}
+
+// Await polls until the condition holds or ctx ends.
+func Await(ctx context.Context, condition func() bool) error {
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// Build builds the binary into the folder and returns its path.
+func Build(folder string) (string, error) {
+	binary := filepath.Join(folder, "turmericrock")
+	command := exec.Command("go", "build", "-o", binary, "github.com/turmericrock/turmericrock/cmd/turmericrock")
+	command.Stdout = os.Stderr
+	command.Stderr = os.Stderr
+	return binary, errors.WithStack(command.Run())
+}
--- /dev/null
+++ b/internal/standin/world/server.go
@@ -0,0 +1,66 @@
+package world
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const headerTimeout = 5 * time.Second
+
+// server serves a backend server on one address. It can be stopped and
+// started again.
+type server struct {
+	observer *observer
+
+	mu   sync.Mutex
+	addr netip.AddrPort
+	http *http.Server
+}
+
+func startServer(n *Node, journal *Journal) (*server, error) {
+	s := &server{
+		observer: &observer{
+			next:    n.Backend,
+			journal: journal,
+			service: n.vm.Service.String(),
+			host:    n.vm.ID,
+		},
+		addr: netip.AddrPortFrom(n.vm.Addr.Addr(), 0),
+	}
+	return s, s.start()
+}
+
+func (s *server) start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		return nil
+	}
+	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(s.addr))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	s.addr = listener.Addr().(*net.TCPAddr).AddrPort()
+	s.http = &http.Server{Handler: s.observer, ReadHeaderTimeout: headerTimeout}
+	go func(server *http.Server) { _ = server.Serve(listener) }(s.http)
+	return nil
+}
+
+// stop ends the server and its connections at once.
+func (s *server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		_ = s.http.Close()
+		s.http = nil
+	}
+}
+
+func (s *server) url() string {
+	return "http://" + s.addr.String()
+}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -7,13 +7,13 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
-	"net"
-	"net/http/httptest"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -37,6 +37,10 @@
 	Services []fleet.Service
 	// Seed seeds the fabric.
 	Seed uint64
+	// LogLevel is the processes' log level, "info" when empty.
+	LogLevel string
+	// SprayLag is the time after which the fabric notices a dead entry.
+	SprayLag time.Duration
 }
 
 // World is a running fleet with its stand-ins.
@@ -45,7 +49,10 @@
 	authority *pki.Authority
 	Platform  *standin.Platform
 	Ledger    *backend.Ledger
-	server    *httptest.Server
+	Journal   *Journal
+
+	gatekeeper *gatekeeper
+	network    *network
 
 	mu       sync.Mutex
 	revision uint64
@@ -57,30 +64,47 @@
 
 // New starts the stand-ins and publishes the first configuration.
 func New(config Config) (*World, error) {
+	if config.LogLevel == "" {
+		config.LogLevel = "info"
+	}
 	authority, err := pki.NewAuthority()
 	if err != nil {
 		return nil, err
 	}
+	network, err := claimNetwork()
+	if err != nil {
+		return nil, err
+	}
 	w := &World{
 		config:    config,
 		authority: authority,
 		Platform:  standin.New(),
 		Ledger:    backend.NewLedger(),
+		Journal:   newJournal(),
+		network:   network,
 		zones:     slices.Clone(config.Zones),
 		fabrics:   make(map[fleet.ServiceID]*fabric.Fabric),
 		nodes:     make(map[string]*Node),
 	}
-	w.server = httptest.NewServer(w.Platform)
-	if err := w.writeSecrets(); err != nil {
+	w.gatekeeper = newGatekeeper(w.Platform)
+	if err := w.begin(); err != nil {
+		w.Close()
 		return nil, err
 	}
+	return w, nil
+}
+
+func (w *World) begin() error {
+	if err := w.writeSecrets(); err != nil {
+		return err
+	}
 	if err := w.startFabrics(); err != nil {
-		return nil, err
+		return err
 	}
 	if err := w.Publish(); err != nil {
-		return nil, err
+		return err
 	}
-	return w, w.publishVMs()
+	return w.publishVMs()
 }
 
 // Close ends all that the world started.
@@ -91,14 +115,41 @@
 		nodes = append(nodes, n)
 	}
 	w.mu.Unlock()
+	var group sync.WaitGroup
 	for _, n := range nodes {
-		n.Kill()
+		group.Go(n.Kill)
 	}
+	group.Wait()
 	for _, f := range w.fabrics {
 		f.Close()
 	}
-	w.server.CloseClientConnections()
-	w.server.Close()
+	w.gatekeeper.close()
+	w.network.release()
+}
+
+// Nodes returns the nodes in order of their IDs.
+func (w *World) Nodes() []*Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var nodes []*Node
+	for _, id := range slices.Sorted(maps.Keys(w.nodes)) {
+		nodes = append(nodes, w.nodes[id])
+	}
+	return nodes
+}
+
+// Node returns the node with the ID, or nil.
+func (w *World) Node(id string) *Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[id]
+}
+
+// Revision returns the revision that was published last.
+func (w *World) Revision() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.revision
 }
 
 // Fabric returns the fabric before the service.
@@ -166,18 +217,22 @@
 	return nil
 }
 
-// sprayEntries tells the fabrics which entries live.
-func (w *World) sprayEntries() {
+// spray tells the fabrics after the lag which entries live.
+func (w *World) spray(lag time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, service := range w.services {
 		var addrs []netip.AddrPort
 		for _, n := range w.nodes {
-			if n.vm.Role == fleet.RoleEntry && n.listed {
+			if n.sprayed {
 				addrs = append(addrs, n.listen[i])
 			}
 		}
-		w.fabrics[service.ID].SetEntries(addrs)
+		if lag == 0 {
+			w.fabrics[service.ID].SetEntries(addrs)
+			continue
+		}
+		w.fabrics[service.ID].SetEntriesAfter(lag, addrs)
 	}
 }
 
@@ -186,8 +241,8 @@
 func (w *World) startFabrics() error {
 	port := uint16(0)
 	for i, service := range w.config.Services {
-		ip := netip.AddrFrom4([4]byte{127, 1, byte(i), 1})
-		f, err := fabric.Listen(netip.AddrPortFrom(ip, port), w.config.Seed+uint64(i))
+		addr := netip.AddrPortFrom(w.network.service(i), port)
+		f, err := fabric.Listen(addr, w.network.returns(i), w.config.Seed+uint64(i))
 		if err != nil {
 			return err
 		}
@@ -237,18 +292,7 @@
 	return id.Name + "." + id.Customer + ".test"
 }
 
+// certificateName names the files of a service's certificate.
 func certificateName(id fleet.ServiceID) string {
 	return id.Customer + "-" + id.Name
 }
-
-// freePort returns a UDP and TCP port that the kernel finds free on the IP.
-func freePort(ip netip.Addr) (netip.AddrPort, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)))
-	if err != nil {
-		return netip.AddrPort{}, errors.WithStack(err)
-	}
-	defer func() { _ = conn.Close() }()
-	return conn.LocalAddr().(*net.UDPAddr).AddrPort(), nil
-}
-
-var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
--- a/internal/standin/world/world_test.go
+++ b/internal/standin/world/world_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -18,10 +16,8 @@
 
 func TestFullPath(t *testing.T) {
 	folder := t.TempDir()
-	binary := filepath.Join(folder, "turmericrock")
-	build := exec.Command("go", "build", "-o", binary, "github.com/turmericrock/turmericrock/cmd/turmericrock")
-	out, err := build.CombinedOutput()
-	must.NoError(t, err, must.Sprint(string(out)))
+	binary, err := world.Build(folder)
+	must.NoError(t, err)
 
 	proofs := []fleet.ServiceID{
 		{Customer: "quillhaven", Name: "proofs"},
