--- a/entry/board.go
+++ b/entry/board.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/turmericrock/turmericrock/fleet"
 	"github.com/turmericrock/turmericrock/internal/node"
 	"github.com/turmericrock/turmericrock/keyring"
 	"github.com/turmericrock/turmericrock/tunnel"
@@ -11,30 +12,49 @@
 
 // Board holds the facts that an entry's controllers read and write.
 type Board struct {
-	Config Config
-	Node   *node.Facts
-	Keys   *keyring.Ring
-	// Reports holds the latest load report of each agent.
-	Reports map[netip.AddrPort]HostReport
-	// Sent holds when new flows were last sent to an agent.
-	Sent map[netip.AddrPort]time.Time
-}
+	Config   Config
+	Node     *node.Facts
+	Keys     *keyring.Ring
+	Counters *Counters
 
-// HostReport is a load report and the time at which it arrived.
-type HostReport struct {
-	Report tunnel.Report
-	At     time.Time
+	// hosts holds the listed agents by address; it is bounded by the list.
+	hosts map[netip.AddrPort]*host
+	// order holds the same hosts in the order of their addresses.
+	order []*host
+	// byService holds the same hosts by service, in the same order.
+	byService map[fleet.ServiceID][]*host
+	// dirty holds the services whose eligible hosts may have changed.
+	dirty map[fleet.ServiceID]struct{}
+	// relisted is set when hosts were added or removed.
+	relisted bool
+	// closed holds the zone numbers into which no packet may go.
+	closed [256]bool
+	// zoneWord holds, by zone, the revision at which an agent there said that
+	// the zone is out, while that is above the revision in force.
+	zoneWord map[string]uint64
 }
 
 // NewBoard returns the board of an entry that has just started.
 func NewBoard(config Config, keys *keyring.Ring) *Board {
 	return &Board{
-		Config:  config,
-		Node:    node.NewFacts(config.Self),
-		Keys:    keys,
-		Reports: make(map[netip.AddrPort]HostReport),
-		Sent:    make(map[netip.AddrPort]time.Time),
+		Config:    config,
+		Node:      node.NewFacts(config.Self),
+		Keys:      keys,
+		Counters:  &Counters{},
+		hosts:     make(map[netip.AddrPort]*host),
+		byService: make(map[fleet.ServiceID][]*host),
+		dirty:     make(map[fleet.ServiceID]struct{}),
+		closed:    allClosed(),
+		zoneWord:  make(map[string]uint64),
+	}
+}
+
+func allClosed() [256]bool {
+	var closed [256]bool
+	for i := range closed {
+		closed[i] = true
 	}
+	return closed
 }
 
 // NodeUpdated applies an update of the shared facts.
@@ -47,13 +67,51 @@
 	e.Update.ApplyTo(now, board.Node)
 }
 
-// ReportReceived brings an agent's load report.
+// ReportReceived brings an agent's load report, authenticated and addressed
+// to this entry.
 type ReportReceived struct {
-	Agent  netip.AddrPort
-	Report tunnel.Report
+	Agent netip.AddrPort
+	// Service is the tag of the service that the agent serves.
+	Service uint32
+	Report  tunnel.Report
 }
 
 // Apply implements blackboard.Event.
 func (e ReportReceived) Apply(now time.Time, board *Board) {
-	board.Reports[e.Agent] = HostReport{Report: e.Report, At: now}
+	board.Counters.countReport(board.takeReport(now, e))
+}
+
+func (b *Board) takeReport(now time.Time, e ReportReceived) ReportVerdict {
+	h := b.hosts[e.Agent]
+	if h == nil {
+		return ReportUnlisted
+	}
+	weight := h.weight()
+	verdict := h.accept(now, e.Service, e.Report)
+	if verdict != ReportAccepted {
+		return verdict
+	}
+	if h.weight() != weight {
+		b.dirty[h.vm.Service] = struct{}{}
+	}
+	b.hearZone(h.vm.Zone, e.Report)
+	return verdict
+}
+
+// hearZone believes an agent at once that says that its zone is out at a
+// higher revision than the one in force here.
+func (b *Board) hearZone(zone string, report tunnel.Report) {
+	word := b.zoneWord[zone]
+	switch {
+	case report.Revision <= max(word, b.Node.Holder.Revision()):
+	case report.State == tunnel.HostZoneOut:
+		b.zoneWord[zone] = report.Revision
+	default:
+		delete(b.zoneWord, zone)
+	}
+}
+
+// zoneOpen reports whether packets may go into the zone.
+func (b *Board) zoneOpen(now time.Time, zone string) bool {
+	return b.zoneWord[zone] <= b.Node.Holder.Revision() && b.Node.ZoneOpen(now, zone)
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -24,9 +24,10 @@
 	Workers int
 	// BatchSize is the number of packets received by one system call.
 	BatchSize int
-	// SuspectAfter is how long a host that was sent new flows may be silent
-	// before it is avoided.
+	// SuspectAfter is how long a host may owe a report before it is avoided.
 	SuspectAfter time.Duration
+	// StopGrace is how long a stopping entry goes on forwarding.
+	StopGrace time.Duration
 }
 
 // Listener is one socket that receives callers' packets.
@@ -45,5 +46,6 @@
 		Workers:      1,
 		BatchSize:    64,
 		SuspectAfter: 2 * time.Second,
+		StopGrace:    5 * time.Second,
 	}
 }
--- /dev/null
+++ b/entry/counters.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"sync/atomic"
+
+	"github.com/turmericrock/turmericrock/internal/metrics"
+)
+
+// ReportVerdict tells what became of a datagram on the tunnel socket.
+type ReportVerdict uint8
+
+// Verdicts on reports. All but ReportAccepted refuse the datagram.
+const (
+	ReportAccepted ReportVerdict = iota
+	// ReportForged is not sealed with an accepted key.
+	ReportForged
+	// ReportMalformed is sealed and is no report.
+	ReportMalformed
+	// ReportMisaddressed names another entry, or another agent than its
+	// source.
+	ReportMisaddressed
+	// ReportUnlisted comes from an address that is not listed.
+	ReportUnlisted
+	// ReportWrongService names another service than the list.
+	ReportWrongService
+	// ReportOldIncarnation comes from an earlier process on the address.
+	ReportOldIncarnation
+	// ReportReplayed is not newer than the last one.
+	ReportReplayed
+	// ReportLost found the queue to control full.
+	ReportLost
+	reportVerdictCount
+)
+
+// String returns the verdict's name for metrics.
+func (v ReportVerdict) String() string {
+	return [reportVerdictCount]string{
+		"accepted",
+		"forged",
+		"malformed",
+		"misaddressed",
+		"unlisted",
+		"wrong_service",
+		"old_incarnation",
+		"replayed",
+		"queue_full",
+	}[v]
+}
+
+// Counters counts packets and reports by verdict. It is safe for concurrent
+// use.
+type Counters struct {
+	verdicts [verdictCount]atomic.Uint64
+	reports  [reportVerdictCount]atomic.Uint64
+	probes   atomic.Uint64
+	sendErrs atomic.Uint64
+	newFlows atomic.Uint64
+}
+
+// Count returns the number of packets with the verdict.
+func (c *Counters) Count(v Verdict) uint64 {
+	return c.verdicts[v].Load()
+}
+
+// CountReports returns the number of reports with the verdict.
+func (c *Counters) CountReports(v ReportVerdict) uint64 {
+	return c.reports[v].Load()
+}
+
+func (c *Counters) countReport(v ReportVerdict) {
+	c.reports[v].Add(1)
+}
+
+// Collect implements metrics.Source.
+func (c *Counters) Collect(emit func(metrics.Sample)) {
+	for v := range verdictCount {
+		emit(metrics.Sample{Name: "entry_packets", Cause: v.String(), Value: int64(c.verdicts[v].Load())})
+	}
+	for v := range reportVerdictCount {
+		emit(metrics.Sample{Name: "entry_reports", Cause: v.String(), Value: int64(c.reports[v].Load())})
+	}
+	emit(metrics.Sample{Name: "entry_probes", Value: int64(c.probes.Load())})
+	emit(metrics.Sample{Name: "entry_send_errors", Value: int64(c.sendErrs.Load())})
+	emit(metrics.Sample{Name: "entry_new_flow_packets", Value: int64(c.newFlows.Load())})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -16,7 +18,6 @@
 	"github.com/turmericrock/turmericrock/internal/node"
 	"github.com/turmericrock/turmericrock/keyring"
 	"github.com/turmericrock/turmericrock/platform"
-	"github.com/turmericrock/turmericrock/tunnel"
 )
 
 const receiveBuffer = 4 << 20 // bytes
@@ -30,22 +31,59 @@
 	trail    *audit.Trail
 	engine   *blackboard.Engine[*Board]
 	views    atomic.Pointer[View]
-	counters Counters
+	status   atomic.Pointer[Status]
+	deadline *deadline
+	counters *Counters
+	probes   *probeSender
+	stop     chan struct{}
+	stopOnce sync.Once
 }
 
 // New returns an entry that is not running yet.
 func New(config Config, ring *keyring.Ring, reader platform.Reader, log *logrus.Logger, trail *audit.Trail) *Entry {
-	e := &Entry{config: config, ring: ring, reader: reader, log: log, trail: trail}
 	board := NewBoard(config, ring)
-	e.engine = blackboard.New(blackboard.DefaultConfig(), board, e, &Viewer{})
+	e := &Entry{
+		config:   config,
+		ring:     ring,
+		reader:   reader,
+		log:      log,
+		trail:    trail,
+		deadline: newDeadline(time.Now()),
+		counters: board.Counters,
+		probes:   newProbeSender(config.Self.Addr, ring),
+		stop:     make(chan struct{}),
+	}
+	e.engine = NewControl(board, e)
 	return e
 }
 
+// NewControl returns an engine with an entry's controllers over the board.
+func NewControl(board *Board, executor blackboard.Executor) *blackboard.Engine[*Board] {
+	return blackboard.New(blackboard.DefaultConfig(), board, executor,
+		NewMembership(), &Viewer{}, &Validity{}, &Reporter{}, &recorder{})
+}
+
+// recorder is the controller that hands on what the others noted.
+type recorder struct{}
+
+// Step implements blackboard.Controller.
+func (*recorder) Step(_ time.Time, board *Board) []blackboard.Effect {
+	return board.Node.TakeEffects()
+}
+
 // Execute implements blackboard.Executor.
 func (e *Entry) Execute(effect blackboard.Effect) {
 	switch effect := effect.(type) {
 	case ViewChanged:
 		e.views.Store(effect.View)
+	case ViewExtended:
+		e.deadline.extend(effect.Until)
+	case StatusPublished:
+		e.status.Store(effect.Status)
+	case Probe:
+		if e.probes.send(effect) {
+			e.counters.probes.Add(1)
+		}
 	case audit.Record:
 		e.trail.Add(effect)
 	}
@@ -58,17 +96,37 @@
 
 // Counters returns the packet counters.
 func (e *Entry) Counters() *Counters {
-	return &e.counters
+	return e.counters
 }
 
-// Run serves until ctx ends.
+// Stop asks for a graceful end: Ready fails at once, and Run goes on
+// forwarding for Config.StopGrace before it returns, so that the fabric can
+// stop choosing this entry.
+func (e *Entry) Stop() {
+	e.stopOnce.Do(func() { close(e.stop) })
+}
+
+func (e *Entry) stopping() bool {
+	select {
+	case <-e.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run serves until ctx ends or a graceful stop is done.
 func (e *Entry) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	tunnelConn, err := listen(ctx, e.config.Self.Addr.String())
 	if err != nil {
 		return err
 	}
-	defer func() { _ = tunnelConn.Close() }()
-	conns, workers, err := e.listenAll(ctx, tunnelConn)
+	e.probes.conn = tunnelConn
+	conns, workers, err := e.listenAll(ctx)
+	conns = append(conns, tunnelConn)
+	defer closeAll(conns)
 	if err != nil {
 		return err
 	}
@@ -80,16 +138,28 @@
 		group.Go(w.run)
 	}
 	e.log.WithField("tunnel", e.config.Self.Addr).Info("entry_started")
-	<-ctx.Done()
-	for _, conn := range conns {
-		_ = conn.Close()
-	}
-	_ = tunnelConn.Close()
+	e.await(ctx)
+	cancel()
+	closeAll(conns)
 	group.Wait()
 	e.log.Info("entry_stopped")
 	return nil
 }
 
+// await returns when ctx ends or the grace of a stop is over.
+func (e *Entry) await(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-e.stop:
+	}
+	e.log.WithField("grace", e.config.StopGrace).Info("entry_stopping")
+	select {
+	case <-ctx.Done():
+	case <-time.After(e.config.StopGrace):
+	}
+}
+
 func (e *Entry) follow(ctx context.Context) {
 	post := func(update node.Update) {
 		e.engine.Post(NodeUpdated{Update: update})
@@ -97,19 +167,28 @@
 	node.NewFollower(e.reader, post, e.log).Run(ctx)
 }
 
-func (e *Entry) listenAll(ctx context.Context, tunnelConn net.PacketConn) ([]net.PacketConn, []*worker, error) {
+// listenAll binds the sockets for callers' packets, and for each worker one
+// from which it sends to agents. It returns the sockets bound so far with an
+// error.
+func (e *Entry) listenAll(ctx context.Context) ([]net.PacketConn, []*worker, error) {
 	var conns []net.PacketConn
 	var workers []*worker
+	sender := netip.AddrPortFrom(e.config.Self.Addr.Addr(), 0).String()
 	for _, listener := range e.config.Listen {
 		for range e.config.Workers {
 			conn, err := listen(ctx, listener.Addr.String())
 			if err != nil {
-				return nil, nil, err
+				return conns, nil, err
 			}
 			conns = append(conns, conn)
-			w, err := newWorker(e.config, listener, conn, tunnelConn, &e.views, &e.counters)
+			out, err := listen(ctx, sender)
 			if err != nil {
-				return nil, nil, err
+				return conns, nil, err
+			}
+			conns = append(conns, out)
+			w, err := newWorker(e, listener, conn, out)
+			if err != nil {
+				return conns, nil, err
 			}
 			workers = append(workers, w)
 		}
@@ -117,34 +196,9 @@
 	return conns, workers, nil
 }
 
-// readReports takes load reports until the socket is closed.
-func (e *Entry) readReports(conn *net.UDPConn) {
-	buf := make([]byte, tunnel.MaxDatagram)
-	var codec *tunnel.Codec
-	var keys *keyring.Keys
-	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		if current := e.ring.Load(); current != keys {
-			if codec, err = tunnel.NewCodec(current); err != nil {
-				continue
-			}
-			keys = current
-		}
-		header, payload, err := codec.Open(buf[:n])
-		if err != nil || header.Kind != tunnel.KindReport {
-			continue
-		}
-		report, err := tunnel.DecodeReport(payload)
-		if err != nil {
-			continue
-		}
-		e.engine.Post(ReportReceived{Agent: from, Report: report})
+func closeAll(conns []net.PacketConn) {
+	for _, conn := range conns {
+		_ = conn.Close()
 	}
 }
 
--- /dev/null
+++ b/entry/membership.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericrock/turmericrock/blackboard"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+const (
+	// scanInterval is the time between two looks at all hosts.
+	scanInterval = 200 * time.Millisecond
+	// pauseGap is the time between two scans above which the process was
+	// paused, and what it did not hear tells nothing.
+	pauseGap = time.Second
+	// goneAfter is how long a silent host may be listed before it is probed
+	// seldom.
+	goneAfter = 30 * time.Second
+)
+
+// Membership is the controller that decides the state of each listed host. It
+// decides by HostState's table.
+type Membership struct {
+	versions map[string]uint64
+	listed   bool
+	scanned  time.Time
+	changes  *changes
+	prober   *prober
+}
+
+// NewMembership returns a controller that knows of no host.
+func NewMembership() *Membership {
+	return &Membership{
+		versions: make(map[string]uint64),
+		changes:  newChanges(),
+		prober:   newProber(),
+	}
+}
+
+// Step implements blackboard.Controller.
+func (m *Membership) Step(now time.Time, board *Board) []blackboard.Effect {
+	config := board.Node.Holder.Config()
+	if config == nil {
+		return nil
+	}
+	if m.listsChanged(board) {
+		m.sync(board)
+	}
+	if now.Sub(m.scanned) < scanInterval {
+		return nil
+	}
+	paused := !m.scanned.IsZero() && now.Sub(m.scanned) > pauseGap
+	m.scanned = now
+	openZones := closeZones(now, board, config)
+	for _, h := range board.order {
+		if paused {
+			h.waitingSince = time.Time{}
+		}
+		h.observe(now)
+		m.decide(now, board, h, openZones[h.vm.Zone])
+	}
+	m.changes.flush(now, board.Node)
+	return m.prober.step(now, board)
+}
+
+// listsChanged reports whether a VM list differs from the one last applied.
+func (m *Membership) listsChanged(board *Board) bool {
+	changed := len(m.versions) != len(board.Node.Lists)
+	for zone, list := range board.Node.Lists {
+		if held, found := m.versions[zone]; !found || held != list.Version {
+			m.versions[zone] = list.Version
+			changed = true
+		}
+	}
+	return changed
+}
+
+// sync makes the hosts those of the lists.
+func (m *Membership) sync(board *Board) {
+	listed := listedAgents(board.Node.Lists)
+	for addr, h := range board.hosts {
+		if _, found := listed[addr]; !found {
+			m.note(h, h.state.String(), "unlisted", "not listed")
+			delete(board.hosts, addr)
+		}
+	}
+	for addr, vm := range listed {
+		m.apply(board, addr, vm)
+	}
+	m.listed = true
+	index(board)
+}
+
+// apply takes the list's word on one address.
+func (m *Membership) apply(board *Board, addr netip.AddrPort, vm fleet.VM) {
+	h := board.hosts[addr]
+	switch {
+	case h == nil:
+		h = &host{vm: vm, seed: hostSeed(addr), cell: &hostCell{}, added: m.listed}
+		board.hosts[addr] = h
+		m.note(h, "unlisted", h.state.String(), "listed")
+	case h.vm.ID != vm.ID:
+		m.note(h, h.state.String(), HostUnreported.String(), "replaced")
+		h.retire()
+		h.waitingSince = time.Time{}
+		h.added = true
+		h.state = HostUnreported
+	}
+	h.vm = vm
+}
+
+// index orders the hosts and groups them by service.
+func index(board *Board) {
+	board.order = board.order[:0]
+	for _, h := range board.hosts {
+		board.order = append(board.order, h)
+	}
+	slices.SortFunc(board.order, func(a, b *host) int {
+		return a.vm.Addr.Compare(b.vm.Addr)
+	})
+	clear(board.byService)
+	for _, h := range board.order {
+		board.byService[h.vm.Service] = append(board.byService[h.vm.Service], h)
+	}
+	board.relisted = true
+}
+
+// listedAgents returns the agents of all lists by address.
+func listedAgents(lists map[string]fleet.VMList) map[netip.AddrPort]fleet.VM {
+	listed := make(map[netip.AddrPort]fleet.VM)
+	for _, list := range lists {
+		for _, vm := range list.VMs {
+			if vm.Role != fleet.RoleAgent {
+				continue
+			}
+			if other, found := listed[vm.Addr]; !found || supersedes(vm, other) {
+				listed[vm.Addr] = vm
+			}
+		}
+	}
+	return listed
+}
+
+// supersedes reports whether VM a holds an address that the lists give to b
+// too: a live VM before a leaving one, else the greater ID, so that every
+// entry decides alike.
+func supersedes(a, b fleet.VM) bool {
+	if a.State != b.State {
+		return a.State == fleet.VMLive
+	}
+	return strings.Compare(a.ID, b.ID) > 0
+}
+
+// closeZones sets the zone numbers that are closed and returns which zones
+// are open by name. What is not declared is closed.
+func closeZones(now time.Time, board *Board, config *fleet.Config) map[string]bool {
+	closed := allClosed()
+	openZones := make(map[string]bool, len(config.Manifest.Zones))
+	for _, zone := range config.Manifest.Zones {
+		if board.zoneOpen(now, zone.Name) {
+			openZones[zone.Name] = true
+			closed[zone.Number] = false
+		}
+	}
+	board.closed = closed
+	return openZones
+}
+
+// decide moves the host to the state that the evidence gives.
+func (m *Membership) decide(now time.Time, board *Board, h *host, zoneOpen bool) {
+	next, cause := h.next(now, board.Config, zoneOpen)
+	if next == h.state {
+		return
+	}
+	m.note(h, h.state.String(), next.String(), cause)
+	h.state = next
+	board.dirty[h.vm.Service] = struct{}{}
+}
+
+// next returns the state by the evidence, in the order of HostState's table.
+func (h *host) next(now time.Time, config Config, zoneOpen bool) (HostState, string) {
+	silence := h.silence(now)
+	switch {
+	case !usableAddr(config.AgentNetworks, h.vm.Addr):
+		return HostUnusable, "address"
+	case !zoneOpen:
+		return HostZoneOut, "zone"
+	case h.vm.State == fleet.VMLeaving:
+		return HostLeaving, "listed leaving"
+	case silence >= goneAfter:
+		return HostGone, "silent"
+	case silence >= config.SuspectAfter:
+		return HostSuspect, "silent"
+	case !h.reported():
+		return HostUnreported, "no report"
+	case h.report.State == tunnel.HostLeaving:
+		return HostLeaving, "reported"
+	case !h.report.State.Accepting():
+		return HostDown, "reported"
+	default:
+		return HostLive, "reported"
+	}
+}
+
+func (m *Membership) note(h *host, from, to, cause string) {
+	m.changes.add(change{zone: h.vm.Zone, from: from, to: to, cause: cause}, h.vm.Addr)
+}
+
+func hostSeed(addr netip.AddrPort) uint64 {
+	return xxhash.Sum64String(addr.String())
+}
--- /dev/null
+++ b/entry/membership_test.go
@@ -0,0 +1,286 @@
+package entry
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+func TestSilentHostIsAvoidedAndComesBack(t *testing.T) {
+	b := newBed(t, "a")
+	addrs := b.list("a", 7)
+	b.run(3 * time.Second)
+	must.MapLen(t, 7, b.eligible())
+
+	b.silent[addrs[0]] = true
+	b.run(4 * time.Second)
+	must.Eq(t, HostSuspect, b.state(addrs[0]))
+	must.MapNotContainsKey(t, b.eligible(), addrs[0])
+
+	b.run(goneAfter)
+	must.Eq(t, HostGone, b.state(addrs[0]))
+	must.MapLen(t, 6, b.eligible())
+
+	delete(b.silent, addrs[0])
+	b.run(probeGone + time.Second)
+	must.Eq(t, HostLive, b.state(addrs[0]))
+	must.MapLen(t, 7, b.eligible())
+}
+
+func TestNewFlowsWithoutReportMakeSuspect(t *testing.T) {
+	b := newBed(t, "a")
+	addrs := b.list("a", 2)
+	b.run(3 * time.Second)
+	h := b.board.hosts[addrs[0]]
+	b.silent[addrs[0]] = true
+	b.run(time.Second + 200*time.Millisecond)
+	h.cell.placed.Add(1)
+	b.run(b.board.Config.SuspectAfter + 2*scanInterval)
+	must.Eq(t, HostSuspect, b.state(addrs[0]))
+}
+
+func TestOwnWordOfHosts(t *testing.T) {
+	for _, c := range []struct {
+		said tunnel.HostState
+		want HostState
+	}{
+		{tunnel.HostCold, HostLive},
+		{tunnel.HostLeaving, HostLeaving},
+		{tunnel.HostDown, HostDown},
+		{tunnel.HostZoneOut, HostDown},
+	} {
+		b := newBed(t, "a")
+		addrs := b.list("a", 3)
+		report := b.reports[addrs[1]]
+		report.State = c.said
+		b.reports[addrs[1]] = report
+		b.run(3 * time.Second)
+		must.Eq(t, c.want, b.state(addrs[1]))
+		_, eligible := b.eligible()[addrs[1]]
+		must.Eq(t, c.said.Accepting(), eligible)
+	}
+}
+
+func TestListedLeavingTakesNoNewFlows(t *testing.T) {
+	b := newBed(t, "a")
+	addrs := b.list("a", 3)
+	b.run(3 * time.Second)
+	list := b.lists["a"]
+	list.VMs[2].State = fleet.VMLeaving
+	b.setList(list)
+	b.run(scanInterval)
+	must.Eq(t, HostLeaving, b.state(addrs[2]))
+	must.MapNotContainsKey(t, b.eligible(), addrs[2])
+}
+
+func TestReplacedOnSameAddress(t *testing.T) {
+	b := newBed(t, "a")
+	addrs := b.list("a", 3)
+	b.run(3 * time.Second)
+	earlier := b.reports[addrs[0]]
+	b.silent[addrs[0]] = true
+	list := b.lists["a"]
+	list.VMs[0].ID = "replacement"
+	b.setList(list)
+	must.Eq(t, HostUnreported, b.state(addrs[0]))
+	b.run(scanInterval)
+	must.Eq(t, coldWeight, b.eligible()[addrs[0]])
+
+	// A late report of the earlier VM does not speak for the new one.
+	earlier.Sequence += 10
+	event := ReportReceived{Agent: addrs[0], Service: testService.Tag(), Report: earlier}
+	b.engine.Step(b.now, event)
+	must.Eq(t, 1, b.board.Counters.CountReports(ReportOldIncarnation))
+	must.False(t, b.board.hosts[addrs[0]].reported())
+
+	next := earlier
+	next.Incarnation, next.Sequence = 999, 0
+	b.reports[addrs[0]] = next
+	delete(b.silent, addrs[0])
+	b.run(2 * time.Second)
+	must.Eq(t, HostLive, b.state(addrs[0]))
+}
+
+func TestReportsAreRefused(t *testing.T) {
+	b := newBed(t, "a")
+	addrs := b.list("a", 2)
+	b.run(3 * time.Second)
+	b.silent[addrs[0]] = true
+	good := b.reports[addrs[0]]
+	good.Sequence++
+	unlisted := netip.MustParseAddrPort("10.200.0.1:1")
+	for _, c := range []struct {
+		from    netip.AddrPort
+		service uint32
+		edit    func(*tunnel.Report)
+		want    ReportVerdict
+	}{
+		{unlisted, testService.Tag(), func(*tunnel.Report) {}, ReportUnlisted},
+		{addrs[0], 1, func(*tunnel.Report) {}, ReportWrongService},
+		{addrs[0], testService.Tag(), func(r *tunnel.Report) { r.Sequence-- }, ReportReplayed},
+		{addrs[0], testService.Tag(), func(*tunnel.Report) {}, ReportAccepted},
+		{addrs[0], testService.Tag(), func(r *tunnel.Report) { r.Incarnation = 77 }, ReportAccepted},
+		{addrs[0], testService.Tag(), func(r *tunnel.Report) { r.Sequence += 9 }, ReportOldIncarnation},
+	} {
+		report := good
+		c.edit(&report)
+		event := ReportReceived{Agent: c.from, Service: c.service, Report: report}
+		must.Eq(t, c.want, b.board.takeReport(b.now, event), must.Sprint(c.want))
+	}
+}
+
+func TestLostZoneIsOneRecordAndLeavesTheRest(t *testing.T) {
+	b := newBed(t, "a", "b", "c")
+	for _, zone := range []string{"a", "b", "c"} {
+		b.list(zone, 40)
+	}
+	b.run(10 * time.Second)
+	must.MapLen(t, 120, b.eligible())
+	for addr := range b.reports {
+		b.silent[addr] = addr.Addr().As4()[1] == 2
+	}
+	b.audits = nil
+	b.probes = 0
+	b.run(20 * time.Second)
+	must.MapLen(t, 80, b.eligible())
+	must.Less(t, 20, len(b.audits))
+	must.LessEq(t, probeRate*20+probeBurst, b.probes)
+	var lost bool
+	for _, record := range b.audits {
+		lost = lost || record.What == "hosts/b" && record.To == "suspect" && strings.Contains(record.Cause, "hosts, first 10.2.")
+	}
+	must.True(t, lost)
+}
+
+func TestListIsBelievedWhenTooFewAnswer(t *testing.T) {
+	b := newBed(t, "a", "b")
+	b.list("a", 4)
+	b.list("b", 4)
+	b.run(5 * time.Second)
+	live := netip.AddrPort{}
+	for addr := range b.reports {
+		b.silent[addr] = live.IsValid()
+		if !live.IsValid() {
+			live = addr
+		}
+	}
+	b.run(4 * time.Second)
+	must.MapLen(t, 8, b.eligible())
+	must.True(t, b.view.Services[testAddr].ListBelieved)
+	must.Eq(t, 1.0, b.eligible()[live])
+	for addr, weight := range b.eligible() {
+		must.True(t, addr == live || weight == coldWeight)
+	}
+
+	// With a quarter answering, silence counts again.
+	second := netip.AddrPort{}
+	for addr := range b.reports {
+		if addr != live {
+			second = addr
+		}
+	}
+	b.silent[second] = false
+	b.run(4 * time.Second)
+	must.MapLen(t, 2, b.eligible())
+}
+
+func TestPausedEntrySuspectsNobody(t *testing.T) {
+	b := newBed(t, "a")
+	b.list("a", 5)
+	b.run(3 * time.Second)
+	for addr := range b.reports {
+		b.silent[addr] = true
+	}
+	b.run(time.Second)
+	b.now = b.now.Add(time.Minute)
+	b.run(b.board.Config.SuspectAfter / 2)
+	must.Zero(t, b.board.countState(HostSuspect)+b.board.countState(HostGone))
+}
+
+func TestUnlistedHostIsForgotten(t *testing.T) {
+	b := newBed(t, "a")
+	b.list("a", 3)
+	b.run(2 * time.Second)
+	list := b.lists["a"]
+	list.VMs = list.VMs[:1]
+	b.setList(list)
+	must.MapLen(t, 1, b.board.hosts)
+	must.MapLen(t, 1, b.eligible())
+}
+
+func TestUnusableAddressesAreLeftOut(t *testing.T) {
+	b := newBed(t, "a")
+	b.list("a", 1)
+	list := b.lists["a"]
+	for _, addr := range []string{"192.0.2.1:7000", "[fd00::1]:7000"} {
+		vm := list.VMs[0]
+		vm.ID, vm.Addr = addr, netip.MustParseAddrPort(addr)
+		list.VMs = append(list.VMs, vm)
+	}
+	b.setList(list)
+	b.run(time.Second)
+	must.Eq(t, 2, b.board.countState(HostUnusable))
+	must.MapLen(t, 1, b.eligible())
+}
+
+func TestHostOutranksOurRevisionOnItsZone(t *testing.T) {
+	b := newBed(t, "a", "b")
+	addrs := b.list("a", 2)
+	b.list("b", 2)
+	b.run(3 * time.Second)
+	report := b.reports[addrs[0]]
+	report.State, report.Revision = tunnel.HostZoneOut, b.revision+1
+	b.reports[addrs[0]] = report
+	b.run(2 * time.Second)
+	must.True(t, b.view.ZonesOut[1])
+	must.False(t, b.view.ZonesOut[2])
+	must.MapLen(t, 2, b.eligible())
+
+	// Our own configuration of that revision has the last word.
+	b.publish()
+	b.run(time.Second)
+	must.False(t, b.view.ZonesOut[1])
+}
+
+func TestZoneOutAndUndeclaredZonesAreClosed(t *testing.T) {
+	b := newBed(t, "a", "b")
+	b.list("a", 2)
+	b.list("b", 2)
+	b.run(2 * time.Second)
+	b.zones[0].Out = true
+	b.publish()
+	b.run(scanInterval)
+	must.True(t, b.view.ZonesOut[1])
+	must.True(t, b.view.ZonesOut[77])
+	must.MapLen(t, 2, b.eligible())
+}
+
+func TestStatusCountsHostsByStateAndZone(t *testing.T) {
+	b := newBed(t, "a", "b")
+	b.list("a", 2)
+	lost := b.list("b", 2)
+	b.silent[lost[0]] = true
+	b.run(6 * time.Second)
+	must.Eq(t, map[string]int{"live": 3, "suspect": 1}, b.status.Hosts)
+	must.Eq(t, []ZoneStatus{
+		{Zone: "a", Hosts: map[string]int{"live": 2}},
+		{Zone: "b", Hosts: map[string]int{"live": 1, "suspect": 1}},
+	}, b.status.Services[0].Zones)
+	must.Eq(t, 3, b.status.Services[0].Eligible)
+}
+
+func (b *Board) countState(state HostState) int {
+	count := 0
+	for _, h := range b.order {
+		if h.state == state {
+			count++
+		}
+	}
+	return count
+}
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -25,6 +25,11 @@
 	VerdictZoneOut
 	VerdictForeignAddr
 	VerdictNoHost
+	// VerdictStaleView drops packets while control has not found the facts
+	// current.
+	VerdictStaleView
+	// VerdictViolation drops a packet whose placement broke an invariant.
+	VerdictViolation
 	verdictCount
 )
 
@@ -39,6 +44,8 @@
 		"zone_out",
 		"foreign_address",
 		"no_host",
+		"stale_view",
+		"invariant_violated",
 	}[v]
 }
 
@@ -50,12 +57,20 @@
 	Agent   netip.AddrPort
 	// Second is the second choice for a new flow.
 	Second netip.AddrPort
+	// SecondLoad is the load of the second choice as last reported.
+	SecondLoad tunnel.Load
 	// Incarnation is the owner's, 0 for a new flow.
 	Incarnation uint16
 }
 
+// Placer places packets without allocating. It is not safe for concurrent
+// use: each traffic goroutine has its own.
+type Placer struct {
+	decoder connid.Decoder
+}
+
 // Place decides where the packet from src to the service address dst goes.
-func Place(view *View, src, dst netip.AddrPort, packet []byte) Decision {
+func (p *Placer) Place(view *View, src, dst netip.AddrPort, packet []byte) Decision {
 	service := view.Services[dst]
 	if service == nil {
 		return Decision{Verdict: VerdictNoService}
@@ -67,45 +82,56 @@
 	if parsed.Form == quicwire.FormInvalid {
 		return Decision{Verdict: VerdictMalformed}
 	}
-	if owner, ok := view.ConnIDs.Decode(parsed.DCID, service.Tag); ok {
-		return placeOwned(view, owner)
+	if owner, ok := p.decoder.Decode(view.ConnIDs, parsed.DCID, service.Tag); ok {
+		return placeOwned(view, service, owner)
 	}
 	if parsed.Form != quicwire.FormInitial {
 		return Decision{Verdict: VerdictUnknownFlow}
 	}
-	return placeNew(service, flowKey(src, parsed.DCID))
+	return placeNew(view, service, flowKey(src, parsed.DCID))
 }
 
-func placeOwned(view *View, owner connid.Owner) Decision {
-	if view.ZonesOut[owner.Zone] {
+func placeOwned(view *View, service *ServiceView, owner connid.Owner) Decision {
+	switch {
+	case view.ZonesOut[owner.Zone]:
 		return Decision{Verdict: VerdictZoneOut}
-	}
-	if !view.agentAddr(owner.Addr) {
+	case !usableAddr(view.AgentNetworks, owner.Addr):
 		return Decision{Verdict: VerdictForeignAddr}
+	case owner.Service != service.Tag:
+		return Decision{Verdict: VerdictViolation}
 	}
 	return Decision{
 		Verdict:     VerdictForward,
 		Kind:        tunnel.KindFlow,
-		Service:     owner.Service,
+		Service:     service.Tag,
 		Agent:       owner.Addr,
 		Incarnation: owner.Incarnation,
 	}
 }
 
-func placeNew(service *ServiceView, key uint64) Decision {
+func placeNew(view *View, service *ServiceView, key uint64) Decision {
 	first, second := placement.Choose(key, service.Candidates)
 	if first == placement.None {
 		return Decision{Verdict: VerdictNoHost}
 	}
+	host := &service.Hosts[first]
 	decision := Decision{
 		Verdict: VerdictForward,
 		Kind:    tunnel.KindNew,
 		Service: service.Tag,
-		Agent:   service.Hosts[first].Addr,
+		Agent:   host.Addr,
 	}
+	violated := view.ZonesOut[host.Zone]
 	if second != placement.None {
-		decision.Second = service.Hosts[second].Addr
+		other := &service.Hosts[second]
+		decision.Second = other.Addr
+		decision.SecondLoad = tunnel.Load(other.cell.load.Load())
+		violated = violated || view.ZonesOut[other.Zone] || other.Addr == host.Addr
+	}
+	if violated {
+		return Decision{Verdict: VerdictViolation}
 	}
+	host.cell.placed.Add(1)
 	return decision
 }
 
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/turmericrock/turmericrock/blackboard"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/metrics"
+)
+
+// statusInterval is the time between two publications of the status.
+const statusInterval = time.Second
+
+// Status is what an entry tells operators at a glance.
+type Status struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// Revision is the configuration revision in force, 0 for none.
+	Revision uint64 `json:"revision"`
+	// ConfirmationAgeMS is how long ago the revision was last confirmed.
+	ConfirmationAgeMS int64 `json:"confirmation_age_ms"`
+	// Current tells whether packets are forwarded by these facts.
+	Current bool `json:"current"`
+	// ZonesOut names the zones into which no packet goes.
+	ZonesOut []string `json:"zones_out"`
+	// Hosts counts all hosts by state.
+	Hosts map[string]int `json:"hosts"`
+	// Services holds the services that have hosts, in order of their names.
+	Services []ServiceStatus `json:"services"`
+	// Packets counts callers' packets by verdict.
+	Packets map[string]uint64 `json:"packets"`
+	// Reports counts load reports by verdict.
+	Reports map[string]uint64 `json:"reports"`
+}
+
+// ServiceStatus is one service in a Status.
+type ServiceStatus struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	// Eligible is the number of hosts that take new flows.
+	Eligible int `json:"eligible"`
+	// ListBelieved tells that too few hosts answer, so that silent ones are
+	// given new flows again.
+	ListBelieved bool `json:"list_believed"`
+	// Flows is the sum of the flows that the hosts last reported.
+	Flows uint64       `json:"flows"`
+	Zones []ZoneStatus `json:"zones"`
+}
+
+// ZoneStatus counts the hosts of one service in one zone by state.
+type ZoneStatus struct {
+	Zone  string         `json:"zone"`
+	Hosts map[string]int `json:"hosts"`
+}
+
+// StatusPublished is the effect that publishes a status.
+type StatusPublished struct {
+	Status *Status
+}
+
+// Reporter is the controller that publishes the status.
+type Reporter struct {
+	published time.Time
+}
+
+// Step implements blackboard.Controller.
+func (r *Reporter) Step(now time.Time, board *Board) []blackboard.Effect {
+	if now.Sub(r.published) < statusInterval {
+		return nil
+	}
+	r.published = now
+	return []blackboard.Effect{StatusPublished{Status: buildStatus(now, board)}}
+}
+
+func buildStatus(now time.Time, board *Board) *Status {
+	status := &Status{
+		ID:      board.Config.Self.ID,
+		Zone:    board.Config.Self.Zone,
+		Current: board.Node.Current(now),
+		Hosts:   make(map[string]int),
+	}
+	config := board.Node.Holder.Config()
+	if config == nil {
+		return status
+	}
+	status.Revision = config.Revision()
+	status.ConfirmationAgeMS = board.Node.Holder.Age(now).Milliseconds()
+	for _, zone := range config.Manifest.Zones {
+		if board.closed[zone.Number] {
+			status.ZonesOut = append(status.ZonesOut, zone.Name)
+		}
+	}
+	for _, service := range config.Services() {
+		hosts := board.byService[service.ID]
+		if len(hosts) > 0 {
+			status.Services = append(status.Services, serviceStatus(service, hosts))
+		}
+	}
+	for _, h := range board.order {
+		status.Hosts[h.state.String()]++
+	}
+	return status
+}
+
+func serviceStatus(service fleet.Service, hosts []*host) ServiceStatus {
+	status := ServiceStatus{
+		Service:      service.ID.String(),
+		Address:      service.Addr.String(),
+		ListBelieved: !enoughBelieved(hosts),
+	}
+	for _, h := range hosts {
+		status.Flows += uint64(h.report.Flows)
+		if h.state.believed() || status.ListBelieved && h.state.silent() {
+			status.Eligible++
+		}
+		status.zone(h.vm.Zone).Hosts[h.state.String()]++
+	}
+	slices.SortFunc(status.Zones, func(a, b ZoneStatus) int {
+		return strings.Compare(a.Zone, b.Zone)
+	})
+	return status
+}
+
+func (s *ServiceStatus) zone(name string) *ZoneStatus {
+	for i := range s.Zones {
+		if s.Zones[i].Zone == name {
+			return &s.Zones[i]
+		}
+	}
+	s.Zones = append(s.Zones, ZoneStatus{Zone: name, Hosts: make(map[string]int)})
+	return &s.Zones[len(s.Zones)-1]
+}
+
+// Status returns the status last published, with the counters of this moment.
+// It is safe for concurrent use.
+func (e *Entry) Status() Status {
+	status := Status{ID: e.config.Self.ID, Zone: e.config.Self.Zone, Hosts: map[string]int{}}
+	if published := e.status.Load(); published != nil {
+		status = *published
+	}
+	status.Packets = make(map[string]uint64, verdictCount)
+	for v := range verdictCount {
+		status.Packets[v.String()] = e.counters.Count(v)
+	}
+	status.Reports = make(map[string]uint64, reportVerdictCount)
+	for v := range reportVerdictCount {
+		status.Reports[v.String()] = e.counters.CountReports(v)
+	}
+	return status
+}
+
+// Ready returns nil while the entry forwards packets, and else a
+// *NotReadyError. A stopping entry forwards and is not ready, so that the
+// fabric stops choosing it.
+func (e *Entry) Ready() error {
+	switch {
+	case e.stopping():
+		return &NotReadyError{Cause: "stopping"}
+	case e.views.Load() == nil:
+		return &NotReadyError{Cause: "no_configuration"}
+	case e.deadline.passed(time.Now()):
+		return &NotReadyError{Cause: VerdictStaleView.String()}
+	default:
+		return nil
+	}
+}
+
+// Collect implements metrics.Source.
+func (e *Entry) Collect(emit func(metrics.Sample)) {
+	e.counters.Collect(emit)
+	published := e.status.Load()
+	if published == nil {
+		return
+	}
+	emit(metrics.Sample{Name: "entry_revision", Value: int64(published.Revision), Gauge: true})
+	emit(metrics.Sample{Name: "entry_confirmation_age_ms", Value: published.ConfirmationAgeMS, Gauge: true})
+	for state := range hostStateCount {
+		name := state.String()
+		emit(metrics.Sample{Name: "entry_hosts", Cause: name, Value: int64(published.Hosts[name]), Gauge: true})
+	}
+}
+
+// NotReadyError tells why an entry is not to be chosen by the fabric.
+type NotReadyError struct {
+	// Cause is a short word for metrics.
+	Cause string
+}
+
+// Error implements error.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("not ready: %s", e.Cause)
+}
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -4,66 +4,65 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
 
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
-// Counters counts packets by verdict. Traffic goroutines add to it.
-type Counters struct {
-	verdicts [verdictCount]atomic.Uint64
-	sendErrs atomic.Uint64
-}
-
-// Count returns the number of packets with the verdict.
-func (c *Counters) Count(v Verdict) uint64 {
-	return c.verdicts[v].Load()
-}
-
-// worker receives callers' packets from one socket and forwards them.
+// worker receives callers' packets from one socket and forwards them from
+// another.
 type worker struct {
 	conn        *ipv4.PacketConn
-	tunnel      *ipv4.PacketConn
+	out         *ipv4.PacketConn
 	entryAddr   netip.AddrPort
 	servicePort uint16
 	views       *atomic.Pointer[View]
+	deadline    *deadline
 	counters    *Counters
-	codec       *tunnel.Codec
-	view        *View
-	in          []ipv4.Message
-	out         []ipv4.Message
-	buffers     [][]byte
-	dests       []net.UDPAddr
-	control     ipv4.ControlMessage
+
+	placer  Placer
+	codec   *tunnel.Codec
+	view    *View
+	tally   [verdictCount]uint64
+	newOnes uint64
+
+	received []ipv4.Message
+	sending  []ipv4.Message
+	buffers  [][]byte
+	dests    []net.UDPAddr
 }
 
-func newWorker(config Config, listener Listener, conn, tunnelConn net.PacketConn, views *atomic.Pointer[View], counters *Counters) (*worker, error) {
+func newWorker(e *Entry, listener Listener, conn, out net.PacketConn) (*worker, error) {
+	size := e.config.BatchSize
 	w := &worker{
 		conn:        ipv4.NewPacketConn(conn),
-		tunnel:      ipv4.NewPacketConn(tunnelConn),
-		entryAddr:   config.Self.Addr,
+		out:         ipv4.NewPacketConn(out),
+		entryAddr:   e.config.Self.Addr,
 		servicePort: listener.ServicePort,
-		views:       views,
-		counters:    counters,
-		in:          make([]ipv4.Message, config.BatchSize),
-		out:         make([]ipv4.Message, config.BatchSize),
-		buffers:     make([][]byte, config.BatchSize),
-		dests:       make([]net.UDPAddr, config.BatchSize),
+		views:       &e.views,
+		deadline:    e.deadline,
+		counters:    e.counters,
+		received:    make([]ipv4.Message, size),
+		sending:     make([]ipv4.Message, size),
+		buffers:     make([][]byte, size),
+		dests:       make([]net.UDPAddr, size),
 	}
 	if err := w.conn.SetControlMessage(ipv4.FlagDst, true); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	for i := range w.in {
+	for i := range w.received {
 		// One byte more than a payload may have tells an oversized packet.
 		w.buffers[i] = make([]byte, tunnel.MaxDatagram+1)
 		payload := w.buffers[i][tunnel.HeaderSize : tunnel.HeaderSize+tunnel.MaxPayload+1]
-		w.in[i].Buffers = [][]byte{payload}
-		w.in[i].OOB = ipv4.NewControlMessage(ipv4.FlagDst)
+		w.received[i].Buffers = [][]byte{payload}
+		w.received[i].OOB = ipv4.NewControlMessage(ipv4.FlagDst)
 		w.dests[i].IP = make(net.IP, net.IPv4len)
-		w.out[i].Buffers = make([][]byte, 1)
-		w.out[i].Addr = &w.dests[i]
+		w.sending[i].Buffers = make([][]byte, 1)
+		w.sending[i].Addr = &w.dests[i]
 	}
 	return w, nil
 }
@@ -71,21 +70,31 @@
 // run forwards packets until the socket is closed.
 func (w *worker) run() {
 	for {
-		n, err := w.conn.ReadBatch(w.in, 0)
+		n, err := w.conn.ReadBatch(w.received, 0)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil || !w.refreshView() {
+		if err != nil {
 			continue
 		}
-		count := 0
-		for i := range n {
-			if w.prepare(i, count) {
-				count++
-			}
+		w.forward(n)
+		w.flush()
+	}
+}
+
+// forward places and sends the n packets received.
+func (w *worker) forward(n int) {
+	if w.deadline.passed(time.Now()) || !w.refreshView() {
+		w.tally[VerdictStaleView] += uint64(n)
+		return
+	}
+	count := 0
+	for i := range n {
+		if w.prepare(i, count) {
+			count++
 		}
-		w.send(count)
 	}
+	w.send(count)
 }
 
 // refreshView loads the current view and reports whether there is one.
@@ -108,17 +117,21 @@
 // prepare places received packet i and, when it is forwarded, fills slot out
 // of the next batch.
 func (w *worker) prepare(i, out int) bool {
-	message := &w.in[i]
+	message := &w.received[i]
 	src, dst, ok := w.addresses(message)
 	if !ok {
+		w.tally[VerdictMalformed]++
 		return false
 	}
 	payload := message.Buffers[0][:message.N]
-	decision := Place(w.view, src, dst, payload)
-	w.counters.verdicts[decision.Verdict].Add(1)
+	decision := w.placer.Place(w.view, src, dst, payload)
+	w.tally[decision.Verdict]++
 	if decision.Verdict != VerdictForward {
 		return false
 	}
+	if decision.Kind == tunnel.KindNew {
+		w.newOnes++
+	}
 	header := tunnel.Header{
 		Kind:        decision.Kind,
 		Service:     decision.Service,
@@ -127,8 +140,9 @@
 		Caller:      src,
 		Entry:       w.entryAddr,
 		Second:      decision.Second,
+		SecondLoad:  decision.SecondLoad,
 	}
-	w.out[out].Buffers[0] = w.codec.Seal(w.buffers[i], message.N, &header)
+	w.sending[out].Buffers[0] = w.codec.Seal(w.buffers[i], message.N, &header)
 	dest := &w.dests[out]
 	ip := decision.Agent.Addr().As4()
 	copy(dest.IP, ip[:])
@@ -136,26 +150,53 @@
 	return true
 }
 
+// addresses returns the source of a packet and the service address to which
+// it was sent.
 func (w *worker) addresses(message *ipv4.Message) (src, dst netip.AddrPort, ok bool) {
 	udp, ok := message.Addr.(*net.UDPAddr)
 	if !ok {
 		return src, dst, false
 	}
-	if err := w.control.Parse(message.OOB[:message.NN]); err != nil {
-		return src, dst, false
-	}
-	ip, ok := netip.AddrFromSlice(w.control.Dst)
+	ip, ok := destination(message.OOB[:message.NN])
 	if !ok {
 		return src, dst, false
 	}
 	src = udp.AddrPort()
 	src = netip.AddrPortFrom(src.Addr().Unmap(), src.Port())
-	return src, netip.AddrPortFrom(ip.Unmap(), w.servicePort), true
+	return src, netip.AddrPortFrom(ip, w.servicePort), true
 }
 
+// destinationAt is the offset of the destination in a struct in_pktinfo.
+const destinationAt = 8
+
+// destination reads the destination of a packet from its IP_PKTINFO control
+// message, without allocating.
+func destination(oob []byte) (netip.Addr, bool) {
+	for len(oob) >= unix.SizeofCmsghdr {
+		header, data, rest, err := unix.ParseOneSocketControlMessage(oob)
+		if err != nil {
+			return netip.Addr{}, false
+		}
+		isInfo := header.Level == unix.IPPROTO_IP && header.Type == unix.IP_PKTINFO
+		if isInfo && len(data) >= unix.SizeofInet4Pktinfo {
+			ip := [net.IPv4len]byte(data[destinationAt:])
+			return netip.AddrFrom4(ip), true
+		}
+		oob = rest
+	}
+	return netip.Addr{}, false
+}
+
+// send sends the first count datagrams. The process may have been paused
+// since they were placed, so it looks at the deadline again.
 func (w *worker) send(count int) {
+	if w.deadline.passed(time.Now()) {
+		w.tally[VerdictForward] -= uint64(count)
+		w.tally[VerdictStaleView] += uint64(count)
+		return
+	}
 	for sent := 0; sent < count; {
-		n, err := w.tunnel.WriteBatch(w.out[sent:count], 0)
+		n, err := w.out.WriteBatch(w.sending[sent:count], 0)
 		if err != nil {
 			// The packet at the front failed; the others still go out.
 			w.counters.sendErrs.Add(1)
@@ -164,3 +205,17 @@
 		sent += n
 	}
 }
+
+// flush adds the batch's counts to the shared counters.
+func (w *worker) flush() {
+	for v, count := range w.tally {
+		if count > 0 {
+			w.counters.verdicts[v].Add(count)
+			w.tally[v] = 0
+		}
+	}
+	if w.newOnes > 0 {
+		w.counters.newFlows.Add(w.newOnes)
+		w.newOnes = 0
+	}
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -18,7 +18,7 @@
 	ConnIDs *connid.Codec
 	// Services holds the services by the address that callers use.
 	Services map[netip.AddrPort]*ServiceView
-	// ZonesOut holds the zone numbers that are out of service.
+	// ZonesOut holds the zone numbers into which no packet may go.
 	ZonesOut [256]bool
 	// AgentNetworks bounds the addresses of owners.
 	AgentNetworks []netip.Prefix
@@ -30,18 +30,16 @@
 	// Candidates and Hosts have the same order.
 	Candidates []placement.Candidate
 	Hosts      []HostView
+	// ListBelieved tells that silent hosts are among the candidates, since
+	// too few answer.
+	ListBelieved bool
 }
 
 // HostView is one eligible host in a View.
 type HostView struct {
 	Addr netip.AddrPort
-}
+	// Zone is the number of the host's availability zone.
+	Zone uint8
 
-func (v *View) agentAddr(addr netip.AddrPort) bool {
-	for _, network := range v.AgentNetworks {
-		if network.Contains(addr.Addr()) {
-			return addr.Port() != 0
-		}
-	}
-	return false
+	cell *hostCell
 }
--- a/entry/viewer.go
+++ b/entry/viewer.go
@@ -1,110 +1,114 @@
 package entry
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/turmericrock/turmericrock/blackboard"
 	"github.com/turmericrock/turmericrock/connid"
 	"github.com/turmericrock/turmericrock/fleet"
-	"github.com/turmericrock/turmericrock/keyring"
 	"github.com/turmericrock/turmericrock/placement"
 )
 
+// trustShare is the share of the hosts of a service, among those that have
+// not refused themselves, that must be believed for silence to count.
+const trustShare = 0.25
+
 // ViewChanged is the effect that publishes a new view to traffic goroutines.
 type ViewChanged struct {
 	View *View
 }
 
-// Viewer is the controller that derives the view from the facts.
+// Viewer is the controller that derives the view from the facts. It builds
+// anew only what changed.
 type Viewer struct {
-	keys    *keyring.Keys
 	connIDs *connid.Codec
-	builtAt time.Time
+	config  *fleet.Config
+	view    *View
 }
 
-const viewInterval = 200 * time.Millisecond
-
 // Step implements blackboard.Controller.
-func (v *Viewer) Step(now time.Time, board *Board) []blackboard.Effect {
-	effects := board.Node.TakeEffects()
+func (v *Viewer) Step(_ time.Time, board *Board) []blackboard.Effect {
 	config := board.Node.Holder.Config()
-	if config == nil || now.Sub(v.builtAt) < viewInterval {
-		return effects
-	}
-	v.builtAt = now
-	if err := v.refreshKeys(board); err != nil {
-		return effects
+	if config == nil {
+		return nil
 	}
-	return append(effects, ViewChanged{View: v.build(now, board, config)})
-}
-
-func (v *Viewer) refreshKeys(board *Board) error {
 	keys := board.Keys.Load()
-	if keys == v.keys {
+	whole := v.view == nil || config != v.config || board.relisted
+	rotated := v.view == nil || keys != v.view.Keys
+	if !whole && !rotated && len(board.dirty) == 0 && board.closed == v.view.ZonesOut {
 		return nil
 	}
-	codec, err := connid.NewCodec(keys)
-	if err != nil {
-		return err
+	if rotated {
+		codec, err := connid.NewCodec(keys)
+		if err != nil {
+			return nil
+		}
+		v.connIDs = codec
 	}
-	v.keys, v.connIDs = keys, codec
-	return nil
-}
-
-func (v *Viewer) build(now time.Time, board *Board, config *fleet.Config) *View {
-	view := &View{
+	v.config = config
+	v.view = &View{
 		Revision:      config.Revision(),
-		Keys:          v.keys,
+		Keys:          keys,
 		ConnIDs:       v.connIDs,
-		Services:      make(map[netip.AddrPort]*ServiceView, len(config.Services())),
-		ZonesOut:      config.ZonesOut(),
+		Services:      v.services(board, config, whole),
+		ZonesOut:      board.closed,
 		AgentNetworks: board.Config.AgentNetworks,
 	}
-	byID := make(map[fleet.ServiceID]*ServiceView, len(config.Services()))
-	for _, service := range config.Services() {
-		sv := &ServiceView{Tag: service.ID.Tag()}
-		view.Services[service.Addr] = sv
-		byID[service.ID] = sv
-	}
-	for zone, list := range board.Node.Lists {
-		if config.ZoneOut(zone) {
-			continue
+	board.relisted = false
+	clear(board.dirty)
+	return []blackboard.Effect{ViewChanged{View: v.view}}
+}
+
+// services returns the services of the view: all built anew, or the earlier
+// ones with those that changed.
+func (v *Viewer) services(board *Board, config *fleet.Config, whole bool) map[netip.AddrPort]*ServiceView {
+	if whole {
+		services := make(map[netip.AddrPort]*ServiceView, len(config.Services()))
+		for _, service := range config.Services() {
+			services[service.Addr] = buildService(board, config, service)
 		}
-		for _, vm := range list.VMs {
-			if sv := byID[vm.Service]; sv != nil {
-				addHost(now, board, sv, vm)
-			}
+		return services
+	}
+	if len(board.dirty) == 0 {
+		return v.view.Services
+	}
+	services := maps.Clone(v.view.Services)
+	for id := range board.dirty {
+		if service, found := config.Service(id); found {
+			services[service.Addr] = buildService(board, config, service)
 		}
 	}
-	return view
+	return services
 }
 
-func addHost(now time.Time, board *Board, sv *ServiceView, vm fleet.VM) {
-	if vm.Role != fleet.RoleAgent || vm.State != fleet.VMLive {
-		return
+func buildService(board *Board, config *fleet.Config, service fleet.Service) *ServiceView {
+	sv := &ServiceView{Tag: service.ID.Tag()}
+	hosts := board.byService[service.ID]
+	sv.ListBelieved = !enoughBelieved(hosts)
+	for _, h := range hosts {
+		eligible := h.state.believed() || sv.ListBelieved && h.state.silent()
+		zone, declared := config.Zone(h.vm.Zone)
+		if !eligible || !declared || board.closed[zone.Number] {
+			continue
+		}
+		sv.Candidates = append(sv.Candidates, placement.Candidate{Seed: h.seed, Weight: h.weight()})
+		sv.Hosts = append(sv.Hosts, HostView{Addr: h.vm.Addr, Zone: zone.Number, cell: h.cell})
 	}
-	weight := hostWeight(now, board, vm.Addr)
-	sv.Candidates = append(sv.Candidates, placement.Candidate{Seed: hostSeed(vm.Addr), Weight: weight})
-	sv.Hosts = append(sv.Hosts, HostView{Addr: vm.Addr})
+	return sv
 }
 
-// hostWeight is the admitted share of the host's slots, as last reported.
-func hostWeight(_ time.Time, board *Board, addr netip.AddrPort) float64 {
-	report, found := board.Reports[addr]
-	if !found {
-		return 1
-	}
-	if !report.Report.State.Accepting() {
-		return 0
+// enoughBelieved reports whether silence counts against hosts of a service.
+func enoughBelieved(hosts []*host) bool {
+	believed, silent := 0, 0
+	for _, h := range hosts {
+		switch {
+		case h.state.believed():
+			believed++
+		case h.state.silent():
+			silent++
+		}
 	}
-	return max(float64(report.Report.Capacity)/1000, minWeight)
-}
-
-const minWeight = 0.05
-
-func hostSeed(addr netip.AddrPort) uint64 {
-	return xxhash.Sum64String(addr.String())
+	return silent == 0 || float64(believed) >= trustShare*float64(believed+silent)
 }
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -44,10 +44,12 @@
 	if err != nil {
 		return usageError(os.Stderr, err)
 	}
-	ctx, stop := untilSignal(ctx)
-	defer stop()
 	reader := platform.NewHTTPReader(loaded.Platform)
-	if err := entry.New(loaded.Entry, b.ring, reader, b.log, b.trail).Run(ctx); err != nil {
+	e := entry.New(loaded.Entry, b.ring, reader, b.log, b.trail)
+	signalled, stop := untilSignal(ctx)
+	defer stop()
+	context.AfterFunc(signalled, e.Stop)
+	if err := e.Run(ctx); err != nil {
 		return failure(os.Stderr, err)
 	}
 	return subcommands.ExitSuccess
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,7 @@
 	config.AgentNetworks = r.prefixes("entry", "agent_networks")
 	config.Workers = r.number("entry", "workers", config.Workers, 1, 256)
 	config.SuspectAfter = r.duration("entry", "suspect_after", config.SuspectAfter, time.Second, time.Minute)
+	config.StopGrace = r.duration("entry", "stop_grace", config.StopGrace, 0, time.Minute)
 	settings := Entry{Common: r.common(), Entry: config}
 	return settings, r.finish()
 }
