Run both customers' fleets as a demo and judge each promise

Cause: nothing showed the whole path under planned changes and failures.

Change: make demo starts 4 entries and 21 agents with their backend servers, runs submissions and feeds through the fabric, kills, adds and stops entries, drains and replaces a host, cold-starts a backend server, takes a zone out and back and stops the platform. Ten promises are judged by what callers and stand-ins counted; figures are printed before them.

Which counts notice a broken mechanism is still to be tried.

--- /dev/null
+++ b/internal/demo/figures.go
@@ -0,0 +1,66 @@
+package demo
+
+import (
+	"slices"
+	"time"
+)
+
+// figure prints one line: name value unit.
+func (t *trial) figure(name string, value float64, unit string) {
+	t.print("%s %.3f %s\n", name, value, unit)
+}
+
+// printFigures prints what the run measured.
+func (t *trial) printFigures(c tally) {
+	t.figure("demo_requests", float64(c.requests), "requests")
+	t.figure("demo_refused_as_not_run", float64(c.refused), "requests")
+	changes := t.events(planned...)
+	t.figure("demo_broken_flows_per_planned_change", float64(c.broken)/float64(max(1, changes)), "flows")
+	for _, took := range t.facts.inForce {
+		t.figure("demo_change_in_force_everywhere", took.Seconds(), "s")
+	}
+	for _, name := range []string{eventEntryKilled, eventZoneOut, eventZoneBack, eventPlatformDown} {
+		t.printQuality(name)
+	}
+}
+
+// answeredInTime is the time in which a submission counts as answered well.
+const answeredInTime = time.Second
+
+// printQuality prints the quality of service of Teifi's press in the windows
+// of an event.
+func (t *trial) printQuality(name string) {
+	for _, w := range t.facts.windows {
+		if w.name != name {
+			continue
+		}
+		inTime, all, gap := t.quality(w)
+		t.figure("demo_press_answers_in_time_"+name, float64(inTime)/float64(max(1, all)), "share")
+		t.figure("demo_press_largest_feed_gap_"+name, gap.Seconds(), "s")
+	}
+}
+
+func (t *trial) quality(w window) (inTime, all int, gap time.Duration) {
+	var gaps []time.Duration
+	for _, o := range t.load.outcomes.All() {
+		if o.Service != press {
+			continue
+		}
+		for _, g := range o.Gaps {
+			if g.At.After(w.from) && g.At.Before(w.to) {
+				gaps = append(gaps, g.Length)
+			}
+		}
+		if o.Feed || o.Began.Before(w.from) || o.Began.After(w.to) {
+			continue
+		}
+		all++
+		if o.Answered() && o.Ended.Sub(o.Began) <= answeredInTime {
+			inTime++
+		}
+	}
+	if len(gaps) > 0 {
+		gap = slices.Max(gaps)
+	}
+	return inTime, all, gap
+}
--- /dev/null
+++ b/internal/demo/outcome.go
@@ -0,0 +1,96 @@
+package demo
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/turmericrock/turmericrock/caller"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/standin/backend"
+)
+
+// Outcome is what a caller saw of one request.
+type Outcome struct {
+	Service fleet.ServiceID
+	ID      string
+	Feed    bool
+	// Host is the host that served the session before this request.
+	Host  string
+	Began time.Time
+	Ended time.Time
+	Err   error
+	// NotRun tells that the error says that no backend server began it.
+	NotRun bool
+	Status int
+	// Whole tells that the answer was the one expected, byte for byte.
+	Whole bool
+	// Foreign tells that the answer names another service.
+	Foreign bool
+	// Gaps are the waits between pieces of a feed.
+	Gaps []Gap
+}
+
+// Gap is a wait between two pieces of a feed.
+type Gap struct {
+	At     time.Time
+	Length time.Duration
+}
+
+func newOutcome(s *session, request caller.Request, feed bool) *Outcome {
+	return &Outcome{
+		Service: s.service,
+		Host:    s.host,
+		ID:      request.Header.Get(backend.HeaderRequestID),
+		Feed:    feed,
+		Began:   time.Now(),
+	}
+}
+
+func (o *Outcome) end(response *caller.Response, err error) {
+	o.Ended = time.Now()
+	o.Err = err
+	o.NotRun = isNotRun(err)
+	if response != nil {
+		o.Status = response.Status
+	}
+}
+
+func (o *Outcome) gap(gap Gap) {
+	o.Gaps = append(o.Gaps, gap)
+}
+
+// check compares the answer with the one expected.
+func (o *Outcome) check(answer, expected string) {
+	o.Whole = answer == expected
+	o.Foreign = !strings.HasPrefix(answer, o.Service.String()+" ")
+}
+
+// Answered reports whether the caller got an answer to its end.
+func (o *Outcome) Answered() bool {
+	return o.Err == nil
+}
+
+// Outcomes collects outcomes. It is safe for concurrent use.
+type Outcomes struct {
+	mu  sync.Mutex
+	all []*Outcome
+}
+
+func newOutcomes() *Outcomes {
+	return &Outcomes{}
+}
+
+func (o *Outcomes) add(outcome *Outcome) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.all = append(o.all, outcome)
+}
+
+// All returns the outcomes so far.
+func (o *Outcomes) All() []*Outcome {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.all)
+}
--- /dev/null
+++ b/internal/standin/world/revisions.go
@@ -0,0 +1,45 @@
+package world
+
+import (
+	"bufio"
+	"os"
+	"regexp"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// acceptedLine matches the audit line of a configuration that came into
+// force.
+var acceptedLine = regexp.MustCompile(`msg=audit .*cause=published .*to=(\d+) what=configuration$`)
+
+// Revisions returns the revisions that came into force at the node, in order,
+// as its audit trail tells them.
+func (n *Node) Revisions() ([]uint64, error) {
+	file, err := os.Open(n.LogPath())
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = file.Close() }()
+	var revisions []uint64
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		match := acceptedLine.FindStringSubmatch(lines.Text())
+		if match == nil {
+			continue
+		}
+		revision, err := strconv.ParseUint(match[1], 10, 64)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		revisions = append(revisions, revision)
+	}
+	return revisions, errors.WithStack(lines.Err())
+}
+
+// InForce reports whether the revision is the last one that came into force
+// at the node.
+func (n *Node) InForce(revision uint64) bool {
+	revisions, err := n.Revisions()
+	return err == nil && len(revisions) > 0 && revisions[len(revisions)-1] == revision
+}
