--- a/agent/packetconn.go
+++ b/agent/packetconn.go
@@ -9,20 +9,10 @@
 	"github.com/turmericrock/turmericrock/connid"
 	"github.com/turmericrock/turmericrock/internal/quicwire"
 	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/placement"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
-// Counters counts tunnel datagrams and flows by what became of them.
-type Counters struct {
-	Delivered    atomic.Uint64
-	Passed       atomic.Uint64
-	Refused      atomic.Uint64
-	Forged       atomic.Uint64
-	WrongService atomic.Uint64
-	NotReady     atomic.Uint64
-	Malformed    atomic.Uint64
-}
-
 // refusedAddr marks packets of a flow that is to be refused, so that the
 // QUIC listener answers with CONNECTION_REFUSED.
 type refusedAddr struct {
@@ -48,6 +38,7 @@
 	keys       *keyring.Keys
 	handshakes *handshakes
 	reported   map[netip.AddrPort]time.Time
+	sequence   uint64
 }
 
 // ReadFrom implements net.PacketConn.
@@ -69,27 +60,30 @@
 func (c *packetConn) receive(datagram []byte, _ netip.AddrPort) ([]byte, net.Addr) {
 	view := c.views.Load()
 	if view == nil || !c.refreshKeys(view.Keys) {
-		c.counters.NotReady.Add(1)
+		c.counters.add(CauseNotReady)
 		return nil, nil
 	}
 	header, payload, err := c.codec.Open(datagram)
 	if err != nil {
-		c.counters.Forged.Add(1)
+		c.counters.add(CauseForged)
 		return nil, nil
 	}
 	if header.Service != view.Tag {
-		c.counters.WrongService.Add(1)
+		c.counters.add(CauseWrongService)
 		return nil, nil
 	}
 	switch header.Kind {
 	case tunnel.KindFlow:
-		c.counters.Delivered.Add(1)
+		c.counters.delivered.Add(1)
 		return payload, net.UDPAddrFromAddrPort(header.Caller)
+	case tunnel.KindProbe:
+		c.report(header.Entry)
+		return nil, nil
 	case tunnel.KindNew, tunnel.KindPassed:
 		c.report(header.Entry)
 		return c.receiveNew(&header, payload, len(datagram))
 	default:
-		c.counters.Malformed.Add(1)
+		c.counters.add(CauseMalformed)
 		return nil, nil
 	}
 }
@@ -97,7 +91,7 @@
 func (c *packetConn) receiveNew(header *tunnel.Header, payload []byte, size int) ([]byte, net.Addr) {
 	packet := quicwire.Parse(payload, connid.Size)
 	if packet.Form != quicwire.FormInitial {
-		c.counters.Malformed.Add(1)
+		c.counters.add(CauseMalformed)
 		return nil, nil
 	}
 	decision := c.handshakes.decide(time.Now(), packet.DCID, func() flowDecision {
@@ -106,26 +100,38 @@
 	caller := net.UDPAddrFromAddrPort(header.Caller)
 	switch decision {
 	case flowTaken:
-		c.counters.Delivered.Add(1)
+		c.counters.delivered.Add(1)
 		return payload, caller
 	case flowPassed:
 		c.pass(header, size)
 		return nil, nil
 	default:
-		c.counters.Refused.Add(1)
+		c.counters.add(CauseFlowRefused)
 		return payload, &refusedAddr{UDPAddr: *caller}
 	}
 }
 
 // choose decides on a new flow. The second choice does not pass it on.
 func (c *packetConn) choose(header *tunnel.Header) flowDecision {
-	if c.gate.roomForFlow() {
+	mayPass := header.Kind == tunnel.KindNew && header.Second.IsValid()
+	room := c.gate.roomForFlow()
+	switch {
+	case mayPass && (!room || c.lessLoaded(header.SecondLoad)):
+		return flowPassed
+	case room:
 		return flowTaken
+	default:
+		return flowRefused
 	}
-	if header.Kind == tunnel.KindNew && header.Second.IsValid() {
-		return flowPassed
+}
+
+// lessLoaded reports whether the second choice has the lesser load.
+func (c *packetConn) lessLoaded(second tunnel.Load) bool {
+	if second == tunnel.UnknownLoad {
+		return false
 	}
-	return flowRefused
+	own := c.gate.report(c.incarnation).Load()
+	return placement.PreferSecond(uint64(own), uint64(second))
 }
 
 // pass sends the datagram in buf on to the second choice.
@@ -138,7 +144,7 @@
 	passed.Second = netip.AddrPort{}
 	payload := size - tunnel.HeaderSize - tunnel.TagSize
 	datagram := c.codec.Seal(c.buf, payload, &passed)
-	c.counters.Passed.Add(1)
+	c.counters.passed.Add(1)
 	_, _ = c.tunnel.WriteToUDPAddrPort(datagram, header.Second)
 }
 
@@ -152,13 +158,22 @@
 		clear(c.reported)
 	}
 	c.reported[entry] = now
-	payload, err := tunnel.EncodeReport(c.gate.report(c.incarnation))
+	c.sequence++
+	report := c.gate.report(c.incarnation)
+	report.Sequence = c.sequence
+	payload, err := tunnel.EncodeReport(report)
 	if err != nil {
 		return
 	}
 	buf := make([]byte, tunnel.HeaderSize+len(payload)+tunnel.TagSize)
 	copy(buf[tunnel.HeaderSize:], payload)
-	datagram := c.codec.Seal(buf, len(payload), &tunnel.Header{Kind: tunnel.KindReport, Caller: entry})
+	datagram := c.codec.Seal(buf, len(payload), &tunnel.Header{
+		Kind:     tunnel.KindReport,
+		Service:  c.views.Load().Tag,
+		Revision: report.Revision,
+		Caller:   entry,
+		Second:   c.self,
+	})
 	_, _ = c.tunnel.WriteToUDPAddrPort(datagram, entry)
 }
 
--- a/internal/standin/world/process.go
+++ b/internal/standin/world/process.go
@@ -126,3 +126,12 @@
 	defer p.mu.Unlock()
 	return p.command, p.done
 }
+
+// pid returns the process's ID, or 0 before the first start.
+func (p *process) pid() int {
+	command, _ := p.current()
+	if command == nil {
+		return 0
+	}
+	return command.Process.Pid
+}
