--- a/internal/standin/world/usage.go
+++ b/internal/standin/world/usage.go
@@ -19,10 +19,7 @@
 
 // Usage returns what the node's process has used so far.
 func (n *Node) Usage() (Usage, error) {
-	n.mu.Lock()
-	pid := n.command.Process.Pid
-	n.mu.Unlock()
-	return processUsage(pid)
+	return processUsage(n.pid())
 }
 
 const (
