--- a/entry/config.go
+++ b/entry/config.go
@@ -26,13 +26,14 @@
 	Workers int
 	// BatchSize is the number of packets received by one system call.
 	BatchSize int
-	// SuspectAfter is how long a host that was sent new flows may be silent
-	// before it is avoided.
+	// SuspectAfter is how long a host may owe a report before it is avoided.
 	SuspectAfter time.Duration
 	// Mesh holds the settings of the links to other processes.
 	Mesh mesh.Config
 	// Control tells how the entry takes part in spreading the configuration.
 	Control dissemination.Config
+	// StopGrace is how long a stopping entry goes on forwarding.
+	StopGrace time.Duration
 }
 
 // Listener is one socket that receives callers' packets.
@@ -53,5 +54,6 @@
 		SuspectAfter: 2 * time.Second,
 		Mesh:         mesh.DefaultConfig(),
 		Control:      dissemination.DefaultConfig(),
+		StopGrace:    5 * time.Second,
 	}
 }
