--- /dev/null
+++ b/dissemination/fleet_test.go
@@ -0,0 +1,102 @@
+package dissemination_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/dissemination"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/controlnet"
+	"github.com/turmericrock/turmericrock/internal/fleetgen"
+	"github.com/turmericrock/turmericrock/internal/invariant"
+)
+
+func smallSize() fleetgen.Size {
+	return fleetgen.Size{Regions: 2, Zones: 3, Entries: 6, Hosts: 36, Services: 12, Parts: 4}
+}
+
+type fixture struct {
+	t *testing.T
+	*controlnet.Network
+	*controlnet.Fleet
+}
+
+func newFixture(t *testing.T, seed uint64, size fleetgen.Size) *fixture {
+	t.Helper()
+	failOnViolation(t)
+	control := dissemination.DefaultConfig()
+	control.FleetLimit = 2 * size.Nodes()
+	control.OwnReads = size.Nodes()
+	net := controlnet.New(controlnet.Config{
+		Seed:      seed,
+		Delay:     500 * time.Microsecond,
+		StepEvery: 50 * time.Millisecond,
+		Control:   control,
+		Builder:   dissemination.DefaultBuilder{},
+		Codec:     true,
+	})
+	f, err := controlnet.NewFleet(net, size)
+	must.NoError(t, err)
+	return &fixture{t: t, Network: net, Fleet: f}
+}
+
+func failOnViolation(t *testing.T) {
+	t.Helper()
+	invariant.SetHandler(func(name string) { panic("invariant violated: " + name) })
+	t.Cleanup(func() { invariant.SetHandler(nil) })
+}
+
+// started returns a fleet in which every node is up and current.
+func started(t *testing.T, seed uint64) *fixture {
+	t.Helper()
+	f := newFixture(t, seed, smallSize())
+	f.Fleet.Start(time.Second)
+	f.Advance(20 * time.Second)
+	f.allAt(1)
+	return f
+}
+
+// allAt checks that every running node is at the revision and current.
+func (f *fixture) allAt(revision uint64) {
+	f.t.Helper()
+	for _, n := range f.Nodes() {
+		if !n.Alive() || n.Paused() {
+			continue
+		}
+		must.Eq(f.t, revision, n.Holder.Revision(), must.Sprintf("node %s", n.VM.ID))
+		must.Eq(f.t, f.Digests[revision], n.Holder.Config().Digest)
+		must.True(f.t, n.Replica.Current(f.Now()), must.Sprintf("node %s is not current", n.VM.ID))
+	}
+}
+
+// zone returns the running nodes of a zone.
+func (f *fixture) zone(name string) []*controlnet.Node {
+	var nodes []*controlnet.Node
+	for _, n := range f.Nodes() {
+		if n.VM.Zone == name && n.Alive() {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+func (f *fixture) oldestAge() time.Duration {
+	oldest := time.Duration(0)
+	for _, n := range f.Nodes() {
+		if n.Alive() {
+			oldest = max(oldest, n.Holder.Age(f.Now()))
+		}
+	}
+	return oldest
+}
+
+func entryOf(nodes []*controlnet.Node) *controlnet.Node {
+	for _, n := range nodes {
+		if n.VM.Role == fleet.RoleEntry {
+			return n
+		}
+	}
+	return nodes[0]
+}
--- a/dissemination/link.go
+++ b/dissemination/link.go
@@ -25,8 +25,6 @@
 	heardAt time.Time
 	// echo is the latest probe of the other side.
 	echo uint64
-	// told is the revision and the list versions last sent over the link.
-	told map[string]uint64
 	// state is the latest state of the other side.
 	state State
 }
@@ -40,13 +38,27 @@
 	inboundSilent = 10 * time.Second
 )
 
+// sortedLinks returns the links in order of their IDs, so that equal inputs
+// give equal decisions.
 func (r *Replica) sortedLinks() []*link {
-	ids := slices.Sorted(maps.Keys(r.links))
-	links := make([]*link, 0, len(ids))
-	for _, id := range ids {
-		links = append(links, r.links[id])
+	if r.ordered != nil {
+		return r.ordered
 	}
-	return links
+	r.ordered = make([]*link, 0, len(r.links))
+	for _, id := range slices.Sorted(maps.Keys(r.links)) {
+		r.ordered = append(r.ordered, r.links[id])
+	}
+	return r.ordered
+}
+
+func (r *Replica) addLink(l *link) {
+	r.links[l.id] = l
+	r.ordered = nil
+}
+
+func (r *Replica) removeLink(id LinkID) {
+	delete(r.links, id)
+	r.ordered = nil
 }
 
 func (r *Replica) linkOpened(now time.Time, event LinkOpened) {
@@ -84,15 +96,14 @@
 		r.act(Close{Link: event.Link, Cause: "full"})
 		return
 	}
-	r.links[event.Link] = &link{
+	r.addLink(&link{
 		id:      event.Link,
 		inbound: true,
 		hello:   event.Hello,
 		up:      true,
 		since:   now,
 		heardAt: now,
-		told:    make(map[string]uint64),
-	}
+	})
 }
 
 func (r *Replica) linkClosed(now time.Time, event LinkClosed) {
@@ -100,7 +111,7 @@
 	if l == nil {
 		return
 	}
-	delete(r.links, event.Link)
+	r.removeLink(event.Link)
 	if l.inbound || l.vm.ID == "" {
 		return
 	}
@@ -112,7 +123,7 @@
 }
 
 func (r *Replica) drop(l *link, cause string) {
-	delete(r.links, l.id)
+	r.removeLink(l.id)
 	r.act(Close{Link: l.id, Cause: cause})
 }
 
@@ -185,9 +196,9 @@
 		return
 	}
 	r.nextDial = now.Add(r.jitter(dialGap))
-	l := &link{id: r.nextLink, vm: vm, since: now, wanted: true, told: make(map[string]uint64)}
+	l := &link{id: r.nextLink, vm: vm, since: now, wanted: true}
 	r.nextLink += 2
-	r.links[l.id] = l
+	r.addLink(l)
 	r.counts.Dials++
 	r.act(Dial{Link: l.id, Peer: vm, Hello: r.Hello()})
 }
--- a/dissemination/lists.go
+++ b/dissemination/lists.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -103,15 +104,18 @@
 // retain keeps the VMs that a list lost when they are at least half: a list
 // that is wrong would otherwise take a whole zone out of sight.
 func (r *Replica) retain(now time.Time, state *listState, before fleet.VMList) {
+	if len(before.VMs) == 0 {
+		return
+	}
 	ids := make(map[string]bool, len(state.listed.VMs))
-	addrs := make(map[string]bool, len(state.listed.VMs))
+	addrs := make(map[netip.AddrPort]bool, len(state.listed.VMs))
 	for _, vm := range state.listed.VMs {
 		ids[vm.ID] = true
-		addrs[vm.Addr.String()] = true
+		addrs[vm.Addr] = true
 	}
 	var lost []fleet.VM
 	for _, vm := range before.VMs {
-		if !ids[vm.ID] && !addrs[vm.Addr.String()] {
+		if !ids[vm.ID] && !addrs[vm.Addr] {
 			lost = append(lost, vm)
 		}
 	}
--- a/dissemination/peer.go
+++ b/dissemination/peer.go
@@ -121,6 +121,9 @@
 
 // forgetPeers drops the peers that the list of their zone no longer holds.
 func (r *Replica) forgetPeers(list fleet.VMList) {
+	if len(r.peers) == 0 {
+		return
+	}
 	ids := make(map[string]bool, len(list.VMs))
 	for _, vm := range list.VMs {
 		ids[vm.ID] = true
--- a/dissemination/replica.go
+++ b/dissemination/replica.go
@@ -32,6 +32,11 @@
 	pending *pending
 	refused map[string]time.Time
 
+	// zoneNames are the zones that the configuration zonesOf declares.
+	zoneNames []string
+	zonesOf   *fleet.Config
+	// ordered holds the links in order of their IDs, or nil.
+	ordered  []*link
 	nextLink LinkID
 	nextDial time.Time
 	changed  map[string]bool
--- a/dissemination/role.go
+++ b/dissemination/role.go
@@ -1,7 +1,6 @@
 package dissemination
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -124,16 +123,22 @@
 	return ranks
 }
 
-// zones returns the names of the zones that are declared or listed.
+// zones returns the names of the zones that are declared, and the node's own.
 func (r *Replica) zones() []string {
-	names := make(map[string]bool)
-	names[r.config.Self.Zone] = true
-	if held := r.holder.Config(); held != nil {
+	held := r.holder.Config()
+	if r.zoneNames != nil && r.zonesOf == held {
+		return r.zoneNames
+	}
+	r.zonesOf = held
+	r.zoneNames = []string{r.config.Self.Zone}
+	if held != nil {
 		for _, zone := range held.Manifest.Zones {
-			names[zone.Name] = true
+			r.zoneNames = append(r.zoneNames, zone.Name)
 		}
 	}
-	return slices.Sorted(maps.Keys(names))
+	slices.Sort(r.zoneNames)
+	r.zoneNames = slices.Compact(r.zoneNames)
+	return r.zoneNames
 }
 
 // listedZones returns the zones whose lists the node needs.
--- /dev/null
+++ b/internal/controlnet/fleet.go
@@ -0,0 +1,134 @@
+package controlnet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/fleetgen"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+// Fleet publishes the configurations and lists of a generated fleet.
+type Fleet struct {
+	net      *Network
+	zones    []fleet.Zone
+	services []fleet.Service
+	parts    int
+	revision uint64
+	// Digests holds the digest of each revision that was published.
+	Digests map[uint64]string
+	Lists   map[string]fleet.VMList
+}
+
+// NewFleet publishes the first configuration and the lists of a fleet of the
+// size. Its nodes are not started.
+func NewFleet(net *Network, size fleetgen.Size) (*Fleet, error) {
+	generated, err := fleetgen.Generate(size, 1)
+	if err != nil {
+		return nil, err
+	}
+	config, err := generated.Config()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		net:      net,
+		zones:    slices.Clone(generated.Manifest.Zones),
+		services: slices.Clone(config.Services()),
+		parts:    max(1, size.Parts),
+		Digests:  make(map[uint64]string),
+		Lists:    generated.Lists,
+	}
+	if err := f.Publish(); err != nil {
+		return nil, err
+	}
+	return f, f.PublishLists()
+}
+
+// Revision returns the revision published last.
+func (f *Fleet) Revision() uint64 {
+	return f.revision
+}
+
+// Publish publishes the declarations under the next revision.
+func (f *Fleet) Publish() error {
+	f.revision++
+	return f.PublishAs(f.revision)
+}
+
+// PublishAs publishes the declarations under the revision given.
+func (f *Fleet) PublishAs(revision uint64) error {
+	manifest := fleet.Manifest{Revision: revision, Zones: slices.Clone(f.zones)}
+	byName := make(map[string][]fleet.Service)
+	for _, service := range f.services {
+		name := fleet.PartName(service.ID, f.parts)
+		byName[name] = append(byName[name], service)
+	}
+	for name, services := range byName {
+		data, err := fleet.Encode(fleet.Part{Services: services})
+		if err != nil {
+			return err
+		}
+		digest := fleet.Digest(data)
+		manifest.Parts = append(manifest.Parts, fleet.PartRef{Name: name, Digest: digest, Size: len(data)})
+		if _, err := f.net.Platform.look(platform.KeyPart(digest)); err != nil {
+			f.net.Platform.Put(platform.KeyPart(digest), data)
+		}
+	}
+	slices.SortFunc(manifest.Parts, func(a, b fleet.PartRef) int { return cmp.Compare(a.Name, b.Name) })
+	root, err := fleet.Encode(manifest)
+	if err != nil {
+		return err
+	}
+	f.Digests[revision] = fleet.Digest(root)
+	f.net.Platform.Put(platform.KeyManifest, root)
+	return nil
+}
+
+// SetZoneOut takes a zone out of service, or brings it back, and publishes.
+func (f *Fleet) SetZoneOut(zone int, out bool) error {
+	f.zones[zone].Out = out
+	return f.Publish()
+}
+
+// ChangeService changes one service and publishes.
+func (f *Fleet) ChangeService(i int) error {
+	f.services[i].Slots++
+	return f.Publish()
+}
+
+// Zones returns the zones as last declared.
+func (f *Fleet) Zones() []fleet.Zone {
+	return f.zones
+}
+
+// PublishLists publishes the lists as they stand.
+func (f *Fleet) PublishLists() error {
+	for _, zone := range f.zones {
+		if err := f.PublishList(f.Lists[zone.Name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PublishList publishes a list, right or wrong.
+func (f *Fleet) PublishList(list fleet.VMList) error {
+	data, err := fleet.Encode(list)
+	if err != nil {
+		return err
+	}
+	f.net.Platform.Put(platform.KeyVMs(list.Zone), data)
+	return nil
+}
+
+// Start starts every listed node within the time given.
+func (f *Fleet) Start(within time.Duration) {
+	for _, zone := range f.zones {
+		for _, vm := range f.Lists[zone.Name].VMs {
+			f.net.Add(vm, within)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controlnet/network.go
@@ -0,0 +1,236 @@
+package controlnet
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/turmericrock/turmericrock/dissemination"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/platform"
+	"github.com/turmericrock/turmericrock/revision"
+)
+
+// Config holds the settings of a Network.
+type Config struct {
+	Seed uint64
+	// Delay is the least one-way delay; up to as much again is added.
+	Delay time.Duration
+	// StepEvery is the time between two steps of a replica.
+	StepEvery time.Duration
+	// Control is given to each replica.
+	Control dissemination.Config
+	// Builder returns the builder of a node.
+	Builder dissemination.Builder
+	// Codec passes each message through its encoding, and drops those that
+	// cannot be decoded.
+	Codec bool
+}
+
+// Network is a fleet of replicas with their platform.
+type Network struct {
+	config   Config
+	clock    clock
+	random   *rand.Rand
+	Platform *Platform
+	nodes    []*Node
+	byAddr   map[netip.AddrPort]*Node
+	// Cut reports whether nothing passes from one node to another.
+	Cut func(from, to *Node) bool
+	// Adopted is called when a node takes a configuration into force.
+	Adopted func(n *Node, config *fleet.Config)
+}
+
+// New returns a network without nodes.
+func New(config Config) *Network {
+	n := &Network{
+		config: config,
+		clock:  clock{now: time.Unix(1_000_000, 0)},
+		random: rand.New(rand.NewPCG(config.Seed, 1)),
+		byAddr: make(map[netip.AddrPort]*Node),
+	}
+	n.Platform = &Platform{
+		net:       n,
+		values:    make(map[string]platform.Value),
+		watches:   make(map[string][]func()),
+		perSecond: make(map[int64]int),
+	}
+	return n
+}
+
+// Now returns the time on the network's clock.
+func (n *Network) Now() time.Time {
+	return n.clock.now
+}
+
+// Advance runs the network for d.
+func (n *Network) Advance(d time.Duration) {
+	n.clock.advance(d)
+}
+
+// Nodes returns every node that was added.
+func (n *Network) Nodes() []*Node {
+	return n.nodes
+}
+
+// Add starts a node within the time given.
+func (n *Network) Add(vm fleet.VM, within time.Duration) *Node {
+	node := &Node{net: n, VM: vm}
+	n.nodes = append(n.nodes, node)
+	n.byAddr[vm.Mesh] = node
+	node.Start(time.Duration(float64(within) * n.random.Float64()))
+	return node
+}
+
+func (n *Network) after(d time.Duration, run func()) {
+	n.clock.after(d, run)
+}
+
+func (n *Network) latency() time.Duration {
+	return time.Duration(float64(n.config.Delay) * (1 + n.random.Float64()))
+}
+
+func (n *Network) cut(from, to *Node) bool {
+	return n.Cut != nil && n.Cut(from, to)
+}
+
+// Node is one node of the fleet.
+type Node struct {
+	net *Network
+	VM  fleet.VM
+	// Holder and Replica are those of the running process.
+	Holder  *revision.Holder
+	Replica *dissemination.Replica
+	Traffic Traffic
+
+	// born counts the starts of the process.
+	born        int
+	alive       bool
+	paused      bool
+	platformCut bool
+	inbox       []dissemination.Event
+	links       map[dissemination.LinkID]*end
+	nextInbound dissemination.LinkID
+}
+
+// Traffic counts what a node sent over its links.
+type Traffic struct {
+	MessagesOut int
+	BytesOut    int
+	MessagesIn  int
+	BytesIn     int
+}
+
+// Alive reports whether the process runs, paused or not.
+func (n *Node) Alive() bool {
+	return n.alive
+}
+
+// Paused reports whether the process is paused.
+func (n *Node) Paused() bool {
+	return n.paused
+}
+
+// CutPlatform cuts the node off from the platform, or ends that.
+func (n *Node) CutPlatform(cut bool) {
+	n.platformCut = cut
+}
+
+// Start starts the process after d, without any memory of earlier ones.
+func (n *Node) Start(d time.Duration) {
+	n.born++
+	born := n.born
+	n.net.after(d, func() {
+		if n.born != born {
+			return
+		}
+		config := n.net.config.Control
+		config.Self = n.VM
+		n.alive = true
+		n.paused = false
+		n.inbox = nil
+		n.links = make(map[dissemination.LinkID]*end)
+		n.nextInbound = 2
+		n.Holder = &revision.Holder{}
+		random := rand.New(rand.NewPCG(n.net.random.Uint64(), n.net.random.Uint64()))
+		n.Replica = dissemination.New(config, n.Holder, n.net.config.Builder, random)
+		n.tick(born)
+	})
+}
+
+// Kill ends the process; its peers see their links end.
+func (n *Node) Kill() {
+	n.alive = false
+	n.born++
+	for _, e := range n.links {
+		e.close()
+	}
+}
+
+// Pause stops the process until Resume.
+func (n *Node) Pause() {
+	n.paused = n.alive
+}
+
+// Resume ends a pause. What arrived meanwhile is handled first, as by a
+// process that finds it in its queues.
+func (n *Node) Resume() {
+	if !n.paused {
+		return
+	}
+	n.paused = false
+	inbox := n.inbox
+	n.inbox = nil
+	for _, event := range inbox {
+		n.handle(event)
+	}
+	n.step()
+}
+
+func (n *Node) tick(born int) {
+	if n.born != born {
+		return
+	}
+	if !n.paused {
+		n.step()
+	}
+	n.net.after(n.net.config.StepEvery, func() { n.tick(born) })
+}
+
+func (n *Node) step() {
+	n.Replica.Step(n.net.Now())
+	n.carryOut()
+}
+
+func (n *Node) handle(event dissemination.Event) {
+	if !n.alive {
+		return
+	}
+	if n.paused {
+		n.inbox = append(n.inbox, event)
+		return
+	}
+	n.Replica.Handle(n.net.Now(), event)
+	n.carryOut()
+}
+
+func (n *Node) carryOut() {
+	for _, action := range n.Replica.Take() {
+		switch action := action.(type) {
+		case dissemination.Read:
+			n.net.Platform.read(n, action)
+		case dissemination.Dial:
+			n.dial(action)
+		case dissemination.Send:
+			n.send(action)
+		case dissemination.Close:
+			if e := n.links[action.Link]; e != nil {
+				e.close()
+			}
+		case dissemination.ConfigJudged:
+			if action.Verdict == revision.Accepted && n.net.Adopted != nil {
+				n.net.Adopted(n, action.Config)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/controlnet/platform.go
@@ -0,0 +1,145 @@
+package controlnet
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/turmericrock/turmericrock/dissemination"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+// Platform is a fake of the platform that holds values in memory.
+type Platform struct {
+	net    *Network
+	values map[string]platform.Value
+	stale  map[string]platform.Value
+	down   bool
+	// watches holds the waiting watches by key.
+	watches map[string][]func()
+	// perSecond counts reads by second.
+	perSecond map[int64]int
+	waiting   int
+}
+
+// Put publishes a value.
+func (p *Platform) Put(key string, data []byte) {
+	p.values[key] = platform.Value{Key: key, Version: p.values[key].Version + 1, Data: data}
+	p.wake(key)
+}
+
+// SetDown makes reads fail, or ends that.
+func (p *Platform) SetDown(down bool) {
+	p.down = down
+	for key := range p.watches {
+		p.wake(key)
+	}
+}
+
+// SetStale makes reads return the values of this moment, or ends that.
+func (p *Platform) SetStale(stale bool) {
+	p.stale = nil
+	if stale {
+		p.stale = make(map[string]platform.Value, len(p.values))
+		for key, value := range p.values {
+			p.stale[key] = value
+		}
+	}
+	for key := range p.watches {
+		p.wake(key)
+	}
+}
+
+// WorstSecond returns the greatest number of reads in one second from the
+// time on, with each watch that waits at its end counted again.
+func (p *Platform) WorstSecond(from time.Time) int {
+	worst := 0
+	for second, count := range p.perSecond {
+		if second >= from.Unix() {
+			worst = max(worst, count)
+		}
+	}
+	return worst
+}
+
+// Reads returns the number of reads from the time on.
+func (p *Platform) Reads(from time.Time) int {
+	total := 0
+	for second, count := range p.perSecond {
+		if second >= from.Unix() {
+			total += count
+		}
+	}
+	return total
+}
+
+// Waiting returns the number of watches that wait.
+func (p *Platform) Waiting() int {
+	return p.waiting
+}
+
+func (p *Platform) wake(key string) {
+	waiting := p.watches[key]
+	delete(p.watches, key)
+	for _, run := range waiting {
+		run()
+	}
+}
+
+// read answers a read of a node.
+func (p *Platform) read(n *Node, read dissemination.Read) {
+	started := p.net.Now()
+	born := n.born
+	answer := func(value platform.Value, err error) {
+		p.net.after(p.net.latency(), func() {
+			if n.born == born {
+				n.handle(dissemination.ReadDone{Key: read.Key, Started: started, Value: value, Err: err})
+			}
+		})
+	}
+	if n.platformCut {
+		p.net.after(readTimeout+read.Wait, func() { answer(platform.Value{}, &platform.ReadError{Key: read.Key}) })
+		return
+	}
+	p.net.after(p.net.latency(), func() {
+		p.perSecond[p.net.Now().Unix()]++
+		p.await(read, p.net.Now().Add(read.Wait), answer)
+	})
+}
+
+const readTimeout = 2 * time.Second
+
+// await answers when the value differs from what the reader has, or the time
+// is over.
+func (p *Platform) await(read dissemination.Read, until time.Time, answer func(platform.Value, error)) {
+	value, err := p.look(read.Key)
+	if err != nil || value.Version != read.After || !p.net.Now().Before(until) {
+		answer(value, err)
+		return
+	}
+	done := false
+	p.waiting++
+	again := func() {
+		if !done {
+			done = true
+			p.waiting--
+			p.await(read, until, answer)
+		}
+	}
+	p.watches[read.Key] = append(p.watches[read.Key], again)
+	p.net.after(until.Sub(p.net.Now()), again)
+}
+
+func (p *Platform) look(key string) (platform.Value, error) {
+	if p.down {
+		return platform.Value{}, &platform.ReadError{Key: key, Status: http.StatusServiceUnavailable}
+	}
+	values := p.values
+	if p.stale != nil {
+		values = p.stale
+	}
+	value, found := values[key]
+	if !found {
+		return platform.Value{}, &platform.ReadError{Key: key, Status: http.StatusNotFound}
+	}
+	return value, nil
+}
