Measure control at any size and spend less where it showed

Children no longer ask their own children for parts; lists are told as the smallest difference from any version that both sides hold; whole values are compressed on the mesh.

--- a/dissemination/difference.go
+++ b/dissemination/difference.go
@@ -88,6 +88,11 @@
 	return value
 }
 
+// entries returns the number of entries that the value carries.
+func (l ListValue) entries() int {
+	return len(l.Set) + len(l.Removed)
+}
+
 // Merge applies a difference to a list, or takes a whole list. The error is a
 // *DifferenceError.
 func Merge(list fleet.VMList, value ListValue) (fleet.VMList, error) {
--- a/dissemination/link.go
+++ b/dissemination/link.go
@@ -51,6 +51,16 @@
 	return r.ordered
 }
 
+// polling reports whether a link stands over which the node polls.
+func (r *Replica) polling() bool {
+	for _, l := range r.links {
+		if !l.inbound && l.up {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Replica) addLink(l *link) {
 	r.links[l.id] = l
 	r.ordered = nil
@@ -136,7 +146,7 @@
 		case !l.inbound && !l.up && now.Sub(l.since) > dialTimeout:
 			r.drop(l, "timeout")
 			r.linkFailed(now, l, StatusDead)
-		case !l.inbound && l.up && now.Sub(l.heardAt) > r.config.SilentAfter:
+		case !l.inbound && l.up && now.Sub(l.heardAt) > r.silentAfter(l):
 			r.counts.Silent++
 			r.drop(l, "silent")
 			r.linkFailed(now, l, StatusSilent)
@@ -144,6 +154,11 @@
 	}
 }
 
+// silentAfter returns how long the other side may leave polls unanswered.
+func (r *Replica) silentAfter(l *link) time.Duration {
+	return r.config.SilentAfter - r.config.Heartbeat + r.pollInterval(l)
+}
+
 func (r *Replica) linkFailed(now time.Time, l *link, status Status) {
 	if l.vm.ID != "" {
 		r.failed(now, r.peer(l.vm), status)
@@ -153,6 +168,10 @@
 // chooseLinks opens at most one link and closes those that are no longer
 // wanted, once the wanted ones stand.
 func (r *Replica) chooseLinks(now time.Time) {
+	if now.Before(r.nextChoice) {
+		return
+	}
+	r.nextChoice = now.Add(r.jitter(dialGap))
 	wanted := r.wantedPeers(now)
 	byID := make(map[string]*link)
 	for _, l := range r.links {
--- a/dissemination/lists.go
+++ b/dissemination/lists.go
@@ -151,17 +151,48 @@
 	r.act(ListChanged{Before: before, List: members, Source: source})
 }
 
-// tellList returns the list of the zone for a node that holds the version
-// base.
+// versions returns the versions held, the latest last.
+func (s *listState) versions() []uint64 {
+	var versions []uint64
+	for _, list := range s.history {
+		versions = append(versions, list.Version)
+	}
+	if s.listed.Version != 0 {
+		versions = append(versions, s.listed.Version)
+	}
+	return versions
+}
+
+// version returns the list held with the version.
+func (s *listState) version(version uint64) (fleet.VMList, bool) {
+	for _, list := range append(slices.Clone(s.history), s.listed) {
+		if version != 0 && list.Version == version {
+			return list, true
+		}
+	}
+	return fleet.VMList{}, false
+}
+
+// tellList returns the list of the zone for a node that holds the versions
+// given: the smallest difference from a version that both hold, or the whole
+// list.
 func (r *Replica) tellList(want ListWant) (ListValue, bool) {
 	state := r.lists[want.Zone]
-	if state == nil || state.listed.Version <= want.Base {
+	if state == nil || len(want.Bases) > 0 && state.listed.Version <= want.Bases[len(want.Bases)-1] {
+		return ListValue{}, false
+	}
+	if state.listed.Version == 0 {
 		return ListValue{}, false
 	}
-	for _, list := range state.history {
-		if want.Base != 0 && want.Base == list.Version {
-			return DiffLists(list, state.listed), true
+	best := ListValue{Zone: want.Zone, Version: state.listed.Version, Set: state.listed.VMs}
+	for _, base := range want.Bases {
+		held, found := state.version(base)
+		if !found {
+			continue
+		}
+		if diff := DiffLists(held, state.listed); diff.entries() < best.entries() {
+			best = diff
 		}
 	}
-	return ListValue{Zone: want.Zone, Version: state.listed.Version, Set: state.listed.VMs}, true
+	return best, true
 }
--- a/dissemination/message.go
+++ b/dissemination/message.go
@@ -79,8 +79,8 @@
 type ListWant struct {
 	_    struct{} `cbor:",toarray"`
 	Zone string
-	// Base is the version that the sender holds, 0 for none.
-	Base uint64
+	// Bases lists the versions that the sender holds, the latest last.
+	Bases []uint64
 }
 
 // Value brings values.
@@ -110,7 +110,6 @@
 
 // ListValue is a VM list, whole or as the difference from an older version.
 type ListValue struct {
-	_       struct{} `cbor:",toarray"`
 	Zone    string
 	Version uint64
 	// Base is the version that the difference starts from, 0 for a whole
--- a/dissemination/order.go
+++ b/dissemination/order.go
@@ -53,9 +53,9 @@
 	return len(o.places)
 }
 
-// At returns the VM with the rank.
-func (o *Order) At(rank int) fleet.VM {
-	return *o.places[rank].vm
+// At returns the VM with the rank. It is not to be changed.
+func (o *Order) At(rank int) *fleet.VM {
+	return o.places[rank].vm
 }
 
 // Rank returns how many VMs come before vm, and whether vm is itself listed.
--- a/dissemination/peer.go
+++ b/dissemination/peer.go
@@ -58,8 +58,12 @@
 }
 
 const (
+	// firstAvoid is the time after the first failure until the next attempt.
+	// It doubles up to longAvoid, and up to loneAvoid while the node polls
+	// nobody.
 	firstAvoid = 2 * time.Second
 	longAvoid  = 30 * time.Second
+	loneAvoid  = 4 * time.Second
 )
 
 // Peer is what a node holds of another one, for operators.
@@ -108,7 +112,11 @@
 // failed notes that the peer could not be polled.
 func (r *Replica) failed(now time.Time, p *peer, status Status) {
 	r.setStatus(p, status)
-	avoid := min(firstAvoid<<min(p.failures, 6), longAvoid)
+	longest := longAvoid
+	if !r.polling() {
+		longest = loneAvoid
+	}
+	avoid := min(firstAvoid<<min(p.failures, 6), longest)
 	p.avoidUntil = now.Add(r.jitter(avoid))
 	p.failures++
 }
--- a/dissemination/pending.go
+++ b/dissemination/pending.go
@@ -23,6 +23,8 @@
 	link LinkID
 	// asked holds the digests of the parts that are on their way.
 	asked map[string]bool
+	// lacking holds the links whose other side lacks parts.
+	lacking map[LinkID]bool
 	// progressAt is when something of it last arrived.
 	progressAt time.Time
 }
@@ -46,22 +48,38 @@
 	return now.Sub(p.progressAt) > stallTime
 }
 
+// open reports whether the configuration with the digest may be asked for
+// over the link now.
+func (p *pending) open(now time.Time, l *link, number uint64, digest string) bool {
+	switch {
+	case p.stalled(now):
+		return true
+	case p.digest == digest:
+		return p.link == 0 && !p.lacking[l.id]
+	default:
+		return p.revision <= number
+	}
+}
+
 // request fetches a configuration that the other side of the link holds.
 func (r *Replica) request(now time.Time, l *link, state State, digest string) {
 	if r.refusedLately(now, digest) {
 		return
 	}
 	p := r.pending
-	if p != nil && !p.stalled(now) && (p.digest == digest || p.revision > state.Revision) {
+	if p != nil && !p.open(now, l, state.Revision, digest) {
 		return
 	}
 	if p == nil || p.digest != digest {
-		p = &pending{revision: state.Revision, digest: digest, source: l.hello.ID}
+		p = &pending{revision: state.Revision, digest: digest, source: l.hello.ID, lacking: make(map[LinkID]bool)}
 		if asked, ok := r.askedAt(l, state.Echo); ok {
 			p.asOf = timeOf(asked, state.Age)
 		}
 		r.pending = p
 	}
+	if p.stalled(now) {
+		clear(p.lacking)
+	}
 	p.link = l.id
 	p.progressAt = now
 	p.asked = make(map[string]bool)
@@ -102,8 +120,22 @@
 
 // incomplete reports whether the node now needs more parts than it holds.
 func (r *Replica) incomplete() bool {
-	held := r.holder.Config()
-	return held != nil && len(r.missing(&held.Manifest)) > 0
+	check := completeness{config: r.holder.Config(), full: r.full(), parts: len(r.values.parts)}
+	if check.config == nil {
+		return false
+	}
+	if check != r.checked {
+		r.checked = check
+		r.lacking = len(r.missing(&check.config.Manifest)) > 0
+	}
+	return r.lacking
+}
+
+// completeness is what the outcome of incomplete depends on.
+type completeness struct {
+	config *fleet.Config
+	full   bool
+	parts  int
 }
 
 // wantParts asks for the parts that are missing, and adopts the
@@ -184,7 +216,7 @@
 func (r *Replica) listReceived(now time.Time, l *link, value ListValue) {
 	held := fleet.VMList{Zone: value.Zone}
 	if state := r.lists[value.Zone]; state != nil {
-		held = state.listed
+		held, _ = state.version(value.Base)
 	}
 	list, err := r.builder.Merge(held, value)
 	if err != nil || !r.listAllowed(value.Zone) {
@@ -245,7 +277,9 @@
 		r.keepPart(fleet.Digest(data), data)
 	}
 	if len(value.Missing) > 0 {
+		p.lacking[l.id] = true
 		p.link = 0
+		r.wantParts(now, r.holderOf(p.digest))
 		return
 	}
 	p.progressAt = now
--- a/dissemination/reads.go
+++ b/dissemination/reads.go
@@ -184,15 +184,8 @@
 
 // unlisted reports whether no list names the node and it polls nobody.
 func (r *Replica) unlisted() bool {
-	if _, listed := r.rank(); listed {
-		return false
-	}
-	for _, l := range r.links {
-		if !l.inbound && l.up {
-			return false
-		}
-	}
-	return true
+	_, listed := r.rank()
+	return !listed && !r.polling()
 }
 
 func (r *Replica) listAgeLimit() time.Duration {
@@ -270,21 +263,35 @@
 		}
 	}
 	p.asked = make(map[string]bool)
+	p.lacking = make(map[LinkID]bool)
 	p.progressAt = now
 	r.pending = p
 	r.wantParts(now, r.holderOf(p.digest))
 }
 
-// holderOf returns a link whose other side holds the configuration, or nil.
+// holderOf returns a link whose other side holds the pending configuration and
+// is not known to lack parts of it, or nil. Links to parents come first.
 func (r *Replica) holderOf(digest string) *link {
 	want := string(rawDigest(digest))
+	var found *link
 	for _, l := range r.sortedLinks() {
-		if l.up && string(l.state.Digest) == want {
-			r.pending.link = l.id
-			return l
+		if !l.up || string(l.state.Digest) != want || r.pending.lacking[l.id] || !r.mayHold(l) {
+			continue
 		}
+		if found == nil || found.inbound && !l.inbound {
+			found = l
+		}
+	}
+	if found != nil {
+		r.pending.link = found.id
 	}
-	return nil
+	return found
+}
+
+// mayHold reports whether the other side may hold the parts that this node
+// needs. A child that holds a part of the configuration may not.
+func (r *Replica) mayHold(l *link) bool {
+	return !l.inbound || l.hello.All || !r.full()
 }
 
 func (r *Replica) listRead(now time.Time, event ReadDone) {
--- a/dissemination/replica.go
+++ b/dissemination/replica.go
@@ -35,13 +35,19 @@
 	// zoneNames are the zones that the configuration zonesOf declares.
 	zoneNames []string
 	zonesOf   *fleet.Config
+	place     ownPlace
+	// checked and lacking hold the latest outcome of incomplete.
+	checked completeness
+	lacking bool
 	// ordered holds the links in order of their IDs, or nil.
 	ordered  []*link
 	nextLink LinkID
 	nextDial time.Time
-	changed  map[string]bool
-	actions  []Action
-	counts   Counts
+	// nextChoice is when the links are next chosen.
+	nextChoice time.Time
+	changed    map[string]bool
+	actions    []Action
+	counts     Counts
 }
 
 // Counts counts what a Replica decided and saw.
--- a/dissemination/role.go
+++ b/dissemination/role.go
@@ -13,7 +13,18 @@
 	if order == nil {
 		return 0, false
 	}
-	return order.Rank(r.config.Self)
+	if r.place.order != order {
+		r.place.order = order
+		r.place.rank, r.place.listed = order.Rank(r.config.Self)
+	}
+	return r.place.rank, r.place.listed
+}
+
+// ownPlace is the node's place in an order.
+type ownPlace struct {
+	order  *Order
+	rank   int
+	listed bool
 }
 
 // Watching reports whether the node follows the platform for its zone: it is
@@ -53,7 +64,7 @@
 	if order == nil || order.Len() == 0 {
 		return r.seeds()
 	}
-	rank, listed := order.Rank(r.config.Self)
+	rank, listed := r.rank()
 	if listed && rank < r.config.Watchers+r.config.Spares && r.Watching(now) {
 		return r.watcherPeers(now, order, rank)
 	}
@@ -82,9 +93,12 @@
 func (r *Replica) pick(now time.Time, order *Order, ranks []int, count int) []fleet.VM {
 	var picked []fleet.VM
 	for _, rank := range ranks {
+		if len(picked) == count {
+			break
+		}
 		vm := order.At(rank)
-		if len(picked) < count && vm.ID != r.config.Self.ID && !r.avoided(now, vm.ID) {
-			picked = append(picked, vm)
+		if vm.ID != r.config.Self.ID && !r.avoided(now, vm.ID) {
+			picked = append(picked, *vm)
 		}
 	}
 	return picked
--- a/dissemination/state.go
+++ b/dissemination/state.go
@@ -18,7 +18,7 @@
 }
 
 func (r *Replica) pollLink(now time.Time, l *link) {
-	l.nextPoll = now.Add(r.jitter(r.config.Heartbeat))
+	l.nextPoll = now.Add(r.jitter(r.pollInterval(l)))
 	l.lastProbe = uint64(now.Sub(r.epoch).Microseconds()) + 1
 	state := r.state(now, l)
 	state.Zones = nil
@@ -26,6 +26,18 @@
 	r.send(l, Message{State: state})
 }
 
+// pollInterval returns the time between two polls over the link. Watchers
+// hear the platform themselves and poll other zones at a lower rate.
+func (r *Replica) pollInterval(l *link) time.Duration {
+	if l.hello.Zone != r.config.Self.Zone {
+		return crossZoneFactor * r.config.Heartbeat
+	}
+	return r.config.Heartbeat
+}
+
+// crossZoneFactor is the time between two polls across zones, in heartbeats.
+const crossZoneFactor = 2
+
 func (r *Replica) send(l *link, message Message) {
 	r.act(Send{Link: l.id, Message: message})
 }
@@ -151,7 +163,7 @@
 	case revision.Accepted:
 		r.request(now, l, state, digest)
 	case revision.Confirmed:
-		if r.incomplete() {
+		if r.incomplete() && r.mayHold(l) {
 			r.request(now, l, state, digest)
 		}
 	}
@@ -174,7 +186,7 @@
 		}
 		list.asked = zone.Version
 		list.askedAt = now
-		wants = append(wants, ListWant{Zone: zone.Zone, Base: list.listed.Version})
+		wants = append(wants, ListWant{Zone: zone.Zone, Bases: list.versions()})
 	}
 	if len(wants) > 0 {
 		r.send(l, Message{Want: &Want{Lists: wants}})
--- /dev/null
+++ b/dissemination/wire.go
@@ -0,0 +1,79 @@
+package dissemination
+
+import (
+	"net/netip"
+
+	"github.com/turmericrock/turmericrock/fleet"
+)
+
+// wireList is how a ListValue is encoded: VMs without the names of fields and
+// without the zone, which they share.
+type wireList struct {
+	_       struct{} `cbor:",toarray"`
+	Zone    string
+	Version uint64
+	Base    uint64
+	Set     []wireVM
+	Removed []string
+}
+
+type wireVM struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Addr     netip.AddrPort
+	Mesh     netip.AddrPort
+	Entry    bool
+	Leaving  bool
+	Customer string
+	Name     string
+}
+
+// MarshalCBOR implements cbor.Marshaler.
+func (l ListValue) MarshalCBOR() ([]byte, error) {
+	wire := wireList{Zone: l.Zone, Version: l.Version, Base: l.Base, Removed: l.Removed}
+	wire.Set = make([]wireVM, 0, len(l.Set))
+	for _, vm := range l.Set {
+		wire.Set = append(wire.Set, wireVM{
+			ID:       vm.ID,
+			Addr:     vm.Addr,
+			Mesh:     vm.Mesh,
+			Entry:    vm.Role == fleet.RoleEntry,
+			Leaving:  vm.State == fleet.VMLeaving,
+			Customer: vm.Service.Customer,
+			Name:     vm.Service.Name,
+		})
+	}
+	return encoder.Marshal(wire)
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (l *ListValue) UnmarshalCBOR(data []byte) error {
+	var wire wireList
+	if err := decoder.Unmarshal(data, &wire); err != nil {
+		return &MessageError{Cause: "encoding", Err: err}
+	}
+	*l = ListValue{Zone: wire.Zone, Version: wire.Version, Base: wire.Base, Removed: wire.Removed}
+	for _, vm := range wire.Set {
+		l.Set = append(l.Set, vm.vm(wire.Zone))
+	}
+	return nil
+}
+
+func (w wireVM) vm(zone string) fleet.VM {
+	vm := fleet.VM{
+		ID:      w.ID,
+		Addr:    w.Addr,
+		Mesh:    w.Mesh,
+		Zone:    zone,
+		Role:    fleet.RoleAgent,
+		Service: fleet.ServiceID{Customer: w.Customer, Name: w.Name},
+		State:   fleet.VMLive,
+	}
+	if w.Entry {
+		vm.Role = fleet.RoleEntry
+	}
+	if w.Leaving {
+		vm.State = fleet.VMLeaving
+	}
+	return vm
+}
--- a/internal/controlnet/link.go
+++ b/internal/controlnet/link.go
@@ -1,9 +1,14 @@
 package controlnet
 
 import (
+	"bytes"
+	"compress/flate"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericrock/turmericrock/dissemination"
+	"github.com/turmericrock/turmericrock/mesh"
 )
 
 // end is one end of a link.
@@ -105,10 +110,32 @@
 	if err != nil {
 		return
 	}
+	size := n.net.wireSize(data)
 	n.Traffic.MessagesOut++
-	n.Traffic.BytesOut += len(data)
+	n.Traffic.BytesOut += size
 	e.peer.node.Traffic.MessagesIn++
-	e.peer.node.Traffic.BytesIn += len(data)
+	e.peer.node.Traffic.BytesIn += size
+}
+
+// wireSize returns the size of a message as the mesh sends it: large ones are
+// compressed.
+func (n *Network) wireSize(data []byte) int {
+	if len(data) < mesh.CompressionThreshold {
+		return len(data)
+	}
+	key := xxhash.Sum64(data)
+	if size, found := n.sizes[key]; found {
+		return size
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return len(data)
+	}
+	_, _ = w.Write(data)
+	_ = w.Close()
+	n.sizes[key] = out.Len()
+	return out.Len()
 }
 
 // pump delivers what is on its way, or tries again while there is a cut. As
--- a/internal/controlnet/network.go
+++ b/internal/controlnet/network.go
@@ -35,6 +35,8 @@
 	Platform *Platform
 	nodes    []*Node
 	byAddr   map[netip.AddrPort]*Node
+	// sizes holds the compressed sizes of messages by their hash.
+	sizes map[uint64]int
 	// Cut reports whether nothing passes from one node to another.
 	Cut func(from, to *Node) bool
 	// Adopted is called when a node takes a configuration into force.
@@ -48,6 +50,7 @@
 		clock:  clock{now: time.Unix(1_000_000, 0)},
 		random: rand.New(rand.NewPCG(config.Seed, 1)),
 		byAddr: make(map[netip.AddrPort]*Node),
+		sizes:  make(map[uint64]int),
 	}
 	n.Platform = &Platform{
 		net:       n,
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -19,6 +19,10 @@
 
 const path = "/mesh"
 
+// CompressionThreshold is the size in bytes from which messages are
+// compressed: whole lists and parts are, heartbeats are not.
+const CompressionThreshold = 4096
+
 // Mesh holds the links of one process. It is safe for concurrent use.
 type Mesh struct {
 	config Config
@@ -168,7 +172,11 @@
 func (m *Mesh) open(ctx context.Context, addr netip.AddrPort, hello dissemination.Hello) (*websocket.Conn, dissemination.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.OpenTimeout)
 	defer cancel()
-	options := &websocket.DialOptions{HTTPClient: m.client, CompressionMode: websocket.CompressionDisabled}
+	options := &websocket.DialOptions{
+		HTTPClient:           m.client,
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: CompressionThreshold,
+	}
 	conn, _, err := websocket.Dial(ctx, "wss://"+addr.String()+path, options)
 	if err != nil {
 		return nil, dissemination.Hello{}, &LinkError{Cause: causeDial, Err: err}
@@ -210,7 +218,10 @@
 }
 
 func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: CompressionThreshold,
+	})
 	if err != nil {
 		m.counts.add(causeUpgrade)
 		return
