Choose between equal weights without logarithms and measure control and placing

Cause: each new flow took a logarithm a host, the scan looked up networks for each host, and nothing measured either. Change: rendezvous among equal weights compares the hashes; usability of an address is decided when it is listed; status is published more seldom with many hosts. internal/bench measures placing and an entry's control state at four sizes; slopes uses the same fixture, since reports now count only for listed hosts. Outside the entry's packages: slopes/control.go.

--- a/entry/host.go
+++ b/entry/host.go
@@ -43,6 +43,8 @@
 	seed  uint64
 	cell  *hostCell
 	state HostState
+	// usable tells that packets may be sent to the address.
+	usable bool
 	// added tells that the host was listed after the entry's first list.
 	added bool
 
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -113,6 +113,7 @@
 		h.state = HostUnreported
 	}
 	h.vm = vm
+	h.usable = usableAddr(board.Config.AgentNetworks, addr)
 }
 
 // index orders the hosts and groups them by service.
@@ -174,7 +175,7 @@
 
 // decide moves the host to the state that the evidence gives.
 func (m *Membership) decide(now time.Time, board *Board, h *host, zoneOpen bool) {
-	next, cause := h.next(now, board.Config, zoneOpen)
+	next, cause := h.next(now, board.Config.SuspectAfter, zoneOpen)
 	if next == h.state {
 		return
 	}
@@ -184,10 +185,10 @@
 }
 
 // next returns the state by the evidence, in the order of HostState's table.
-func (h *host) next(now time.Time, config Config, zoneOpen bool) (HostState, string) {
+func (h *host) next(now time.Time, suspectAfter time.Duration, zoneOpen bool) (HostState, string) {
 	silence := h.silence(now)
 	switch {
-	case !usableAddr(config.AgentNetworks, h.vm.Addr):
+	case !h.usable:
 		return HostUnusable, "address"
 	case !zoneOpen:
 		return HostZoneOut, "zone"
@@ -195,7 +196,7 @@
 		return HostLeaving, "listed leaving"
 	case silence >= goneAfter:
 		return HostGone, "silent"
-	case silence >= config.SuspectAfter:
+	case silence >= suspectAfter:
 		return HostSuspect, "silent"
 	case !h.reported():
 		return HostUnreported, "no report"
--- a/entry/status.go
+++ b/entry/status.go
@@ -11,8 +11,13 @@
 	"github.com/turmericrock/turmericrock/internal/metrics"
 )
 
-// statusInterval is the time between two publications of the status.
-const statusInterval = time.Second
+const (
+	// statusInterval is the least time between two publications of the
+	// status.
+	statusInterval = time.Second
+	// statusPerHost lengthens it, so that the cost a second is bounded.
+	statusPerHost = time.Millisecond
+)
 
 // Status is what an entry tells operators at a glance.
 type Status struct {
@@ -68,7 +73,8 @@
 
 // Step implements blackboard.Controller.
 func (r *Reporter) Step(now time.Time, board *Board) []blackboard.Effect {
-	if now.Sub(r.published) < statusInterval {
+	interval := max(statusInterval, time.Duration(len(board.order))*statusPerHost)
+	if now.Sub(r.published) < interval {
 		return nil
 	}
 	r.published = now
--- /dev/null
+++ b/internal/bench/entrycontrol.go
@@ -0,0 +1,139 @@
+package bench
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/turmericrock/turmericrock/blackboard"
+	"github.com/turmericrock/turmericrock/entry"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/fleetgen"
+	"github.com/turmericrock/turmericrock/internal/node"
+	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+// EntryControl drives the control state of an entry that knows a whole fleet,
+// under a clock of its own.
+type EntryControl struct {
+	Board *entry.Board
+
+	engine  *blackboard.Engine[*entry.Board]
+	now     time.Time
+	view    *entry.View
+	views   int
+	agents  []fleet.VM
+	next    int
+	reports map[netip.AddrPort]tunnel.Report
+	config  *fleet.Config
+	lists   map[string]fleet.VMList
+}
+
+// NewEntryControl returns the control state of an entry with a report of each
+// host of a fleet of the size.
+func NewEntryControl(size fleetgen.Size) (*EntryControl, error) {
+	generated, err := fleetgen.Generate(size, 1)
+	if err != nil {
+		return nil, err
+	}
+	config, err := generated.Config()
+	if err != nil {
+		return nil, err
+	}
+	ring, err := keyring.NewRing(keyring.Keys{Keys: []keyring.Key{{}}})
+	if err != nil {
+		return nil, err
+	}
+	settings := entry.DefaultConfig()
+	settings.AgentNetworks = []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}
+	c := &EntryControl{
+		Board:   entry.NewBoard(settings, ring),
+		now:     time.Now(),
+		reports: make(map[netip.AddrPort]tunnel.Report),
+		config:  config,
+		lists:   generated.Lists,
+	}
+	c.engine = entry.NewControl(c.Board, c)
+	c.update(node.ConfigOffered{Config: config, AsOf: c.now, Source: "bench"})
+	for _, list := range generated.Lists {
+		c.update(node.ListOffered{List: list, Source: "bench"})
+		c.addAgents(list)
+	}
+	for range c.agents {
+		c.Report()
+	}
+	c.Scan()
+	return c, nil
+}
+
+func (c *EntryControl) addAgents(list fleet.VMList) {
+	for _, vm := range list.VMs {
+		if vm.Role == fleet.RoleAgent {
+			c.agents = append(c.agents, vm)
+		}
+	}
+}
+
+// Execute implements blackboard.Executor.
+func (c *EntryControl) Execute(effect blackboard.Effect) {
+	if changed, ok := effect.(entry.ViewChanged); ok {
+		c.view = changed.View
+		c.views++
+	}
+}
+
+// View returns the view last built.
+func (c *EntryControl) View() *entry.View {
+	return c.view
+}
+
+// Scan lets scanSpan pass and steps once.
+func (c *EntryControl) Scan() {
+	c.now = c.now.Add(scanSpan)
+	c.update(node.Confirmed{Revision: c.config.Revision(), AsOf: c.now})
+}
+
+// scanSpan is the time between two looks at all hosts.
+const scanSpan = 200 * time.Millisecond
+
+// Report brings a report of the next agent in turn, whose load changes.
+func (c *EntryControl) Report() {
+	c.engine.Step(c.now, c.nextReport())
+}
+
+func (c *EntryControl) nextReport() entry.ReportReceived {
+	vm := c.agents[c.next%len(c.agents)]
+	c.next++
+	report, found := c.reports[vm.Addr]
+	if !found {
+		report = tunnel.Report{Incarnation: 1, State: tunnel.HostServing, Revision: 1, Limit: 5, Capacity: fullCapacity}
+	}
+	report.Sequence++
+	report.Flows++
+	c.reports[vm.Addr] = report
+	return entry.ReportReceived{Agent: vm.Addr, Service: vm.Service.Tag(), Report: report}
+}
+
+const fullCapacity = 1000
+
+// Turn makes the next agent cold or warm again and lets the view follow.
+func (c *EntryControl) Turn() {
+	event := c.nextReport()
+	event.Report.Capacity = fullCapacity - c.reports[event.Agent].Capacity*9/10
+	c.reports[event.Agent] = event.Report
+	c.engine.Step(c.now, event)
+}
+
+// Relist offers the list of one zone under a new version, which makes control
+// look at all lists and build the whole view.
+func (c *EntryControl) Relist() {
+	zone := fleetgen.ZoneName(0)
+	list := c.lists[zone]
+	list.Version++
+	c.lists[zone] = list
+	c.update(node.ListOffered{List: list, Source: "bench"})
+}
+
+func (c *EntryControl) update(update node.Update) {
+	c.engine.Step(c.now, entry.NodeUpdated{Update: update})
+}
--- /dev/null
+++ b/internal/bench/place.go
@@ -0,0 +1,125 @@
+package bench
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+
+	"github.com/turmericrock/turmericrock/connid"
+	"github.com/turmericrock/turmericrock/entry"
+	"github.com/turmericrock/turmericrock/internal/fleetgen"
+	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+// packetSize is the size of callers' packets in bytes.
+const packetSize = 1200
+
+// benchFlows is the number of flows whose packets are placed in turn.
+const benchFlows = 1024
+
+// todaysSize is the size of one organisation of today.
+func todaysSize() fleetgen.Size {
+	return fleetgen.Size{Regions: 1, Zones: 4, Entries: 4, Hosts: 14, Services: 2, Parts: 1}
+}
+
+// measurePlace measures the decision on one packet and its sealing.
+func measurePlace(show func(Figure)) error {
+	for _, fleetOf := range []struct {
+		name string
+		size fleetgen.Size
+	}{{"today", todaysSize()}, {"design", fleetgen.DesignSize()}} {
+		control, err := NewEntryControl(fleetOf.size)
+		if err != nil {
+			return err
+		}
+		known, opening, err := samplePackets(control)
+		if err != nil {
+			return err
+		}
+		showPlacing(show, "place_established_"+fleetOf.name, control.View(), known)
+		showPlacing(show, "place_new_"+fleetOf.name, control.View(), opening)
+	}
+	return measureSeal(show)
+}
+
+// sample is a packet with the service address to which it is sent.
+type sample struct {
+	src    netip.AddrPort
+	dst    netip.AddrPort
+	packet []byte
+}
+
+// samplePackets returns packets of established flows and packets that open
+// flows, spread over hosts and services.
+func samplePackets(control *EntryControl) (known, opening []sample, err error) {
+	codec, err := connid.NewCodec(&keyring.Keys{Keys: []keyring.Key{{}}})
+	if err != nil {
+		return nil, nil, err
+	}
+	for i := range benchFlows {
+		vm := control.agents[i%len(control.agents)]
+		service, _ := control.config.Service(vm.Service)
+		zone, _ := control.config.Zone(vm.Zone)
+		owner := connid.Owner{Addr: vm.Addr, Incarnation: 1, Zone: zone.Number, Service: vm.Service.Tag()}
+		short := make([]byte, packetSize)
+		short[0] = 0x40
+		if err := codec.Encode(short[1:1+connid.Size], owner, uint32(i)); err != nil {
+			return nil, nil, err
+		}
+		src := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(i >> 8), byte(i)}), 4433)
+		known = append(known, sample{src: src, dst: service.Addr, packet: short})
+		opening = append(opening, sample{src: src, dst: service.Addr, packet: initial(uint64(i))})
+	}
+	return known, opening, nil
+}
+
+// initial returns the visible part of a packet that opens a flow.
+func initial(id uint64) []byte {
+	packet := make([]byte, packetSize)
+	packet[0] = 0xc0
+	packet[4] = 1
+	packet[5] = 8
+	binary.BigEndian.PutUint64(packet[6:14], id*0x9e3779b97f4a7c15)
+	return packet
+}
+
+func showPlacing(show func(Figure), name string, view *entry.View, samples []sample) {
+	var placer entry.Placer
+	forwarded := 0
+	result := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		i := 0
+		for b.Loop() {
+			s := &samples[i%benchFlows]
+			decision := placer.Place(view, s.src, s.dst, s.packet)
+			if decision.Verdict == entry.VerdictForward {
+				forwarded++
+			}
+			i++
+		}
+	})
+	show(Figure{Name: name, Value: float64(result.T.Nanoseconds()) / float64(result.N), Unit: "ns"})
+	show(Figure{Name: name + "_allocs", Value: float64(result.AllocsPerOp()), Unit: "count"})
+	if forwarded == 0 {
+		show(Figure{Name: name + "_failed", Value: 1, Unit: "count"})
+	}
+}
+
+func measureSeal(show func(Figure)) error {
+	codec, err := tunnel.NewCodec(&keyring.Keys{Keys: []keyring.Key{{}}})
+	if err != nil {
+		return err
+	}
+	buf := make([]byte, tunnel.MaxDatagram)
+	header := tunnel.Header{Kind: tunnel.KindFlow, Caller: netip.MustParseAddrPort("127.0.0.1:1")}
+	result := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			codec.Seal(buf, packetSize, &header)
+		}
+	})
+	show(Figure{Name: "seal_1200_bytes", Value: float64(result.T.Nanoseconds()) / float64(result.N), Unit: "ns"})
+	show(Figure{Name: "seal_1200_bytes_allocs", Value: float64(result.AllocsPerOp()), Unit: "count"})
+	return nil
+}
--- a/internal/slopes/control.go
+++ b/internal/slopes/control.go
@@ -1,15 +1,11 @@
 package slopes
 
 import (
-	"net/netip"
 	"time"
 
-	"github.com/turmericrock/turmericrock/entry"
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/bench"
 	"github.com/turmericrock/turmericrock/internal/fleetgen"
-	"github.com/turmericrock/turmericrock/internal/node"
-	"github.com/turmericrock/turmericrock/keyring"
-	"github.com/turmericrock/turmericrock/tunnel"
 )
 
 // shares are the parts of the design size that are measured.
@@ -154,88 +150,38 @@
 	return lists, nil
 }
 
-// fullEntry returns the board and the viewer of an entry that knows the whole
-// fleet and has a report of each host.
-func fullEntry(hosts float64) (*entry.Board, *entry.Viewer, error) {
-	generated, err := fleetgen.Generate(withHosts(hosts), 1)
-	if err != nil {
-		return nil, nil, err
-	}
-	config, err := generated.Config()
-	if err != nil {
-		return nil, nil, err
-	}
-	ring, err := keyring.NewRing(keyring.Keys{Keys: []keyring.Key{{}}})
-	if err != nil {
-		return nil, nil, err
-	}
-	settings := entry.DefaultConfig()
-	settings.AgentNetworks = []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}
-	board := entry.NewBoard(settings, ring)
-	now := time.Now()
-	node.ConfigOffered{Config: config, AsOf: now, Source: "slopes"}.ApplyTo(now, board.Node)
-	for _, list := range generated.Lists {
-		node.ListOffered{List: list, Source: "slopes"}.ApplyTo(now, board.Node)
-		for _, vm := range list.VMs {
-			if vm.Role == fleet.RoleAgent {
-				entry.ReportReceived{Agent: vm.Addr, Report: sampleReport}.Apply(now, board)
-			}
-		}
-	}
-	return board, &entry.Viewer{}, nil
-}
-
-var sampleReport = tunnel.Report{
-	Incarnation: 1,
-	State:       tunnel.HostServing,
-	Revision:    1,
-	Flows:       1000,
-	Limit:       5,
-	InService:   2,
-	Capacity:    1000,
+// fullEntry returns the control state of an entry that knows the whole fleet
+// and has a report of each host.
+func fullEntry(hosts float64) (*bench.EntryControl, error) {
+	return bench.NewEntryControl(withHosts(hosts))
 }
 
 func boardMemory(hosts float64) (float64, error) {
 	var failed error
 	bytes := heapOf(nil, func() any {
-		board, viewer, err := fullEntry(hosts)
-		if err != nil {
-			failed = err
-			return nil
-		}
-		return []any{board, viewer, viewer.Step(time.Now(), board)}
+		control, err := fullEntry(hosts)
+		failed = err
+		return control
 	})
 	return bytes, failed
 }
 
 func stepCPU(hosts float64) (float64, error) {
-	board, viewer, err := fullEntry(hosts)
+	control, err := fullEntry(hosts)
 	if err != nil {
 		return 0, err
 	}
-	now := time.Now()
-	took := fastest(func() {
-		now = now.Add(time.Second)
-		viewer.Step(now, board)
-	})
-	return microseconds(took), nil
+	return microseconds(fastest(control.Scan)), nil
 }
 
 func reportCPU(reports float64) (float64, error) {
-	board, _, err := fullEntry(float64(fleetgen.DesignSize().Hosts))
-	if err != nil {
-		return 0, err
-	}
-	payload, err := tunnel.EncodeReport(sampleReport)
+	control, err := fullEntry(float64(fleetgen.DesignSize().Hosts))
 	if err != nil {
 		return 0, err
 	}
-	agent := netip.MustParseAddrPort("127.212.0.1:7300")
 	took := fastest(func() {
-		now := time.Now()
 		for range int(reports) {
-			report, _ := tunnel.DecodeReport(payload)
-			entry.ReportReceived{Agent: agent, Report: report}.Apply(now, board)
+			control.Report()
 		}
 	})
 	return microseconds(took), nil
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,6 +20,9 @@
 // Choose returns the indices of the first and the second choice for the key,
 // or None.
 func Choose(key uint64, candidates []Candidate) (first, second int) {
+	if equalWeights(candidates) {
+		return chooseEqual(key, candidates)
+	}
 	first, second = None, None
 	best, next := math.Inf(-1), math.Inf(-1)
 	for i := range candidates {
@@ -39,6 +42,34 @@
 	return first, second
 }
 
+// equalWeights reports whether all candidates have one positive weight.
+func equalWeights(candidates []Candidate) bool {
+	for i := range candidates {
+		if candidates[i].Weight <= 0 || candidates[i].Weight != candidates[0].Weight {
+			return false
+		}
+	}
+	return true
+}
+
+// chooseEqual is Choose for equal weights, where the greater uniform number
+// has the greater score, so that no logarithm is needed.
+func chooseEqual(key uint64, candidates []Candidate) (first, second int) {
+	first, second = None, None
+	var best, next uint64
+	for i := range candidates {
+		u := uniform(key, &candidates[i])
+		switch {
+		case first == None || u > best:
+			second, next = first, best
+			first, best = i, u
+		case second == None || u > next:
+			second, next = i, u
+		}
+	}
+	return first, second
+}
+
 // PreferSecond reports whether the first choice passes a new flow on, given
 // the flows relative to capacity at both. The first choice decides once for a
 // flow, from its own exact load, so that entries with different reports still
@@ -50,10 +81,17 @@
 // score follows the logarithmic method of weighted rendezvous hashing: the
 // candidate with the greatest weight / -ln(u) wins, u uniform in (0, 1).
 func score(key uint64, c *Candidate) float64 {
-	u := (float64(Mix(key^c.Seed)>>11) + 0.5) / (1 << 53)
+	u := (float64(uniform(key, c)) + 0.5) / (1 << uniformBits)
 	return c.Weight / -math.Log(u)
 }
 
+const uniformBits = 53
+
+// uniform returns a number of uniformBits bits that is uniform over keys.
+func uniform(key uint64, c *Candidate) uint64 {
+	return Mix(key^c.Seed) >> (64 - uniformBits)
+}
+
 // Mix is the finalizer of SplitMix64: a bijection that spreads each input bit
 // over the word.
 func Mix(x uint64) uint64 {
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"math"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func sampleCandidates(weights ...float64) []Candidate {
+	candidates := make([]Candidate, len(weights))
+	for i, weight := range weights {
+		candidates[i] = Candidate{Seed: Mix(uint64(i) + 77), Weight: weight}
+	}
+	return candidates
+}
+
+func drawCandidates(t *rapid.T) []Candidate {
+	weights := rapid.SliceOfN(rapid.SampledFrom([]float64{0, 0.25, 1}), 0, 12).Draw(t, "weights")
+	return sampleCandidates(weights...)
+}
+
+func TestChoicesDifferAndHaveWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := drawCandidates(t)
+		first, second := Choose(rapid.Uint64().Draw(t, "key"), candidates)
+		eligible := 0
+		for _, c := range candidates {
+			if c.Weight > 0 {
+				eligible++
+			}
+		}
+		must.Eq(t, eligible > 0, first != None)
+		must.Eq(t, eligible > 1, second != None)
+		if second != None {
+			must.NotEq(t, first, second)
+			must.Positive(t, candidates[second].Weight)
+		}
+		if first != None {
+			must.Positive(t, candidates[first].Weight)
+		}
+	})
+}
+
+func TestRemovingOthersKeepsTheFirstChoice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := drawCandidates(t)
+		key := rapid.Uint64().Draw(t, "key")
+		first, second := Choose(key, candidates)
+		if second == None {
+			return
+		}
+		left := append([]Candidate(nil), candidates...)
+		left[first].Weight = 0
+		next, _ := Choose(key, left)
+		must.Eq(t, second, next)
+	})
+}
+
+func TestEqualWeightsNeedNoLogarithm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := sampleCandidates(1, 1, 1, 1, 1, 1, 1)
+		key := rapid.Uint64().Draw(t, "key")
+		first, _ := Choose(key, candidates)
+		best := math.Inf(-1)
+		want := None
+		for i := range candidates {
+			if s := score(key, &candidates[i]); s > best {
+				best, want = s, i
+			}
+		}
+		must.Eq(t, want, first)
+	})
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	candidates := sampleCandidates(1, 1, 0.5, 0.25)
+	const keys = 200_000
+	counts := make([]float64, len(candidates))
+	for key := range uint64(keys) {
+		first, _ := Choose(Mix(key), candidates)
+		counts[first]++
+	}
+	for i, c := range candidates {
+		must.InDelta(t, c.Weight/2.75, counts[i]/keys, 0.005)
+	}
+}
