Measure forwarding beside a bare relay and memory before many flows

Cause: nothing measured what an entry adds to a batched relay. Change: make bench runs an entry and a bare relay as processes in turn, at 100,000 packets a second, and takes packets for a second of processor time; resident memory before 1,000 and before 100,000 flows. Outside the entry's packages: world gains Node.Listen and ProcessUsage.

--- a/internal/bench/figure.go
+++ b/internal/bench/figure.go
@@ -27,5 +27,6 @@
 	return []Measure{
 		{Name: "place", Run: measurePlace},
 		{Name: "control", Run: measureControl},
+		{Name: "forward", Run: func(show func(Figure)) error { return measureForward(binary, show) }},
 	}
 }
--- /dev/null
+++ b/internal/bench/relay.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/ipv4"
+
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+// batchSize is the number of packets of one system call.
+const batchSize = 64
+
+// Relay carries datagrams from one address to another in batches, and does
+// nothing else. It is what an entry's forwarding is measured against.
+func Relay(from, to netip.AddrPort) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(from))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_ = conn.SetReadBuffer(socketBuffer)
+	out, err := net.ListenUDP("udp4", &net.UDPAddr{IP: from.Addr().AsSlice()})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	receiver, sender := ipv4.NewPacketConn(conn), ipv4.NewPacketConn(out)
+	received := messages(nil)
+	sending := messages(net.UDPAddrFromAddrPort(to))
+	for {
+		n, err := receiver.ReadBatch(received, 0)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		for i := range n {
+			sending[i].Buffers[0] = received[i].Buffers[0][:received[i].N]
+		}
+		if err := writeAll(sender, sending[:n]); err != nil {
+			return err
+		}
+	}
+}
+
+const socketBuffer = 4 << 20 // bytes
+
+// messages returns a batch of empty datagrams to the address.
+func messages(to net.Addr) []ipv4.Message {
+	batch := make([]ipv4.Message, batchSize)
+	for i := range batch {
+		batch[i].Buffers = [][]byte{make([]byte, tunnel.MaxDatagram)}
+		batch[i].Addr = to
+	}
+	return batch
+}
+
+func writeAll(conn *ipv4.PacketConn, batch []ipv4.Message) error {
+	for len(batch) > 0 {
+		n, err := conn.WriteBatch(batch, 0)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		batch = batch[n:]
+	}
+	return nil
+}
--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -42,6 +42,12 @@
 	return n.ops
 }
 
+// Listen returns the addresses on which an entry receives callers' packets,
+// in the order of the services.
+func (n *Node) Listen() []netip.AddrPort {
+	return append([]netip.AddrPort(nil), n.listen...)
+}
+
 // Begun returns the number of requests that arrived at the backend server.
 func (n *Node) Begun() int {
 	return n.server.observer.count()
--- a/internal/standin/world/usage.go
+++ b/internal/standin/world/usage.go
@@ -19,7 +19,7 @@
 
 // Usage returns what the node's process has used so far.
 func (n *Node) Usage() (Usage, error) {
-	return processUsage(n.pid())
+	return ProcessUsage(n.pid())
 }
 
 const (
@@ -29,9 +29,9 @@
 	fieldPages = 21
 )
 
-// processUsage reads the fields of /proc/PID/stat that follow the command's
-// name.
-func processUsage(pid int) (Usage, error) {
+// ProcessUsage returns what the process has used so far, from the fields of
+// /proc/PID/stat that follow the command's name.
+func ProcessUsage(pid int) (Usage, error) {
 	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
 	if err != nil {
 		return Usage{}, errors.WithStack(err)
