--- a/internal/slopes/file.go
+++ b/internal/slopes/file.go
@@ -62,3 +62,14 @@
 	}
 	return Series{}, &MissingError{Name: name}
 }
+
+// at returns the cost of the series at size x: the measured one where there
+// is a point, and else the one on the line.
+func (s Series) at(x float64) float64 {
+	for _, point := range s.Points {
+		if point.X == x {
+			return point.Y
+		}
+	}
+	return s.Fit.At(x)
+}
