Give operators check, bundle, status, audit, call and version, and reload keys

Operators could start the roles and nothing else. Each subcommand now has help with examples and exit codes that scripts can use. internal/ops serves health, readiness, status, audit trail and metrics on a loopback address. Settings errors name file, section, key, value and what is allowed in one line; two sockets on one address, a zone that is not declared and a service's address taken by another socket are refused. Key and certificate files are read again within a second; a file that is not valid, or not a step that established flows survive, leaves what is in use.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -1,5 +1,5 @@
 // Package audit keeps the trail of changes: of configuration, membership,
-// zone state, limits and keys.
+// zone state, limits, keys and certificates.
 package audit
 
 import (
@@ -9,6 +9,26 @@
 	"github.com/sirupsen/logrus"
 )
 
+// Subject names a kind of thing that changes. A record's What is a subject,
+// or a subject with the thing's own name after a slash.
+type Subject string
+
+// Subjects.
+const (
+	Configuration Subject = "configuration"
+	VMList        Subject = "vm_list"
+	Zone          Subject = "zone"
+	HostState     Subject = "host_state"
+	Limit         Subject = "limit"
+	Keys          Subject = "keys"
+	Certificate   Subject = "certificate"
+)
+
+// Of returns the What for one thing of the kind.
+func (s Subject) Of(name string) string {
+	return string(s) + "/" + name
+}
+
 // Record is one change.
 type Record struct {
 	At time.Time `json:"at"`
@@ -23,18 +43,22 @@
 	Confirmed string `json:"confirmed"`
 }
 
-// Trail logs records and keeps the latest ones in memory.
+// Trail logs records and keeps the latest ones in memory. It is safe for
+// concurrent use.
 type Trail struct {
+	log  *logrus.Logger
+	size int
+
 	mu      sync.Mutex
-	log     *logrus.Logger
 	records []Record
-	next    int
-	size    int
+	// next is the place of the oldest record once the trail is full.
+	next  int
+	added uint64
 }
 
 // NewTrail returns a trail that keeps size records.
 func NewTrail(log *logrus.Logger, size int) *Trail {
-	return &Trail{log: log, records: make([]Record, 0, size), size: size}
+	return &Trail{log: log, size: size}
 }
 
 // Add logs and keeps the record.
@@ -49,6 +73,7 @@
 	}).Info("audit")
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.added++
 	if len(t.records) < t.size {
 		t.records = append(t.records, r)
 		return
@@ -65,3 +90,10 @@
 	out = append(out, t.records[t.next:]...)
 	return append(out, t.records[:t.next]...)
 }
+
+// Added returns the number of records so far, those no longer kept included.
+func (t *Trail) Added() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.added
+}
--- /dev/null
+++ b/internal/certs/certs.go
@@ -0,0 +1,163 @@
+// Package certs holds certificates that are replaced without a restart.
+package certs
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// FileError reports a certificate, key or authority that cannot be used.
+type FileError struct {
+	File string
+	Err  error
+}
+
+// Error implements error.
+func (e *FileError) Error() string {
+	return fmt.Sprintf("%s: %v", e.File, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error {
+	return e.Err
+}
+
+// ExpiredError reports a certificate whose time is over.
+type ExpiredError struct {
+	NotAfter time.Time
+}
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return "certificate expired at " + e.NotAfter.UTC().Format(time.RFC3339)
+}
+
+// Pair is a certificate with its key, read from two PEM files.
+type Pair struct {
+	certificate string
+	key         string
+	current     atomic.Pointer[tls.Certificate]
+
+	// The fields below belong to the goroutine that calls Check.
+	content []byte
+	changed func(from, to string)
+	failed  func(error)
+}
+
+// LoadPair reads the files. The error is a *FileError.
+func LoadPair(certificate, key string) (*Pair, error) {
+	p := &Pair{certificate: certificate, key: key}
+	content, err := p.read()
+	if err != nil {
+		return nil, err
+	}
+	loaded, err := p.parse(content)
+	if err != nil {
+		return nil, err
+	}
+	p.content = bytes.Join(content[:], nil)
+	p.current.Store(loaded)
+	return p, nil
+}
+
+// OnChange sets what Check calls after a change, and for one that it refuses.
+func (p *Pair) OnChange(changed func(from, to string), failed func(error)) {
+	p.changed = changed
+	p.failed = failed
+}
+
+// Get is a tls.Config's GetCertificate.
+func (p *Pair) Get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	return p.current.Load(), nil
+}
+
+// GetClient is a tls.Config's GetClientCertificate.
+func (p *Pair) GetClient(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+	return p.current.Load(), nil
+}
+
+// Check looks at the files once and takes a valid change. A certificate that
+// does not match its key stays out, so both may be replaced one after the
+// other.
+func (p *Pair) Check() {
+	content, err := p.read()
+	joined := bytes.Join(content[:], nil)
+	if err != nil {
+		joined = []byte(err.Error())
+	}
+	if bytes.Equal(joined, p.content) {
+		return
+	}
+	p.content = joined
+	if err != nil {
+		p.failed(err)
+		return
+	}
+	loaded, err := p.parse(content)
+	if err != nil {
+		p.failed(err)
+		return
+	}
+	before := p.current.Swap(loaded)
+	p.changed(describe(before), describe(loaded))
+}
+
+func (p *Pair) read() ([2][]byte, error) {
+	certificate, err := os.ReadFile(p.certificate)
+	if err != nil {
+		return [2][]byte{}, &FileError{File: p.certificate, Err: err}
+	}
+	key, err := os.ReadFile(p.key)
+	if err != nil {
+		return [2][]byte{}, &FileError{File: p.key, Err: err}
+	}
+	return [2][]byte{certificate, key}, nil
+}
+
+func (p *Pair) parse(content [2][]byte) (*tls.Certificate, error) {
+	loaded, err := tls.X509KeyPair(content[0], content[1])
+	if err != nil {
+		return nil, &FileError{File: p.certificate, Err: err}
+	}
+	if time.Now().After(loaded.Leaf.NotAfter) {
+		return nil, &FileError{File: p.certificate, Err: &ExpiredError{NotAfter: loaded.Leaf.NotAfter}}
+	}
+	return &loaded, nil
+}
+
+// describe returns the certificate's fingerprint and end.
+func describe(c *tls.Certificate) string {
+	sum := sha256.Sum256(c.Leaf.Raw)
+	return "sha256=" + hex.EncodeToString(sum[:8]) + " until=" + c.Leaf.NotAfter.UTC().Format(time.RFC3339)
+}
+
+// LoadAuthority reads the trusted roots in a PEM file. The error is a
+// *FileError.
+func LoadAuthority(path string) (*x509.CertPool, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{File: path, Err: err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, &FileError{File: path, Err: errors.WithStack(&NoCertificateError{})}
+	}
+	return pool, nil
+}
+
+// NoCertificateError reports a PEM file without a certificate.
+type NoCertificateError struct{}
+
+// Error implements error.
+func (*NoCertificateError) Error() string {
+	return "holds no PEM certificate"
+}
--- /dev/null
+++ b/internal/cli/agent.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"flag"
+	"io"
+
+	"github.com/turmericrock/turmericrock/agent"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/certs"
+	"github.com/turmericrock/turmericrock/internal/ops"
+	"github.com/turmericrock/turmericrock/internal/settings"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+const agentHelp = `Runs an agent beside a backend server: it ends callers' flows, admits requests and
+hands them to the backend server. On SIGTERM or SIGINT it leaves: it takes no new
+flows, and ends once what is in service has ended or the service's drain wish is
+over. It reads its key and certificate files again on SIGHUP and by itself within a
+second. Exit code 2: a setting cannot be used; nothing was started.
+
+Example:
+  turmericrock agent -settings /etc/turmericrock/agent.ini`
+
+type agentCommand struct {
+	settings string
+	err      io.Writer
+}
+
+func newAgentCommand(err io.Writer) *command {
+	c := &agentCommand{err: err}
+	return &command{
+		name:     "agent",
+		synopsis: "serve callers beside a backend server",
+		usage:    "-settings FILE",
+		help:     agentHelp,
+		err:      err,
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&c.settings, "settings", "", "INI `file` with the agent's settings")
+		},
+		run: c.run,
+	}
+}
+
+func (c *agentCommand) run(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if err := required("settings", c.settings); err != nil {
+		return err
+	}
+	loaded, err := settings.LoadAgent(c.settings)
+	if err != nil {
+		return err
+	}
+	b, err := newBase(loaded.Common, c.err)
+	if err != nil {
+		return err
+	}
+	service, err := certs.LoadPair(loaded.Certificate, loaded.Key)
+	if err != nil {
+		return err
+	}
+	b.watchPair(service, loaded.Certificate)
+	loaded.Agent.TLS = &tls.Config{GetCertificate: service.Get, MinVersion: tls.VersionTLS13}
+	a, err := agent.New(loaded.Agent, b.ring, platform.NewHTTPReader(loaded.Platform), b.log, b.trail)
+	if err != nil {
+		return err
+	}
+	signalled, stop := untilSignal(ctx)
+	defer stop()
+	context.AfterFunc(signalled, a.Stop)
+	return b.run(ctx, a, a.Ready, func() ops.Status { return agentStatus(a.Status()) })
+}
+
+func agentStatus(s agent.Status) ops.Status {
+	refusals := make(map[string]uint64, len(s.Refusals))
+	for cause, count := range s.Refusals {
+		refusals[cause] = uint64(max(count, 0))
+	}
+	return ops.Status{
+		Role:              string(fleet.RoleAgent),
+		ID:                s.ID,
+		Zone:              s.Zone,
+		Service:           s.Service,
+		Revision:          s.Revision,
+		ConfirmationAgeMS: s.ConfirmationAge,
+		Hosts:             map[string]int{s.State: 1},
+		Flows:             int64(s.Flows),
+		Refusals:          refusals,
+		Detail:            s,
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,79 +4,60 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
+	"slices"
 
 	"github.com/google/subcommands"
-	"github.com/sirupsen/logrus"
-
-	"github.com/turmericrock/turmericrock/internal/audit"
-	"github.com/turmericrock/turmericrock/internal/logging"
-	"github.com/turmericrock/turmericrock/internal/settings"
-	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/pkg/errors"
 )
 
-// Exit codes.
 const (
-	// ExitFailure tells that the command ran and failed.
-	ExitFailure = subcommands.ExitFailure
-	// ExitUsage tells of wrong flags, settings or declarations. Nothing was
-	// started.
-	ExitUsage = subcommands.ExitUsageError
+	groupRoles     = "the processes of the system"
+	groupOperators = "operators"
+	groupCallers   = "callers"
 )
 
-const auditSize = 1000 // records
-
 // Run parses the command line, runs a subcommand and returns its exit code.
 func Run(ctx context.Context, args []string) int {
-	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
-	commander := subcommands.NewCommander(flags, args[0])
-	commander.Register(commander.HelpCommand(), "")
-	commander.Register(&entryCommand{}, "roles")
-	commander.Register(&agentCommand{}, "roles")
-	if err := flags.Parse(args[1:]); err != nil {
+	return run(ctx, args, os.Stdout, os.Stderr)
+}
+
+func run(ctx context.Context, args []string, out, err io.Writer) int {
+	flags := flag.NewFlagSet("turmericrock", flag.ContinueOnError)
+	flags.SetOutput(err)
+	commander := subcommands.NewCommander(flags, "turmericrock")
+	commander.Output = out
+	commander.Error = err
+	commander.Register(commander.HelpCommand(), "help")
+	commander.Register(newEntryCommand(err), groupRoles)
+	commander.Register(newAgentCommand(err), groupRoles)
+	commander.Register(newCheckCommand(out, err), groupOperators)
+	commander.Register(newBundleCommand(out, err), groupOperators)
+	commander.Register(newStatusCommand(out, err), groupOperators)
+	commander.Register(newAuditCommand(out, err), groupOperators)
+	commander.Register(newVersionCommand(out, err), groupOperators)
+	commander.Register(newCallCommand(out, err), groupCallers)
+	parseErr := flags.Parse(asHelp(args[1:]))
+	if errors.Is(parseErr, flag.ErrHelp) {
+		return int(subcommands.ExitSuccess)
+	}
+	if parseErr != nil {
 		return int(ExitUsage)
 	}
 	return int(commander.Execute(ctx))
 }
 
-// base holds what both roles start from.
-type base struct {
-	log   *logrus.Logger
-	trail *audit.Trail
-	ring  *keyring.Ring
-}
-
-func newBase(common settings.Common) (*base, error) {
-	log, err := logging.New(os.Stderr, common.LogLevel)
-	if err != nil {
-		return nil, err
+// asHelp turns "COMMAND -h" into "help COMMAND", which ends with code 0.
+func asHelp(args []string) []string {
+	if len(args) < 2 || args[0] == "" || args[0][0] == '-' {
+		return args
 	}
-	keys, err := keyring.LoadFile(common.KeyFile)
-	if err != nil {
-		return nil, err
+	asked := slices.ContainsFunc(args[1:], func(arg string) bool {
+		return arg == "-h" || arg == "-help" || arg == "--help"
+	})
+	if !asked {
+		return args
 	}
-	ring, err := keyring.NewRing(keys)
-	if err != nil {
-		return nil, err
-	}
-	return &base{log: log, trail: audit.NewTrail(log, auditSize), ring: ring}, nil
-}
-
-// untilSignal returns a context that ends with SIGINT or SIGTERM.
-func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-}
-
-func usageError(w io.Writer, err error) subcommands.ExitStatus {
-	_, _ = fmt.Fprintln(w, err)
-	return ExitUsage
-}
-
-func failure(w io.Writer, err error) subcommands.ExitStatus {
-	_, _ = fmt.Fprintln(w, err)
-	return ExitFailure
+	return []string{"help", args[0]}
 }
--- /dev/null
+++ b/internal/cli/command.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/internal/certs"
+	"github.com/turmericrock/turmericrock/internal/declare"
+	"github.com/turmericrock/turmericrock/internal/inifile"
+	"github.com/turmericrock/turmericrock/keyring"
+)
+
+// command is one subcommand of the binary.
+type command struct {
+	name     string
+	synopsis string
+	// usage is the line with the arguments, without the name.
+	usage string
+	// help tells what the command does, and ends with examples.
+	help  string
+	flags func(*flag.FlagSet)
+	run   func(ctx context.Context, args []string) error
+	err   io.Writer
+}
+
+// Name implements subcommands.Command.
+func (c *command) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *command) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *command) Usage() string {
+	return fmt.Sprintf("usage: turmericrock %s %s\n\n%s\n\nFlags:\n", c.name, c.usage, c.help)
+}
+
+// SetFlags implements subcommands.Command.
+func (c *command) SetFlags(f *flag.FlagSet) {
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.run(ctx, f.Args())
+	var exit *exitError
+	if err == nil || errors.As(err, &exit) && exit.Err == nil {
+		return exit.status()
+	}
+	_, _ = fmt.Fprintf(c.err, "turmericrock %s: %v\n", c.name, err)
+	return statusOf(err)
+}
+
+// statusOf returns the exit code for an error.
+func statusOf(err error) subcommands.ExitStatus {
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.Status
+	}
+	if isInput(err) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
+// isInput reports whether the error is about what operators wrote.
+func isInput(err error) bool {
+	var place *inifile.Error
+	var folder *declare.FolderError
+	var revision *declare.RevisionError
+	var size *declare.SizeError
+	var usage *UsageError
+	var keyFile *keyring.FileError
+	var keys *keyring.KeysError
+	var file *certs.FileError
+	for _, target := range []any{&place, &folder, &revision, &size, &usage, &keyFile, &keys, &file} {
+		if errors.As(err, target) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/cli/entry.go
@@ -0,0 +1,81 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"github.com/turmericrock/turmericrock/entry"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/ops"
+	"github.com/turmericrock/turmericrock/internal/settings"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+const entryHelp = `Runs an entry: it receives callers' packets from the fabric and forwards each to the
+agent that has its flow, or to one chosen for a new flow. It ends on SIGTERM or
+SIGINT, and reads its key and certificate files again on SIGHUP and by itself within
+a second. Exit code 2: a setting cannot be used; nothing was started.
+
+Example:
+  turmericrock entry -settings /etc/turmericrock/entry.ini`
+
+type entryCommand struct {
+	settings string
+	err      io.Writer
+}
+
+func newEntryCommand(err io.Writer) *command {
+	c := &entryCommand{err: err}
+	return &command{
+		name:     "entry",
+		synopsis: "forward callers' packets to agents",
+		usage:    "-settings FILE",
+		help:     entryHelp,
+		err:      err,
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&c.settings, "settings", "", "INI `file` with the entry's settings")
+		},
+		run: c.run,
+	}
+}
+
+func (c *entryCommand) run(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if err := required("settings", c.settings); err != nil {
+		return err
+	}
+	loaded, err := settings.LoadEntry(c.settings)
+	if err != nil {
+		return err
+	}
+	b, err := newBase(loaded.Common, c.err)
+	if err != nil {
+		return err
+	}
+	e := entry.New(loaded.Entry, b.ring, platform.NewHTTPReader(loaded.Platform), b.log, b.trail)
+	signalled, stop := untilSignal(ctx)
+	defer stop()
+	context.AfterFunc(signalled, e.Stop)
+	return b.run(ctx, e, e.Ready, func() ops.Status { return entryStatus(e.Status()) })
+}
+
+func entryStatus(s entry.Status) ops.Status {
+	status := ops.Status{
+		Role:              string(fleet.RoleEntry),
+		ID:                s.ID,
+		Zone:              s.Zone,
+		Revision:          s.Revision,
+		ConfirmationAgeMS: s.ConfirmationAgeMS,
+		ZonesOut:          s.ZonesOut,
+		Hosts:             s.Hosts,
+		Refusals:          s.Packets,
+		Detail:            s,
+	}
+	for _, service := range s.Services {
+		status.Flows += int64(service.Flows)
+	}
+	return status
+}
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -16,7 +16,9 @@
 	path  string
 	file  *ini.File
 	known map[string][]string
-	err   error
+	err   *Error
+	// hidden keeps values out of errors.
+	hidden bool
 }
 
 // Load opens the file. The error is an *Error.
@@ -108,6 +110,9 @@
 
 // Err returns the first error so far.
 func (f *File) Err() error {
+	if f.err == nil {
+		return nil
+	}
 	return f.err
 }
 
@@ -126,7 +131,7 @@
 			}
 		}
 	}
-	return f.err
+	return f.Err()
 }
 
 func (f *File) unknownKey(section string, key *ini.Key, known []string) {
@@ -154,8 +159,25 @@
 	}
 	err.File = f.path
 	f.err = err
+	if f.hidden {
+		f.hide()
+	}
+}
+
+// HideValues keeps the values of a file with secrets out of errors.
+func (f *File) HideValues() {
+	f.hidden = true
+	f.hide()
 }
 
+func (f *File) hide() {
+	if f.err != nil {
+		f.err.Value = hiddenValue
+	}
+}
+
+const hiddenValue = "(hidden)"
+
 // raw returns a value and whether the key is there.
 func (f *File) raw(section, key string) (string, bool) {
 	if !slices.Contains(f.known[section], key) {
--- /dev/null
+++ b/internal/ops/server.go
@@ -0,0 +1,183 @@
+package ops
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/internal/audit"
+	"github.com/turmericrock/turmericrock/internal/metrics"
+)
+
+const (
+	headerTimeout   = 2 * time.Second
+	writeTimeout    = 10 * time.Second
+	idleTimeout     = 30 * time.Second
+	shutdownTimeout = time.Second
+	maxHeader       = 16 << 10 // bytes
+)
+
+// Config holds the settings of a Server.
+type Config struct {
+	// Address is the TCP address to listen on.
+	Address netip.AddrPort
+	// Remote allows callers from other machines.
+	Remote bool
+}
+
+// Process is the process that a Server tells about.
+type Process struct {
+	// Status returns the state at a glance.
+	Status func() Status
+	// Ready returns why the process is not ready, or nil.
+	Ready func() error
+	// Metrics are the parts that count.
+	Metrics []metrics.Source
+	Trail   *audit.Trail
+}
+
+// Server serves the endpoint.
+type Server struct {
+	config   Config
+	process  Process
+	exporter *exporter
+	listener net.Listener
+	server   *http.Server
+}
+
+// Listen binds the endpoint's address.
+func Listen(config Config, process Process) (*Server, error) {
+	exporter, err := newExporter(process.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", config.Address.String())
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	s := &Server{config: config, process: process, exporter: exporter, listener: listener}
+	s.server = &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	return s, nil
+}
+
+// Addr returns the address bound.
+func (s *Server) Addr() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Serve answers until ctx ends.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.shutdown)
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.WithStack(err)
+}
+
+func (s *Server) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = s.server.Shutdown(ctx)
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathHealth, s.health)
+	mux.HandleFunc("GET "+PathReady, s.ready)
+	mux.HandleFunc("GET "+PathStatus, s.status)
+	mux.HandleFunc("GET "+PathAudit, s.audit)
+	mux.HandleFunc("GET "+PathMetrics, s.metrics)
+	return s.guard(mux)
+}
+
+// guard refuses callers from other machines unless they are allowed, and
+// requests that a browser sends for a page of another site.
+func (s *Server) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		from, err := netip.ParseAddrPort(r.RemoteAddr)
+		local := err == nil && from.Addr().Unmap().IsLoopback()
+		if !s.config.Remote && !(local && numericHost(r.Host)) {
+			http.Error(w, "only callers on this machine are served", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// numericHost reports whether the host is an IP number or localhost. Other
+// names may have been pointed here by a foreign page.
+func numericHost(host string) bool {
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		name = host
+	}
+	_, err = netip.ParseAddr(strings.Trim(name, "[]"))
+	return err == nil || name == "localhost"
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	writeLine(w, http.StatusOK, "ok")
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.process.Ready(); err != nil {
+		writeLine(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeLine(w, http.StatusOK, "ready")
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	status := s.process.Status()
+	err := s.process.Ready()
+	status.Ready = err == nil
+	if err != nil {
+		status.NotReady = err.Error()
+	}
+	data, err := json.Marshal(status)
+	if err != nil {
+		writeLine(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(data, '\n'))
+}
+
+func (s *Server) audit(w http.ResponseWriter, r *http.Request) {
+	filter, err := audit.ParseFilter(r.URL.Query().Get("what"), r.URL.Query().Get("since"), time.Now())
+	if err != nil {
+		writeLine(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/jsonl")
+	_ = s.process.Trail.WriteLines(w, filter)
+}
+
+func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
+	if err := s.exporter.refresh(); err != nil {
+		writeLine(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	s.exporter.handler.ServeHTTP(w, r)
+}
+
+func writeLine(w http.ResponseWriter, status int, line string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(line + "\n"))
+}
--- /dev/null
+++ b/internal/settings/agent.go
@@ -0,0 +1,82 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/turmericrock/turmericrock/agent"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/inifile"
+)
+
+// Agent are the settings of an agent.
+type Agent struct {
+	Common
+	Agent agent.Config
+	// Certificate and Key name the service's PEM files.
+	Certificate string
+	Key         string
+}
+
+const allowedReturn = "IPv4:port from which callers are answered, that of the service's address on this host"
+
+// LoadAgent reads the settings of an agent.
+func LoadAgent(path string) (Agent, error) {
+	f, err := inifile.Load(path)
+	if err != nil {
+		return Agent{}, err
+	}
+	return readAgent(f)
+}
+
+func readAgent(f *inifile.File) (Agent, error) {
+	config := agent.DefaultConfig()
+	config.Self = readSelf(f, fleet.RoleAgent)
+	config.Self.Service = readService(f)
+	config.Backend = readURL(f, "agent", "backend")
+	config.Return = readReturn(f)
+	readAgentTimes(f, &config)
+	settings := Agent{
+		Common:      readCommon(f),
+		Agent:       config,
+		Certificate: f.Required("agent", "certificate", allowedPEM),
+		Key:         f.Required("agent", "key", allowedPEM),
+	}
+	refuseClashes(f, settings.sockets())
+	return settings, f.Finish()
+}
+
+func readAgentTimes(f *inifile.File, config *agent.Config) {
+	read := func(key string, value *time.Duration, low, high time.Duration) {
+		*value = f.Duration("agent", key, *value, low, high)
+	}
+	read("queue_wait", &config.QueueWait, 0, maxTimeout)
+	read("request_timeout", &config.RequestTimeout, time.Second, maxTimeout)
+	read("report_interval", &config.ReportInterval, minInterval, maxInterval)
+	read("idle_timeout", &config.IdleTimeout, time.Second, maxTimeout)
+	read("health_interval", &config.HealthInterval, minInterval, maxInterval)
+	read("leave_grace", &config.LeaveGrace, 0, maxInterval)
+}
+
+func readService(f *inifile.File) fleet.ServiceID {
+	value := f.Required("agent", "service", allowedService)
+	id, err := fleet.ParseServiceID(value)
+	if err != nil {
+		f.Fail("agent", "service", value, allowedService)
+	}
+	return id
+}
+
+// readReturn reads an address whose port may be 0 for one from the kernel.
+func readReturn(f *inifile.File) netip.AddrPort {
+	addr := f.AddrPort("agent", "return_address", allowedReturn)
+	if !addr.Addr().Is4() || addr.Addr().IsUnspecified() {
+		f.Fail("agent", "return_address", f.Text("agent", "return_address", ""), allowedReturn)
+	}
+	return addr
+}
+
+func (s Agent) sockets() []socket {
+	own := socket{section: "agent", key: "return_address", network: udp, addr: s.Agent.Return}
+	return append(s.Common.sockets(s.Agent.Self.Addr), own)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,14 +1,16 @@
 // Package settings reads the INI settings of each role into one validated
-// struct.
+// struct. Errors are *inifile.Error, one line each.
 package settings
 
 import (
 	"net/netip"
+	"net/url"
 	"time"
 
-	"github.com/turmericrock/turmericrock/agent"
-	"github.com/turmericrock/turmericrock/entry"
+	"github.com/sirupsen/logrus"
+
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/inifile"
 )
 
 // Common are the settings of every role.
@@ -19,12 +21,19 @@
 	KeyFile string
 	// LogLevel is a logrus level.
 	LogLevel string
-	// Ops is the address of the local HTTP endpoint for operators.
-	Ops netip.AddrPort
+	// Ops are the settings of the local HTTP endpoint for operators.
+	Ops Ops
 	// Mesh are the settings of the links to other processes.
 	Mesh Mesh
 }
 
+// Ops are the settings of the local HTTP endpoint for operators.
+type Ops struct {
+	Address netip.AddrPort
+	// Remote allows callers from other machines.
+	Remote bool
+}
+
 // Mesh are the settings of the links between the system's processes.
 type Mesh struct {
 	// Address is the TCP address on which peers are accepted.
@@ -35,96 +44,92 @@
 	Authority   string
 }
 
-// Entry are the settings of an entry.
-type Entry struct {
-	Common
-	Entry entry.Config
-}
+// Descriptions of allowed values.
+const (
+	allowedName    = "1 to 63 lower-case letters, digits and inner hyphens"
+	allowedPeer    = "IPv4:port that other processes reach, such as 10.0.3.7:7400; addresses between processes are IPv4"
+	allowedURL     = "an http:// URL such as http://10.0.0.2:8080"
+	allowedPEM     = "the path of a PEM file"
+	allowedListen  = "a list of IPv4:port"
+	allowedOps     = "IP:port on this machine, such as 127.0.0.1:7480, or any with remote = yes"
+	allowedService = "customer/name"
+)
 
-// Agent are the settings of an agent.
-type Agent struct {
-	Common
-	Agent agent.Config
-	// Certificate and Key name the service's PEM files.
-	Certificate string
-	Key         string
-}
+// Bounds that several settings share.
+const (
+	maxTimeout  = 10 * time.Minute
+	minInterval = 10 * time.Millisecond
+	maxInterval = time.Minute
+)
 
-// LoadEntry reads the settings of an entry. The error is an *Error.
-func LoadEntry(path string) (Entry, error) {
-	r, err := open(path)
-	if err != nil {
-		return Entry{}, err
-	}
-	config := entry.DefaultConfig()
-	config.Self = r.self(fleet.RoleEntry)
-	for _, addr := range r.addrPorts("entry", "listen") {
-		port := r.number("entry", "service_port", int(addr.Port()), 1, 65535)
-		config.Listen = append(config.Listen, entry.Listener{Addr: addr, ServicePort: uint16(port)})
+func readCommon(f *inifile.File) Common {
+	return Common{
+		Platform: readURL(f, "platform", "url"),
+		KeyFile:  f.Required("keys", "file", "the path of a key file"),
+		LogLevel: readLevel(f),
+		Ops:      readOps(f),
+		Mesh: Mesh{
+			Address:     readPeer(f, "mesh", "address"),
+			Certificate: f.Required("mesh", "certificate", allowedPEM),
+			Key:         f.Required("mesh", "key", allowedPEM),
+			Authority:   f.Required("mesh", "authority", allowedPEM),
+		},
 	}
-	config.AgentNetworks = r.prefixes("entry", "agent_networks")
-	config.Workers = r.number("entry", "workers", config.Workers, 1, 256)
-	config.SuspectAfter = r.duration("entry", "suspect_after", config.SuspectAfter, time.Second, time.Minute)
-	config.StopGrace = r.duration("entry", "stop_grace", config.StopGrace, 0, time.Minute)
-	settings := Entry{Common: r.common(), Entry: config}
-	return settings, r.finish()
 }
 
-// LoadAgent reads the settings of an agent. The error is an *Error.
-func LoadAgent(path string) (Agent, error) {
-	r, err := open(path)
-	if err != nil {
-		return Agent{}, err
+func readSelf(f *inifile.File, role fleet.Role) fleet.VM {
+	return fleet.VM{
+		ID:    f.Required("node", "id", "the VM's name as the platform lists it"),
+		Addr:  readPeer(f, "node", "address"),
+		Mesh:  readPeer(f, "mesh", "address"),
+		Zone:  readName(f, "node", "zone"),
+		Role:  role,
+		State: fleet.VMLive,
 	}
-	config := agent.DefaultConfig()
-	config.Self = r.self(fleet.RoleAgent)
-	config.Self.Service = r.service("agent", "service")
-	config.Backend = r.required("agent", "backend", "an http:// URL")
-	config.Return = r.addrPort("agent", "return_address")
-	settings := Agent{
-		Common:      r.common(),
-		Agent:       config,
-		Certificate: r.required("agent", "certificate", "a PEM file"),
-		Key:         r.required("agent", "key", "a PEM file"),
+}
+
+func readName(f *inifile.File, section, key string) string {
+	value := f.Required(section, key, allowedName)
+	if !fleet.ValidName(value) {
+		f.Fail(section, key, value, allowedName)
 	}
-	return settings, r.finish()
+	return value
 }
 
-func (r *reader) common() Common {
-	return Common{
-		Platform: r.required("platform", "url", "an http:// URL"),
-		KeyFile:  r.required("keys", "file", "a key file"),
-		LogLevel: r.text("log", "level", "info"),
-		Ops:      r.addrPort("ops", "address"),
-		Mesh:     r.mesh(),
+// readPeer reads an address that other processes are told.
+func readPeer(f *inifile.File, section, key string) netip.AddrPort {
+	addr := f.AddrPort(section, key, allowedPeer)
+	usable := addr.Addr().Is4() && !addr.Addr().IsUnspecified() && addr.Port() != 0
+	if !usable {
+		f.Fail(section, key, f.Text(section, key, ""), allowedPeer)
 	}
+	return addr
 }
 
-func (r *reader) mesh() Mesh {
-	return Mesh{
-		Address:     r.addrPort("mesh", "address"),
-		Certificate: r.required("mesh", "certificate", "a PEM file"),
-		Key:         r.required("mesh", "key", "a PEM file"),
-		Authority:   r.required("mesh", "authority", "a PEM file"),
+func readURL(f *inifile.File, section, key string) string {
+	value := f.Required(section, key, allowedURL)
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Scheme != "http" || parsed.Host == "" || parsed.RawQuery != "" {
+		f.Fail(section, key, value, allowedURL)
 	}
+	return value
 }
 
-func (r *reader) self(role fleet.Role) fleet.VM {
-	return fleet.VM{
-		ID:    r.required("node", "id", "the VM's name"),
-		Addr:  r.addrPort("node", "address"),
-		Mesh:  r.addrPort("mesh", "address"),
-		Zone:  r.required("node", "zone", "an availability zone"),
-		Role:  role,
-		State: fleet.VMLive,
+func readLevel(f *inifile.File) string {
+	value := f.Text("log", "level", logrus.InfoLevel.String())
+	if _, err := logrus.ParseLevel(value); err != nil {
+		f.Fail("log", "level", value, "error, warning, info or debug")
 	}
+	return value
 }
 
-func (r *reader) service(section, key string) fleet.ServiceID {
-	value := r.required(section, key, "customer/name")
-	id, err := fleet.ParseServiceID(value)
-	if err != nil {
-		r.fail(section, key, value, "customer/name")
+func readOps(f *inifile.File) Ops {
+	ops := Ops{
+		Address: f.AddrPort("ops", "address", allowedOps),
+		Remote:  f.Bool("ops", "remote", false),
+	}
+	if !ops.Remote && !ops.Address.Addr().IsLoopback() {
+		f.Fail("ops", "address", ops.Address.String(), allowedOps)
 	}
-	return id
+	return ops
 }
--- a/keyring/errors.go
+++ b/keyring/errors.go
@@ -22,3 +22,14 @@
 func (e *FileError) Error() string {
 	return fmt.Sprintf("key file %s: %s", e.File, e.Reason)
 }
+
+// RotationError reports a step between two sets of keys that would break
+// established flows.
+type RotationError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *RotationError) Error() string {
+	return "key rotation refused: " + e.Reason
+}
--- a/keyring/file.go
+++ b/keyring/file.go
@@ -2,10 +2,17 @@
 
 import (
 	"encoding/hex"
+	"os"
 	"strconv"
 	"strings"
 
-	"gopkg.in/ini.v1"
+	"github.com/turmericrock/turmericrock/internal/inifile"
+)
+
+const (
+	sectionKeys   = "keys"
+	sectionPrefix = "key "
+	allowedSecret = "64 hex digits"
 )
 
 // LoadFile reads keys from an INI file:
@@ -16,41 +23,47 @@
 //	[key 1]
 //	secret = 64 hex digits
 //
-// The error is a *FileError or a *KeysError.
+// The error is a *FileError or a *KeysError. It never holds a secret.
 func LoadFile(path string) (Keys, error) {
-	file, err := ini.Load(path)
+	content, err := os.ReadFile(path)
 	if err != nil {
 		return Keys{}, &FileError{File: path, Reason: err.Error()}
 	}
-	active, err := strconv.ParseUint(file.Section("keys").Key("active").String(), 10, 8)
+	return Parse(path, content)
+}
+
+// Parse reads keys from the content of the file with the name path.
+func Parse(path string, content []byte) (Keys, error) {
+	file, err := inifile.Parse(path, content)
 	if err != nil {
-		return Keys{}, &FileError{File: path, Reason: "[keys] active must be a generation, 0 to 7"}
+		return Keys{}, &FileError{File: path, Reason: "is not an INI file"}
 	}
-	keys := Keys{Active: uint8(active)}
+	file.HideValues()
+	keys := Keys{Active: uint8(file.RequiredNumber(sectionKeys, "active", 0, MaxGeneration))}
 	for _, section := range file.Sections() {
-		number, found := strings.CutPrefix(section.Name(), "key ")
-		if !found {
-			continue
-		}
-		key, err := parseKey(path, number, section.Key("secret").String())
-		if err != nil {
-			return Keys{}, err
+		number, found := strings.CutPrefix(section, sectionPrefix)
+		if found {
+			keys.Keys = append(keys.Keys, parseKey(file, section, number))
 		}
-		keys.Keys = append(keys.Keys, key)
+	}
+	if err := file.Finish(); err != nil {
+		return Keys{}, &FileError{File: path, Reason: strings.TrimPrefix(err.Error(), path+": ")}
 	}
 	return keys, keys.Validate()
 }
 
-func parseKey(path, number, secret string) (Key, error) {
+func parseKey(file *inifile.File, section, number string) Key {
 	generation, err := strconv.ParseUint(number, 10, 8)
-	if err != nil {
-		return Key{}, &FileError{File: path, Reason: "section [key " + number + "] must name a generation, 0 to 7"}
+	if err != nil || generation > MaxGeneration {
+		file.FailSection(section, "[key N], where N is a generation, 0 to 7")
 	}
+	key := Key{Generation: uint8(generation)}
+	secret := file.Required(section, "secret", allowedSecret)
 	raw, err := hex.DecodeString(secret)
 	if err != nil || len(raw) != SecretSize {
-		return Key{}, &FileError{File: path, Reason: "[key " + number + "] secret must be 64 hex digits"}
+		file.Fail(section, "secret", "", allowedSecret)
+		return key
 	}
-	key := Key{Generation: uint8(generation)}
 	copy(key.Secret[:], raw)
-	return key, nil
+	return key
 }
--- /dev/null
+++ b/keyring/rotation.go
@@ -0,0 +1,66 @@
+package keyring
+
+import (
+	"fmt"
+	"strings"
+)
+
+// String returns the generations of the set. It never returns secrets.
+func (k Keys) String() string {
+	accepted := make([]string, 0, len(k.Keys))
+	for _, key := range k.Keys {
+		accepted = append(accepted, fmt.Sprint(key.Generation))
+	}
+	return fmt.Sprintf("active=%d accepted=%s", k.Active, strings.Join(accepted, ","))
+}
+
+// String returns the generation without the secret.
+func (k Key) String() string {
+	return fmt.Sprintf("key %d", k.Generation)
+}
+
+// GoString returns the generation without the secret.
+func (k Key) GoString() string {
+	return k.String()
+}
+
+// Equal reports whether both sets are the same, in whatever order.
+func (k Keys) Equal(other Keys) bool {
+	if k.Active != other.Active || len(k.Keys) != len(other.Keys) {
+		return false
+	}
+	for _, key := range k.Keys {
+		if same, found := other.key(key.Generation); !found || same != key {
+			return false
+		}
+	}
+	return true
+}
+
+// CheckRotation reports whether established flows survive the step from k to
+// next. A generation keeps its secret, and the active generation stays
+// accepted on both sides of the step, since other nodes take it sooner or
+// later. The error is a *RotationError.
+func (k Keys) CheckRotation(next Keys) error {
+	for _, key := range k.Keys {
+		if other, found := next.key(key.Generation); found && other != key {
+			return &RotationError{Reason: "the secret of a generation has changed"}
+		}
+	}
+	if _, found := next.key(k.Active); !found {
+		return &RotationError{Reason: "the generation that is active now has no key"}
+	}
+	if _, found := k.key(next.Active); !found {
+		return &RotationError{Reason: "the new active generation was not accepted before"}
+	}
+	return nil
+}
+
+func (k Keys) key(generation uint8) (Key, bool) {
+	for _, key := range k.Keys {
+		if key.Generation == generation {
+			return key, true
+		}
+	}
+	return Key{}, false
+}
