--- a/internal/standin/world/process.go
+++ b/internal/standin/world/process.go
@@ -2,56 +2,136 @@
 
 import (
 	"os"
-	"strconv"
-	"strings"
+	"os/exec"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// Usage is what a process has used.
-type Usage struct {
-	// Processor is the processor time, user and system.
-	Processor time.Duration
-	// Resident is the resident memory in bytes.
-	Resident uint64
+// process is one turmericrock process. It can be started again with the same
+// settings.
+type process struct {
+	binary string
+	role   string
+	path   string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
 }
 
-// Usage returns what the node's process has used so far.
-func (n *Node) Usage() (Usage, error) {
-	return processUsage(n.command.Process.Pid)
+// prepare writes the settings. The log stands beside them.
+func (p *process) prepare(binary, role, path, settings string) error {
+	p.binary, p.role, p.path = binary, role, path
+	return errors.WithStack(os.WriteFile(path+".ini", []byte(settings), 0o600))
 }
 
-const (
-	clockTick  = 10 * time.Millisecond
-	fieldUser  = 11
-	fieldSys   = 12
-	fieldPages = 21
-)
+// LogPath returns the file that holds the process's log.
+func (p *process) LogPath() string {
+	return p.path + ".log"
+}
 
-// processUsage reads the fields of /proc/PID/stat that follow the command's
-// name.
-func processUsage(pid int) (Usage, error) {
-	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+// Start starts the process. A process that ended may be started again.
+func (p *process) Start() error {
+	log, err := os.OpenFile(p.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return Usage{}, errors.WithStack(err)
+		return errors.WithStack(err)
 	}
-	_, rest, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(rest)
-	user, err := strconv.ParseUint(fields[fieldUser], 10, 64)
-	if err != nil {
-		return Usage{}, errors.WithStack(err)
+	command := exec.Command(p.binary, p.role, "-settings", p.path+".ini")
+	command.Stdout = log
+	command.Stderr = log
+	// A group of its own keeps a terminal's interrupt from the process, which
+	// the world ends itself.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := command.Start(); err != nil {
+		_ = log.Close()
+		return errors.WithStack(err)
 	}
-	system, err := strconv.ParseUint(fields[fieldSys], 10, 64)
-	if err != nil {
-		return Usage{}, errors.WithStack(err)
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.command, p.done = command, done
+	p.mu.Unlock()
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(done)
+	}()
+	return nil
+}
+
+// Running reports whether the process lives.
+func (p *process) Running() bool {
+	command, done := p.current()
+	if command == nil {
+		return false
 	}
-	pages, err := strconv.ParseUint(fields[fieldPages], 10, 64)
-	if err != nil {
-		return Usage{}, errors.WithStack(err)
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
+// KillProcess ends the process at once.
+func (p *process) KillProcess() {
+	command, done := p.current()
+	if command == nil {
+		return
+	}
+	_ = command.Process.Signal(syscall.SIGCONT)
+	_ = command.Process.Kill()
+	select {
+	case <-done:
+	case <-time.After(stopWait):
+	}
+}
+
+// Stop asks the process to end gracefully and reports whether it did within
+// the time.
+func (p *process) Stop(within time.Duration) bool {
+	command, done := p.current()
+	if command == nil {
+		return true
+	}
+	_ = command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-done:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// Freeze stops the process without its notice.
+func (p *process) Freeze() {
+	p.signal(syscall.SIGSTOP)
+}
+
+// Thaw ends a freeze.
+func (p *process) Thaw() {
+	p.signal(syscall.SIGCONT)
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	if command, _ := p.current(); command != nil {
+		_ = command.Process.Signal(signal)
+	}
+}
+
+func (p *process) current() (*exec.Cmd, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command, p.done
+}
+
+// pid returns the process's ID, or 0 before the first start.
+func (p *process) pid() int {
+	command, _ := p.current()
+	if command == nil {
+		return 0
 	}
-	return Usage{
-		Processor: time.Duration(user+system) * clockTick,
-		Resident:  pages * uint64(os.Getpagesize()),
-	}, nil
+	return command.Process.Pid
 }
