--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/standin/callers"
 	"github.com/turmericrock/turmericrock/internal/standin/world"
 )
 
@@ -30,13 +31,13 @@
 	stopMargin         = 5 * time.Second
 	inForceWait        = 20 * time.Second
 	inForcePoll        = 50 * time.Millisecond
-	forgiveAfter       = 2 * time.Second
+	excuseTime         = 2 * time.Second
 )
 
 // play plays the events one after the other. The drained host leaves while
 // later events go on.
 func (t *trial) play(ctx context.Context) error {
-	pause(ctx, warmupWish+shortSettle)
+	world.Pause(ctx, warmupWish+shortSettle)
 	steps := []func(context.Context) error{
 		t.killEntry,
 		t.addEntry,
@@ -54,21 +55,21 @@
 			return nil
 		}
 	}
-	pause(ctx, shortSettle)
+	world.Pause(ctx, shortSettle)
 	return nil
 }
 
 func (t *trial) killEntry(ctx context.Context) error {
 	defer t.event(eventEntryKilled)()
 	t.world.Node("entry-1").Kill()
-	pause(ctx, sprayLag+shortSettle)
+	world.Pause(ctx, sprayLag+shortSettle)
 	return nil
 }
 
 func (t *trial) addEntry(ctx context.Context) error {
 	defer t.event(eventEntryAdded)()
 	_, err := t.world.StartEntry("entry-5", entryZone(0))
-	pause(ctx, shortSettle)
+	world.Pause(ctx, shortSettle)
 	return err
 }
 
@@ -86,7 +87,7 @@
 		defer done()
 		t.drainHost(ctx, leaving)
 	})
-	pause(ctx, graceTime)
+	world.Pause(ctx, graceTime)
 	return nil
 }
 
@@ -103,7 +104,7 @@
 
 // drainHost counts what a leaving host is still given, and stops it.
 func (t *trial) drainHost(ctx context.Context, leaving *world.Node) {
-	pause(ctx, graceTime)
+	world.Pause(ctx, graceTime)
 	before := leaving.Begun()
 	inTime := leaving.Stop(drainWish + stopMargin)
 	late := leaving.Begun() - before
@@ -124,7 +125,7 @@
 	now := time.Now()
 	node.KillBackend()
 	t.note(func(f *facts) {
-		f.forgiven = append(f.forgiven, forgiven{host: node.VM().ID, from: now, to: now.Add(forgiveAfter)})
+		f.excuses = append(f.excuses, callers.Excuse{Host: node.VM().ID, From: now, To: now.Add(excuseTime)})
 		f.started = append(f.started, &coldServer{
 			node:    node,
 			allowed: t.service(ordering).slots,
@@ -134,7 +135,7 @@
 	if err := node.StartBackend(); err != nil {
 		return err
 	}
-	pause(ctx, settle)
+	world.Pause(ctx, settle)
 	return nil
 }
 
@@ -172,7 +173,7 @@
 		})
 	}
 	t.awaitInForce(ctx)
-	pause(ctx, warmupWish)
+	world.Pause(ctx, warmupWish)
 	return nil
 }
 
@@ -183,13 +184,13 @@
 	for _, node := range hosts {
 		t.note(func(f *facts) {
 			end := now.Add(graceTime + outLength)
-			f.forgiven = append(f.forgiven, forgiven{host: node.VM().ID, zone: true, from: now, to: end})
+			f.excuses = append(f.excuses, callers.Excuse{Host: node.VM().ID, Zone: true, From: now, To: end})
 		})
 	}
 	if err := t.world.SetZoneOut(outZone, true); err != nil {
 		return err
 	}
-	pause(ctx, graceTime)
+	world.Pause(ctx, graceTime)
 	gone := hosts[0]
 	gone.Kill()
 	sink, err := gone.Sink()
@@ -198,7 +199,7 @@
 	}
 	defer sink.Close()
 	before := begunBy(hosts)
-	pause(ctx, outLength)
+	world.Pause(ctx, outLength)
 	// A backend server restarts cold with its zone.
 	for _, node := range hosts[1:] {
 		node.Backend.Restart()
@@ -229,7 +230,7 @@
 func (t *trial) platformOutage(ctx context.Context) error {
 	done := t.event(eventPlatformDown)
 	t.world.Platform.SetDown(true)
-	pause(ctx, platformDownLength)
+	world.Pause(ctx, platformDownLength)
 	t.world.Platform.SetDown(false)
 	done()
 	defer t.event(eventPlatformBack)()
@@ -249,7 +250,7 @@
 	if !entry.Stop(stopMargin) {
 		t.note(func(f *facts) { f.notInTime++ })
 	}
-	pause(ctx, shortSettle)
+	world.Pause(ctx, shortSettle)
 	return nil
 }
 
@@ -260,7 +261,7 @@
 	ctx, cancel := context.WithTimeout(ctx, inForceWait)
 	defer cancel()
 	for t.behind() > 0 && ctx.Err() == nil {
-		pause(ctx, inForcePoll)
+		world.Pause(ctx, inForcePoll)
 	}
 	took := time.Since(began)
 	t.note(func(f *facts) { f.inForce = append(f.inForce, took) })
--- a/internal/demo/figures.go
+++ b/internal/demo/figures.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/turmericrock/turmericrock/internal/standin/callers"
 )
 
 // figure prints one line: name value unit.
@@ -11,11 +13,11 @@
 }
 
 // printFigures prints what the run measured.
-func (t *trial) printFigures(c tally) {
-	t.figure("demo_requests", float64(c.requests), "requests")
-	t.figure("demo_refused_as_not_run", float64(c.refused), "requests")
+func (t *trial) printFigures(c callers.Tally) {
+	t.figure("demo_requests", float64(c.Requests), "requests")
+	t.figure("demo_refused_as_not_run", float64(c.Refused), "requests")
 	changes := t.events(planned...)
-	t.figure("demo_broken_flows_per_planned_change", float64(c.broken)/float64(max(1, changes)), "flows")
+	t.figure("demo_broken_flows_per_planned_change", float64(len(c.Broken))/float64(max(1, changes)), "flows")
 	for _, took := range t.facts.inForce {
 		t.figure("demo_change_in_force_everywhere", took.Seconds(), "s")
 	}
@@ -42,7 +44,7 @@
 
 func (t *trial) quality(w window) (inTime, all int, gap time.Duration) {
 	var gaps []time.Duration
-	for _, o := range t.load.outcomes.All() {
+	for _, o := range t.load.Outcomes() {
 		if o.Service != press {
 			continue
 		}
@@ -55,7 +57,7 @@
 			continue
 		}
 		all++
-		if o.Answered() && o.Ended.Sub(o.Began) <= answeredInTime {
+		if o.Err == nil && o.Ended.Sub(o.Began) <= answeredInTime {
 			inTime++
 		}
 	}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/turmericrock/turmericrock/fleet"
 	"github.com/turmericrock/turmericrock/internal/standin/backend"
+	"github.com/turmericrock/turmericrock/internal/standin/callers"
 )
 
 // Services of the two customers. Both call one of theirs "proofs".
@@ -86,7 +87,7 @@
 		Zones:       s.zones,
 		Drain:       drainWish,
 		Warmup:      warmupWish,
-		Streams:     []string{feedPath},
+		Streams:     []string{callers.FeedPath},
 	}
 }
 
--- a/internal/demo/promise.go
+++ b/internal/demo/promise.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"github.com/turmericrock/turmericrock/internal/standin/callers"
 )
 
 // Promise is one line of the report.
@@ -45,7 +47,8 @@
 // report prints the figures and the promises, and reports whether all were
 // held.
 func (t *trial) report() bool {
-	count := t.count()
+	count := callers.Count(t.world, t.load.Outcomes(), t.facts.excuses)
+	t.printBroken(count.Broken)
 	t.printFigures(count)
 	promises := t.promises(count)
 	held := 0
@@ -56,16 +59,23 @@
 		}
 	}
 	t.print("demo: promises=%d held=%d broken_flows=%d doubled=%d crossed=%d\n",
-		len(promises), held, count.broken, count.doubled, count.crossed)
+		len(promises), held, len(count.Broken), count.Doubled, count.Crossed)
 	return held == len(promises)
 }
 
+func (t *trial) printBroken(broken []*callers.Outcome) {
+	for _, o := range broken {
+		t.print("broken at=%.1fs service=%s id=%s feed=%t host=%s error=%q\n",
+			o.Ended.Sub(t.facts.began).Seconds(), o.Service, o.ID, o.Feed, o.Host, o.Err)
+	}
+}
+
 func (t *trial) print(format string, args ...any) {
 	_, _ = fmt.Fprintf(t.config.Out, format, args...)
 }
 
 // promises judges each promise of the brief.
-func (t *trial) promises(c tally) []Promise {
+func (t *trial) promises(c callers.Tally) []Promise {
 	f := &t.facts
 	all := len(f.windows)
 	promise := func(name string, events, requests, against int, format string, args ...any) Promise {
@@ -73,9 +83,9 @@
 			Name:     name,
 			Events:   events,
 			Requests: requests,
-			Broken:   c.broken,
-			Doubled:  c.doubled,
-			Crossed:  c.crossed,
+			Broken:   len(c.Broken),
+			Doubled:  c.Doubled,
+			Crossed:  c.Crossed,
 			Against:  against,
 			Detail:   fmt.Sprintf(format, args...),
 		}
@@ -83,25 +93,25 @@
 	fallen, unforeseen := t.overload()
 	behind, reverted := t.behind(), t.reverted()
 	return []Promise{
-		promise("flows_survive_planned_change", t.events(planned...), c.requests, c.broken,
-			"given up with a zone: %d, with a killed backend server: %d", c.zoneBroken, c.killBroken),
-		promise("no_packet_reaches_another_service", all, c.requests, c.crossed,
+		promise("flows_survive_planned_change", t.events(planned...), c.Requests, len(c.Broken),
+			"given up with a zone: %d, with a killed backend server: %d", c.ZoneBroken, c.KillBroken),
+		promise("no_packet_reaches_another_service", all, c.Requests, c.Crossed,
 			"requests at a foreign backend server and foreign answers"),
-		promise("cold_backend_server_not_overloaded", len(f.started), c.requests, fallen,
+		promise("cold_backend_server_not_overloaded", len(f.started), c.Requests, fallen,
 			"requests over what a cold one bears; before its cold start could be known: %d", unforeseen),
-		promise("zone_out_receives_nothing", t.events(eventZoneOut), c.requests, f.zoneLate,
+		promise("zone_out_receives_nothing", t.events(eventZoneOut), c.Requests, f.zoneLate,
 			"packets and requests after %s", graceTime),
-		promise("whole_answer_to_own_request", all, c.answered, c.notWhole,
+		promise("whole_answer_to_own_request", all, c.Answered, c.NotWhole,
 			"answers that differ from the one expected"),
-		promise("not_run_is_true", all, c.requests, c.falseRefusals,
-			"refused as not run: %d; of these, ran", c.refused),
-		promise("at_most_once", all, c.requests, c.doubled,
+		promise("not_run_is_true", all, c.Requests, c.FalseRefusals,
+			"refused as not run: %d; of these, ran", c.Refused),
+		promise("at_most_once", all, c.Requests, c.Doubled,
 			"request IDs that ran twice"),
-		promise("leaving_host_receives_no_new_work", t.events(eventHostDrained), c.requests, f.late,
+		promise("leaving_host_receives_no_new_work", t.events(eventHostDrained), c.Requests, f.late,
 			"requests begun there after %s", graceTime),
-		promise("graceful_shutdown_cuts_nothing", t.events(eventHostDrained, eventEntryStopped), c.requests, c.broken+f.notInTime,
+		promise("graceful_shutdown_cuts_nothing", t.events(eventHostDrained, eventEntryStopped), c.Requests, len(c.Broken)+f.notInTime,
 			"cut requests and processes that did not end: %d", f.notInTime),
-		promise("configuration_in_force_and_never_reverts", t.events(eventZoneOut, eventZoneBack, eventPublished), c.requests, behind+reverted,
+		promise("configuration_in_force_and_never_reverts", t.events(eventZoneOut, eventZoneBack, eventPublished), c.Requests, behind+reverted,
 			"nodes behind: %d, reverted: %d", behind, reverted),
 	}
 }
--- a/internal/demo/trial.go
+++ b/internal/demo/trial.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/standin/callers"
 	"github.com/turmericrock/turmericrock/internal/standin/world"
 )
 
@@ -40,7 +41,7 @@
 	config   Config
 	world    *world.World
 	services []fleetService
-	load     *load
+	load     *callers.Load
 	group    sync.WaitGroup
 
 	mu     sync.Mutex
@@ -53,7 +54,7 @@
 	began     time.Time
 	events    map[string]int
 	windows   []window
-	forgiven  []forgiven
+	excuses   []callers.Excuse
 	started   []*coldServer
 	late      int
 	zoneLate  int
@@ -67,14 +68,6 @@
 	from, to time.Time
 }
 
-// forgiven is a host whose flows may break in a time: its zone is out or its
-// backend server ended unannounced.
-type forgiven struct {
-	host     string
-	zone     bool
-	from, to time.Time
-}
-
 // coldServer is a backend server that has started while the fleet served.
 type coldServer struct {
 	node *world.Node
@@ -94,7 +87,7 @@
 	defer t.world.Close()
 	err := t.play(ctx)
 	t.group.Wait()
-	t.load.end()
+	t.load.End()
 	if err == nil {
 		err = errors.WithStack(ctx.Err())
 	}
@@ -129,10 +122,18 @@
 		return err
 	}
 	t.facts.began = time.Now()
-	t.load = startLoad(ctx, w, t.services)
+	t.startLoad(ctx)
 	return nil
 }
 
+func (t *trial) startLoad(ctx context.Context) {
+	t.load = callers.New(ctx, t.world, callers.DefaultConfig())
+	for _, service := range t.services {
+		t.load.Submit(service.id, service.submitters)
+		t.load.Feed(service.id, service.feeds)
+	}
+}
+
 func (t *trial) startNodes(ctx context.Context) error {
 	for i := range entryCount {
 		if _, err := t.world.StartEntry(fmt.Sprintf("entry-%d", i+1), entryZone(i)); err != nil {
--- /dev/null
+++ b/internal/standin/callers/load.go
@@ -0,0 +1,203 @@
+// Package callers is a stand-in for customers' callers. It keeps sessions and
+// feeds open against a world and counts what became of every request.
+package callers
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/caller"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/standin/backend"
+	"github.com/turmericrock/turmericrock/internal/standin/world"
+)
+
+const (
+	// FeedPath is the path of feeds.
+	FeedPath   = "/feed"
+	submitPath = "/submit"
+	// answerTimeout is the deadline of a submission.
+	answerTimeout = 10 * time.Second
+	// feedMargin is added to a feed's length for its deadline.
+	feedMargin = 15 * time.Second
+)
+
+// Config holds the habits of callers.
+type Config struct {
+	// Think is the time between an answer and the next submission.
+	Think time.Duration
+	// FeedLines is the number of lines of one feed, FeedInterval the time
+	// between them.
+	FeedLines    int
+	FeedInterval time.Duration
+}
+
+// DefaultConfig returns the habits of callers in a hurry.
+func DefaultConfig() Config {
+	return Config{
+		Think:        30 * time.Millisecond,
+		FeedLines:    50,
+		FeedInterval: 100 * time.Millisecond,
+	}
+}
+
+// nextID numbers the requests of this process.
+var nextID atomic.Uint64
+
+// Load is a group of callers that run until they are stopped.
+type Load struct {
+	config   Config
+	world    *world.World
+	outcomes outcomes
+
+	// abort ends requests in service, sending ends once no more are begun.
+	abort   context.Context
+	sending context.Context
+	stop    context.CancelFunc
+	group   sync.WaitGroup
+}
+
+// session is one caller's use of a service.
+type session struct {
+	service fleet.ServiceID
+	client  *caller.Client
+	// host served the last answer.
+	host string
+	// lastPiece is when the last piece of a feed came, over all feeds.
+	lastPiece time.Time
+}
+
+// New returns a load without callers. The end of ctx ends its requests.
+func New(ctx context.Context, w *world.World, config Config) *Load {
+	l := &Load{config: config, world: w, abort: ctx}
+	l.sending, l.stop = context.WithCancel(ctx)
+	return l
+}
+
+// Submit starts callers that send submissions, each on a session of its own.
+func (l *Load) Submit(service fleet.ServiceID, count int) {
+	l.start(service, count, func(s *session) {
+		l.submitOne(s)
+		world.Pause(l.sending, l.config.Think)
+	})
+}
+
+// Feed starts callers that watch one feed after the other, each on a session
+// of its own.
+func (l *Load) Feed(service fleet.ServiceID, count int) {
+	l.start(service, count, l.feedOne)
+}
+
+// End lets every caller finish what it has begun.
+func (l *Load) End() {
+	l.stop()
+	l.group.Wait()
+}
+
+// Outcomes returns what became of the requests so far.
+func (l *Load) Outcomes() []*Outcome {
+	return l.outcomes.all()
+}
+
+func (l *Load) start(service fleet.ServiceID, count int, one func(*session)) {
+	for range count {
+		l.group.Go(func() {
+			s := &session{service: service, client: l.world.Client(service)}
+			defer s.client.Close()
+			for l.sending.Err() == nil {
+				one(s)
+			}
+		})
+	}
+}
+
+func (l *Load) submitOne(s *session) {
+	ctx, cancel := context.WithTimeout(l.abort, answerTimeout)
+	defer cancel()
+	request := newRequest(http.MethodPost, submitPath, s.service)
+	request.Body = []byte("memorial text " + request.Header.Get(backend.HeaderRequestID))
+	outcome := newOutcome(s, request, false)
+	response, err := s.client.Do(ctx, request)
+	outcome.end(response, err)
+	s.served(response)
+	if err == nil {
+		outcome.check(string(response.Body), submitAnswer(s.service, outcome.ID))
+	}
+	l.outcomes.add(outcome)
+}
+
+func (l *Load) feedOne(s *session) {
+	length := time.Duration(l.config.FeedLines) * l.config.FeedInterval
+	ctx, cancel := context.WithTimeout(l.abort, length+feedMargin)
+	defer cancel()
+	path := fmt.Sprintf("%s?n=%d&ms=%d", FeedPath, l.config.FeedLines, l.config.FeedInterval.Milliseconds())
+	request := newRequest(http.MethodGet, path, s.service)
+	outcome := newOutcome(s, request, true)
+	var body strings.Builder
+	response, err := s.client.Stream(ctx, request, func(piece []byte) {
+		outcome.gap(s.gap())
+		body.Write(piece)
+	})
+	outcome.end(response, err)
+	s.served(response)
+	if err == nil {
+		outcome.check(body.String(), feedAnswer(s.service, l.config.FeedLines))
+	}
+	l.outcomes.add(outcome)
+}
+
+// gap returns the wait for the piece of a feed that has come now. It spans a
+// feed that broke and the one that followed.
+func (s *session) gap() Gap {
+	now := time.Now()
+	gap := Gap{At: now}
+	if !s.lastPiece.IsZero() {
+		gap.Length = now.Sub(s.lastPiece)
+	}
+	s.lastPiece = now
+	return gap
+}
+
+// served notes the host that answered.
+func (s *session) served(response *caller.Response) {
+	if response == nil {
+		return
+	}
+	_, host, found := strings.Cut(response.Header.Get(backend.HeaderServed), "@")
+	if found {
+		s.host = host
+	}
+}
+
+func submitAnswer(service fleet.ServiceID, id string) string {
+	return fmt.Sprintf("%s %s %s\n", service, submitPath, id)
+}
+
+func feedAnswer(service fleet.ServiceID, lines int) string {
+	var answer strings.Builder
+	for i := range lines {
+		_, _ = fmt.Fprintf(&answer, "%s %d\n", service, i)
+	}
+	return answer.String()
+}
+
+// newRequest returns a request with an ID and a service of its own, by which
+// backend servers count.
+func newRequest(method, path string, service fleet.ServiceID) caller.Request {
+	header := http.Header{}
+	header.Set(backend.HeaderRequestID, fmt.Sprintf("r%d", nextID.Add(1)))
+	header.Set(world.HeaderService, service.String())
+	return caller.Request{Method: method, Path: path, Header: header}
+}
+
+func isNotRun(err error) bool {
+	var notRun *caller.NotRunError
+	return errors.As(err, &notRun)
+}
--- a/internal/demo/outcome.go
+++ b/internal/standin/callers/outcome.go
@@ -1,4 +1,4 @@
-package demo
+package callers
 
 import (
 	"slices"
@@ -67,30 +67,20 @@
 	o.Foreign = !strings.HasPrefix(answer, o.Service.String()+" ")
 }
 
-// Answered reports whether the caller got an answer to its end.
-func (o *Outcome) Answered() bool {
-	return o.Err == nil
+// outcomes collects outcomes. It is safe for concurrent use.
+type outcomes struct {
+	mu   sync.Mutex
+	list []*Outcome
 }
 
-// Outcomes collects outcomes. It is safe for concurrent use.
-type Outcomes struct {
-	mu  sync.Mutex
-	all []*Outcome
-}
-
-func newOutcomes() *Outcomes {
-	return &Outcomes{}
-}
-
-func (o *Outcomes) add(outcome *Outcome) {
+func (o *outcomes) add(outcome *Outcome) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.all = append(o.all, outcome)
+	o.list = append(o.list, outcome)
 }
 
-// All returns the outcomes so far.
-func (o *Outcomes) All() []*Outcome {
+func (o *outcomes) all() []*Outcome {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return slices.Clone(o.all)
+	return slices.Clone(o.list)
 }
--- /dev/null
+++ b/internal/standin/callers/tally.go
@@ -0,0 +1,103 @@
+package callers
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/turmericrock/turmericrock/internal/standin/world"
+)
+
+// Excuse is a host whose flows may break in a time, since its zone was taken
+// out or its backend server ended unannounced.
+type Excuse struct {
+	Host string
+	// Zone tells that operators have taken the host's zone out.
+	Zone     bool
+	From, To time.Time
+}
+
+// covers reports whether a request that ended at the host is excused.
+func (e Excuse) covers(host string, o *Outcome) bool {
+	return e.Host == host && !o.Ended.Before(e.From) && o.Began.Before(e.To)
+}
+
+// Tally sums up what callers and stand-ins counted.
+type Tally struct {
+	Requests int
+	Answered int
+	// Broken are the requests whose flow ended under them, without excuse.
+	Broken []*Outcome
+	// ZoneBroken and KillBroken count those that were given up.
+	ZoneBroken int
+	KillBroken int
+	// NotWhole counts answers that differ from the one expected.
+	NotWhole int
+	Refused  int
+	// FalseRefusals counts refusals as not run of requests that ran.
+	FalseRefusals int
+	// Doubled counts request IDs that ran twice, Crossed requests at a
+	// foreign backend server and foreign answers.
+	Doubled int
+	Crossed int
+}
+
+// Count sums up the outcomes.
+func Count(w *world.World, outcomes []*Outcome, excuses []Excuse) Tally {
+	t := Tally{Doubled: w.Ledger.Doubled(), Crossed: w.Journal.Crossed()}
+	for _, o := range outcomes {
+		t.Requests++
+		switch {
+		case o.Err == nil:
+			t.addAnswer(o)
+		case o.NotRun:
+			t.addRefusal(ran(w, o))
+		default:
+			t.addBroken(w, o, excuses)
+		}
+	}
+	return t
+}
+
+func (t *Tally) addAnswer(o *Outcome) {
+	t.Answered++
+	if o.Foreign {
+		t.Crossed++
+	}
+	if !o.Whole || o.Status != http.StatusOK {
+		t.NotWhole++
+	}
+}
+
+func (t *Tally) addRefusal(ran bool) {
+	t.Refused++
+	if ran {
+		t.FalseRefusals++
+	}
+}
+
+// ran reports whether a backend server began the request. Feeds are never
+// shed, so that one which arrived has run.
+func ran(w *world.World, o *Outcome) bool {
+	if o.Feed {
+		return len(w.Journal.Hosts(o.ID)) > 0
+	}
+	return w.Ledger.Runs(o.ID) > 0
+}
+
+func (t *Tally) addBroken(w *world.World, o *Outcome, excuses []Excuse) {
+	if hosts := w.Journal.Hosts(o.ID); len(hosts) > 0 {
+		o.Host = hosts[len(hosts)-1]
+	}
+	for _, excuse := range excuses {
+		if !excuse.covers(o.Host, o) {
+			continue
+		}
+		if excuse.Zone {
+			t.ZoneBroken++
+		} else {
+			t.KillBroken++
+		}
+		return
+	}
+	t.Broken = append(t.Broken, o)
+}
--- a/internal/standin/world/ready.go
+++ b/internal/standin/world/ready.go
@@ -38,6 +38,14 @@
 	return nil
 }
 
+// Pause waits for the time or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // Build builds the binary into the folder and returns its path.
 func Build(folder string) (string, error) {
 	binary := filepath.Join(folder, "turmericrock")
--- /dev/null
+++ b/internal/standin/world/secrets.go
@@ -0,0 +1,101 @@
+package world
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/keyring"
+)
+
+const (
+	keyFile         = "keys.ini"
+	firstGeneration = 1
+)
+
+// secrets are the fleet's keys as the key file holds them.
+type secrets struct {
+	active uint8
+	keys   map[uint8][keyring.SecretSize]byte
+}
+
+func newSecrets() *secrets {
+	return &secrets{active: firstGeneration, keys: make(map[uint8][keyring.SecretSize]byte)}
+}
+
+func (s *secrets) add(generation uint8) error {
+	var secret [keyring.SecretSize]byte
+	if _, err := rand.Read(secret[:]); err != nil {
+		return errors.WithStack(err)
+	}
+	s.keys[generation] = secret
+	return nil
+}
+
+// String returns the content of the key file.
+func (s *secrets) String() string {
+	var out strings.Builder
+	_, _ = fmt.Fprintf(&out, "[keys]\nactive = %d\n", s.active)
+	for _, generation := range slices.Sorted(maps.Keys(s.keys)) {
+		secret := s.keys[generation]
+		_, _ = fmt.Fprintf(&out, "\n[key %d]\nsecret = %s\n", generation, hex.EncodeToString(secret[:]))
+	}
+	return out.String()
+}
+
+// AddKey adds a key that processes accept and do not use yet.
+func (w *World) AddKey(generation uint8) error {
+	if err := w.secrets.add(generation); err != nil {
+		return err
+	}
+	return w.writeKeys()
+}
+
+// UseKey makes processes use the generation for what they issue.
+func (w *World) UseKey(generation uint8) error {
+	w.secrets.active = generation
+	return w.writeKeys()
+}
+
+// DropKey removes a key, so that processes accept it no more.
+func (w *World) DropKey(generation uint8) error {
+	delete(w.secrets.keys, generation)
+	return w.writeKeys()
+}
+
+// writeKeys replaces the key file, so that no reader sees half of it.
+func (w *World) writeKeys() error {
+	temporary := w.path(keyFile + ".new")
+	if err := os.WriteFile(temporary, []byte(w.secrets.String()), 0o600); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.Rename(temporary, w.path(keyFile)))
+}
+
+// writeSecrets writes the first key and the certificates.
+func (w *World) writeSecrets() error {
+	if err := os.MkdirAll(w.config.Folder, 0o755); err != nil {
+		return errors.WithStack(err)
+	}
+	if err := w.AddKey(firstGeneration); err != nil {
+		return err
+	}
+	if err := os.WriteFile(w.path("authority.crt"), w.authority.PEM(), 0o600); err != nil {
+		return errors.WithStack(err)
+	}
+	if err := w.authority.IssueFiles(w.config.Folder, "mesh", MeshName); err != nil {
+		return err
+	}
+	for _, service := range w.config.Services {
+		if err := w.authority.IssueFiles(w.config.Folder, certificateName(service.ID), ServerName(service.ID)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -4,19 +4,13 @@
 package world
 
 import (
-	"crypto/rand"
-	"encoding/hex"
-	"fmt"
 	"maps"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/turmericrock/turmericrock/fleet"
 	"github.com/turmericrock/turmericrock/internal/standin/backend"
 	"github.com/turmericrock/turmericrock/internal/standin/fabric"
@@ -53,6 +47,7 @@
 
 	gatekeeper *gatekeeper
 	network    *network
+	secrets    *secrets
 
 	mu       sync.Mutex
 	revision uint64
@@ -82,6 +77,7 @@
 		Ledger:    backend.NewLedger(),
 		Journal:   newJournal(),
 		network:   network,
+		secrets:   newSecrets(),
 		zones:     slices.Clone(config.Zones),
 		fabrics:   make(map[fleet.ServiceID]*fabric.Fabric),
 		nodes:     make(map[string]*Node),
@@ -254,32 +250,6 @@
 	return nil
 }
 
-func (w *World) writeSecrets() error {
-	if err := os.MkdirAll(w.config.Folder, 0o755); err != nil {
-		return errors.WithStack(err)
-	}
-	var secret [32]byte
-	if _, err := rand.Read(secret[:]); err != nil {
-		return errors.WithStack(err)
-	}
-	keys := fmt.Sprintf("[keys]\nactive = 1\n\n[key 1]\nsecret = %s\n", hex.EncodeToString(secret[:]))
-	if err := os.WriteFile(w.path("keys.ini"), []byte(keys), 0o600); err != nil {
-		return errors.WithStack(err)
-	}
-	if err := os.WriteFile(w.path("authority.crt"), w.authority.PEM(), 0o600); err != nil {
-		return errors.WithStack(err)
-	}
-	if err := w.authority.IssueFiles(w.config.Folder, "mesh", MeshName); err != nil {
-		return err
-	}
-	for _, service := range w.config.Services {
-		if err := w.authority.IssueFiles(w.config.Folder, certificateName(service.ID), ServerName(service.ID)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func (w *World) path(name string) string {
 	return filepath.Join(w.config.Folder, name)
 }
