--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,29 +1,37 @@
-// Package admission decides, beside one backend server, which requests and
-// flows are admitted. It is pure: it takes the time as an argument and does
-// no I/O.
 package admission
 
 import "time"
 
-// Config holds the limits of one host.
-type Config struct {
-	// Slots is the number of requests in service at a time when warm.
-	Slots int
-	// Connections is the number of flows held at a time.
-	Connections int
-	// Warmup is the time over which a started host reaches Slots.
-	Warmup time.Duration
-	// ColdShare is the share of Slots admitted at the start, 0 to 1.
-	ColdShare float64
-}
-
-// DefaultColdShare is the share of its slots that a cold host is given.
-const DefaultColdShare = 0.2
-
 // Limiter admits requests and flows. It is not safe for concurrent use.
+//
+// A started host is held to its cold limit for the warm-up. Then the limit
+// rises by one step at a time while requests succeed. Sheds, failures and a
+// rise of the latency cut it at once. Signs of a restart make the host cold
+// again.
 type Limiter struct {
-	config    Config
-	started   time.Time
+	config Config
+	// coldSince is when the host was last seen to start.
+	coldSince time.Time
+	// allowed is the limit in force.
+	allowed int
+	// raisedAt is when the limit last changed.
+	raisedAt time.Time
+	// cutAt is when the limit was last cut. Requests begun before it do not
+	// cut it again.
+	cutAt time.Time
+	// proven is set once a request succeeded since the limit last changed.
+	proven bool
+	// holdUntil is until when nothing is admitted, since the backend server
+	// sheds even what the least limit lets through.
+	holdUntil time.Time
+	// ceiling is the least limit at which a request was shed, or 0. It is
+	// tried again after a longer time.
+	ceiling   int
+	shedAt    time.Time
+	sheds     int
+	refusals  int
+	latency   latency
+	restarts  uint64
 	inService int
 	flows     int
 }
@@ -31,52 +39,106 @@
 // NewLimiter returns the limiter of a host that started cold at the time
 // given.
 func NewLimiter(config Config, started time.Time) *Limiter {
-	return &Limiter{config: config, started: started}
+	l := &Limiter{config: config}
+	l.Restarted(started)
+	return l
 }
 
-// Configure changes the limits.
-func (l *Limiter) Configure(config Config) {
+// Configure changes the limits. A host whose slots grow rises to them step by
+// step.
+func (l *Limiter) Configure(now time.Time, config Config) {
+	first := l.config.Slots == 0
 	l.config = config
+	if first {
+		l.Restarted(l.coldSince)
+	}
+	l.advance(now)
+	l.allowed = min(l.allowed, config.Slots)
 }
 
-// Restarted tells that the backend server is cold again.
+// Restarted tells that the backend server is cold again. Without a warm-up
+// wish the host is warm at once.
 func (l *Limiter) Restarted(now time.Time) {
-	l.started = now
+	l.allowed = l.config.Slots
+	if l.config.Warmup > 0 {
+		l.allowed = l.config.coldLimit()
+	}
+	l.startRamp(now)
+}
+
+// cool holds the host to its cold limit or the lower one in force.
+func (l *Limiter) cool(now time.Time) {
+	l.allowed = min(l.allowed, l.config.coldLimit())
+	l.startRamp(now)
+}
+
+// startRamp begins a warm-up.
+func (l *Limiter) startRamp(now time.Time) {
+	l.coldSince = now
+	l.ceiling = 0
+	l.raisedAt = now.Add(l.config.Warmup)
+	l.cutAt = now
+	l.proven = false
+	l.latency.reset()
 }
 
 // Limit returns the number of requests admitted at a time.
 func (l *Limiter) Limit(now time.Time) int {
-	return max(1, int(l.share(now)*float64(l.config.Slots)))
+	l.advance(now)
+	return l.allowed
 }
 
 // Warm reports whether the warm-up is over.
 func (l *Limiter) Warm(now time.Time) bool {
-	return now.Sub(l.started) >= l.config.Warmup
+	return now.Sub(l.coldSince) >= l.config.Warmup
 }
 
 // Begin admits a request and reports whether it did.
 func (l *Limiter) Begin(now time.Time) bool {
-	if l.inService >= l.Limit(now) {
+	l.advance(now)
+	if l.inService >= l.allowed || l.Held(now) {
 		return false
 	}
 	l.inService++
 	return true
 }
 
-// End ends an admitted request.
-func (l *Limiter) End() {
+// End ends an admitted request and learns from its outcome.
+func (l *Limiter) End(now time.Time, result Result) {
+	l.advance(now)
+	l.learn(now, result)
 	l.inService--
 }
 
+// Observe learns from the outcome of a request that held no slot, such as a
+// stream. Only a refused connection tells of the host's limit.
+func (l *Limiter) Observe(now time.Time, result Result) {
+	l.advance(now)
+	if result.Outcome == Refused {
+		l.learn(now, result)
+	}
+}
+
+// Held reports whether nothing is admitted for a moment, since the backend
+// server refuses even the least load.
+func (l *Limiter) Held(now time.Time) bool {
+	return now.Before(l.holdUntil)
+}
+
 // OpenFlow admits a flow and reports whether it did.
 func (l *Limiter) OpenFlow() bool {
-	if l.flows >= l.config.Connections {
+	if !l.RoomForFlow() {
 		return false
 	}
 	l.flows++
 	return true
 }
 
+// RoomForFlow reports whether a flow would be admitted.
+func (l *Limiter) RoomForFlow() bool {
+	return l.flows < l.config.Connections
+}
+
 // CloseFlow ends an admitted flow.
 func (l *Limiter) CloseFlow() {
 	l.flows--
@@ -92,11 +154,53 @@
 	return l.flows
 }
 
-func (l *Limiter) share(now time.Time) float64 {
-	if l.config.Warmup <= 0 {
-		return 1
+// Restarts returns the number of restarts seen from the traffic.
+func (l *Limiter) Restarts() uint64 {
+	return l.restarts
+}
+
+// advance raises the limit by the steps that are due.
+func (l *Limiter) advance(now time.Time) {
+	for l.allowed < l.config.Slots {
+		next := min(l.config.Slots, l.allowed+l.config.raiseStep())
+		due := l.raisedAt.Add(l.raiseAfter(next))
+		if now.Before(due) {
+			return
+		}
+		l.allowed = next
+		l.raisedAt = due
+		l.proven = false
+		if next >= l.ceiling {
+			l.ceiling = 0
+		}
+	}
+}
+
+// raiseAfter returns the time between the last change of the limit and a rise
+// to next.
+func (l *Limiter) raiseAfter(next int) time.Duration {
+	switch {
+	case l.ceiling > 0 && next >= l.ceiling:
+		return max(idleRaiseInterval, l.config.Warmup)
+	case l.proven:
+		return raiseInterval
+	default:
+		return idleRaiseInterval
+	}
+}
+
+// cut leaves the share of the limit, and one request at least.
+func (l *Limiter) cut(now time.Time, factor float64) {
+	base := min(l.allowed, max(1, l.inService))
+	l.allowed = min(l.config.Slots, max(1, int(factor*float64(base))))
+	l.cutAt = now
+	l.raisedAt = later(l.raisedAt, now)
+	l.proven = false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	ramp := float64(now.Sub(l.started)) / float64(l.config.Warmup)
-	share := l.config.ColdShare + (1-l.config.ColdShare)*ramp
-	return min(1, max(l.config.ColdShare, share))
+	return b
 }
--- /dev/null
+++ b/admission/example_test.go
@@ -0,0 +1,34 @@
+package admission_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/turmericrock/turmericrock/admission"
+)
+
+// A host is held to its cold limit for the warm-up, rises while requests
+// succeed and is cut by the first shed.
+func Example() {
+	now := time.Unix(0, 0)
+	config := admission.Config{Slots: 4, Connections: 100, Warmup: 10 * time.Second, ColdShare: 0.25}
+	limiter := admission.NewLimiter(config, now)
+	fmt.Println("cold:", limiter.Limit(now))
+
+	now = now.Add(10 * time.Second)
+	for range 4 {
+		now = now.Add(time.Second)
+		began := now
+		limiter.Begin(now)
+		limiter.End(now, admission.Result{Outcome: admission.Succeeded, Began: began})
+	}
+	fmt.Println("warm:", limiter.Limit(now))
+
+	limiter.Begin(now)
+	limiter.End(now, admission.Result{Outcome: admission.Shed, Began: now})
+	fmt.Println("after a shed:", limiter.Limit(now))
+	// Output:
+	// cold: 1
+	// warm: 4
+	// after a shed: 1
+}
--- /dev/null
+++ b/admission/latency.go
@@ -0,0 +1,77 @@
+package admission
+
+import "time"
+
+type latencyVerdict uint8
+
+const (
+	latencyNormal latencyVerdict = iota
+	latencyHigh
+	latencyRestart
+)
+
+const (
+	// latencySamples is the number of samples before a verdict.
+	latencySamples = 16
+	// recentWeight and baselineWeight are the weights of a sample in the two
+	// moving averages.
+	recentWeight   = 0.25
+	baselineWeight = 0.005
+	// highRatio and restartRatio are the ratios of recent to usual latency
+	// that cut the limit and that show a restart.
+	highRatio    = 3
+	restartRatio = 10
+	// latencyFloor is the latency below which nothing is read from a ratio.
+	latencyFloor = 5 * time.Millisecond
+)
+
+// latency compares the recent latency with the usual one, both moving
+// averages. The usual one follows slowly, so that a lasting change of the work
+// becomes usual after some hundred requests.
+type latency struct {
+	samples  int
+	recent   float64
+	baseline float64
+}
+
+// reset forgets the recent latency. What is usual for the host stays.
+func (l *latency) reset() {
+	l.samples = 0
+	l.recent = l.baseline
+}
+
+func (l *latency) observe(sample time.Duration) latencyVerdict {
+	if sample <= 0 {
+		return latencyNormal
+	}
+	value := float64(sample)
+	if l.baseline == 0 {
+		l.baseline, l.recent = value, value
+	}
+	l.samples++
+	l.recent += recentWeight * (value - l.recent)
+	l.baseline += l.weight() * (value - l.baseline)
+	if l.samples < latencySamples || l.recent < float64(latencyFloor) {
+		return latencyNormal
+	}
+	return l.verdict()
+}
+
+// weight makes the first samples count more, until the average is settled.
+func (l *latency) weight() float64 {
+	return max(baselineWeight, 1/float64(l.samples+1)/2)
+}
+
+func (l *latency) verdict() latencyVerdict {
+	ratio := l.recent / l.baseline
+	switch {
+	case ratio >= restartRatio:
+		l.recent = l.baseline
+		return latencyRestart
+	case ratio >= highRatio:
+		l.recent = l.baseline
+		return latencyHigh
+	default:
+		return latencyNormal
+	}
+}
--- /dev/null
+++ b/admission/limiter_test.go
@@ -0,0 +1,284 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/turmericrock/turmericrock/admission"
+)
+
+// host models a backend server that bears coldSlots until it is warm.
+type host struct {
+	slots, coldSlots int
+	warmup           time.Duration
+	started          time.Time
+	inService        int
+	fallen           int
+}
+
+func (h *host) begin(now time.Time) bool {
+	bears := h.slots
+	if now.Sub(h.started) < h.warmup {
+		bears = h.coldSlots
+	}
+	if h.inService >= bears {
+		h.fallen++
+		return false
+	}
+	h.inService++
+	return true
+}
+
+func warmConfig(slots int) admission.Config {
+	return admission.Config{Slots: slots, Connections: 100, Warmup: 10 * time.Second, ColdShare: admission.DefaultColdShare}
+}
+
+// load offers more requests than the host bears, each of 100 ms, and returns
+// the greatest limit seen.
+func load(l *admission.Limiter, h *host, now time.Time, length time.Duration) (time.Time, int) {
+	type request struct{ began, ends time.Time }
+	var running []request
+	greatest := 0
+	for end := now.Add(length); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		for len(running) > 0 && !running[0].ends.After(now) {
+			h.inService--
+			l.End(now, admission.Result{Outcome: admission.Succeeded, Began: running[0].began, Latency: 100 * time.Millisecond})
+			running = running[1:]
+		}
+		for l.Begin(now) {
+			if !h.begin(now) {
+				l.End(now, admission.Result{Outcome: admission.Shed, Began: now})
+				continue
+			}
+			running = append(running, request{began: now, ends: now.Add(100 * time.Millisecond)})
+		}
+		greatest = max(greatest, l.Limit(now))
+	}
+	for _, r := range running {
+		h.inService--
+		l.End(now, admission.Result{Outcome: admission.Succeeded, Began: r.began})
+	}
+	return now, greatest
+}
+
+func TestColdHostIsNeverGivenMoreThanItBears(t *testing.T) {
+	for _, slots := range []int{1, 2, 5, 50, 1000} {
+		cold := max(1, slots/5)
+		now := time.Unix(100, 0)
+		h := &host{slots: slots, coldSlots: cold, warmup: 10 * time.Second, started: now}
+		l := admission.NewLimiter(warmConfig(slots), now)
+		now, _ = load(l, h, now, 40*time.Second)
+		must.Eq(t, 0, h.fallen, must.Sprintf("slots %d", slots))
+		must.Eq(t, slots, l.Limit(now))
+	}
+}
+
+func TestSecondShedShowsARestart(t *testing.T) {
+	now := time.Unix(100, 0)
+	l := admission.NewLimiter(warmConfig(50), now)
+	now, _ = load(l, &host{slots: 50, coldSlots: 10, started: now, warmup: 10 * time.Second}, now, 60*time.Second)
+	for range 50 {
+		must.True(t, l.Begin(now))
+	}
+	began := now
+	for range 2 {
+		now = now.Add(time.Millisecond)
+		// Of the requests begun before the first cut only one counts.
+		l.End(now, admission.Result{Outcome: admission.Shed, Began: began})
+	}
+	must.Eq(t, 0, l.Restarts())
+	must.Eq(t, 25, l.Limit(now))
+	l.End(now, admission.Result{Outcome: admission.Shed, Began: now})
+	must.Eq(t, 1, l.Restarts())
+	must.Eq(t, 10, l.Limit(now.Add(10*time.Second)))
+}
+
+func TestUnannouncedRestartIsSeenFromSheds(t *testing.T) {
+	for _, slots := range []int{2, 5, 50} {
+		now := time.Unix(100, 0)
+		h := &host{slots: slots, coldSlots: max(1, slots/5), started: now, warmup: 10 * time.Second}
+		l := admission.NewLimiter(warmConfig(slots), now)
+		now, _ = load(l, h, now, 60*time.Second)
+		must.Eq(t, 0, h.fallen)
+		h.started = now
+		now, _ = load(l, h, now, 9*time.Second)
+		must.LessEq(t, 1, h.fallen, must.Sprintf("slots %d", slots))
+		must.LessEq(t, max(1, slots/5), l.Limit(now))
+		now, _ = load(l, h, now, time.Minute)
+		must.LessEq(t, 1, h.fallen, must.Sprintf("slots %d", slots))
+		must.Eq(t, slots, l.Limit(now))
+	}
+}
+
+func TestRefusedConnectionsMakeTheHostCold(t *testing.T) {
+	now := time.Unix(100, 0)
+	l := admission.NewLimiter(warmConfig(5), now)
+	now, _ = load(l, &host{slots: 5, coldSlots: 5}, now, time.Minute)
+	must.Eq(t, 5, l.Limit(now))
+	must.True(t, l.Begin(now))
+	l.End(now, admission.Result{Outcome: admission.Refused, Began: now})
+	must.Eq(t, 1, l.Limit(now))
+	must.True(t, l.Held(now))
+	must.False(t, l.Begin(now))
+	now = now.Add(time.Second)
+	must.True(t, l.Begin(now))
+	l.End(now, admission.Result{Outcome: admission.Succeeded, Began: now})
+	must.Eq(t, 1, l.Limit(now.Add(9*time.Second)))
+}
+
+func TestLatencyCutsTheLimit(t *testing.T) {
+	tests := []struct {
+		name     string
+		latency  time.Duration
+		restarts uint64
+		below    int
+	}{
+		{name: "usual", latency: 22 * time.Millisecond, below: 11},
+		{name: "high", latency: 80 * time.Millisecond, below: 10},
+		{name: "restart", latency: 2 * time.Second, restarts: 1, below: 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(100, 0)
+			config := warmConfig(10)
+			config.Warmup = 0
+			l := admission.NewLimiter(config, now)
+			serve := func(count int, latency time.Duration) {
+				for range count {
+					now = now.Add(time.Millisecond)
+					must.True(t, l.Begin(now))
+					l.End(now, admission.Result{Outcome: admission.Succeeded, Began: now, Latency: latency})
+				}
+			}
+			serve(200, 20*time.Millisecond)
+			must.Eq(t, 10, l.Limit(now))
+			serve(12, test.latency)
+			must.Less(t, test.below, l.Limit(now))
+			must.Eq(t, test.restarts, l.Restarts())
+		})
+	}
+}
+
+// TestLimiterInvariants drives a limiter at random and checks at each step
+// what must always hold.
+func TestLimiterInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := admission.Config{
+			Slots:       rapid.IntRange(1, 60).Draw(t, "slots"),
+			Connections: rapid.IntRange(1, 5).Draw(t, "connections"),
+			Warmup:      time.Duration(rapid.IntRange(0, 20).Draw(t, "warmup")) * time.Second,
+			ColdShare:   admission.DefaultColdShare,
+		}
+		cold := min(config.Slots, max(1, config.Slots/5))
+		now := time.Unix(1000, 0)
+		l := admission.NewLimiter(config, now)
+		coldUntil := now.Add(config.Warmup)
+		inService, flows := 0, 0
+		limit := l.Limit(now)
+		raised := now
+		end := func(outcome admission.Outcome) {
+			if inService == 0 {
+				return
+			}
+			before := l.Limit(now)
+			l.End(now, admission.Result{Outcome: outcome, Began: now, Latency: time.Millisecond})
+			inService--
+			must.LessEq(t, before, l.Limit(now))
+			if outcome == admission.Failed || outcome == admission.Shed {
+				must.True(t, l.Limit(now) < before || l.Limit(now) == 1)
+			}
+			if outcome == admission.Refused {
+				coldUntil = now.Add(config.Warmup)
+				must.LessEq(t, cold, l.Limit(now))
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				before := l.Limit(now)
+				if l.Begin(now) {
+					inService++
+					must.LessEq(t, before, inService)
+				}
+			},
+			"succeed": func(*rapid.T) { end(admission.Succeeded) },
+			"shed":    func(*rapid.T) { end(admission.Shed) },
+			"fail":    func(*rapid.T) { end(admission.Failed) },
+			"refuse":  func(*rapid.T) { end(admission.Refused) },
+			"abandon": func(*rapid.T) { end(admission.Abandoned) },
+			"restart": func(*rapid.T) {
+				l.Restarted(now)
+				raised = now
+				coldUntil = now.Add(config.Warmup)
+				limit = l.Limit(now)
+			},
+			"open": func(t *rapid.T) {
+				if l.OpenFlow() {
+					flows++
+				}
+				must.LessEq(t, config.Connections, flows)
+			},
+			"close": func(*rapid.T) {
+				if flows > 0 {
+					l.CloseFlow()
+					flows--
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				must.Eq(t, inService, l.InService())
+				must.Eq(t, flows, l.Flows())
+				got := l.Limit(now)
+				must.Between(t, 1, got, config.Slots)
+				if now.Before(coldUntil) {
+					must.LessEq(t, cold, got)
+				}
+				if got > limit {
+					// At most one step a second, counted from the last rise.
+					steps := int(now.Sub(raised)/time.Second) + 1
+					must.LessEq(t, limit+steps*max(1, config.Slots/20), got)
+					raised = now
+				}
+				limit = got
+			},
+		})
+	})
+}
+
+func TestQueueServesBegunWorkFirst(t *testing.T) {
+	q := admission.NewQueue[int](3)
+	for item, priority := range []admission.Priority{admission.New, admission.New, admission.Begun} {
+		added, _, _ := q.Push(item, priority)
+		must.True(t, added)
+	}
+	added, _, _ := q.Push(3, admission.New)
+	must.False(t, added)
+	added, displaced, found := q.Push(4, admission.Begun)
+	must.True(t, added)
+	must.True(t, found)
+	must.Eq(t, 1, displaced)
+	must.True(t, q.Remove(4))
+	must.False(t, q.Remove(4))
+	for _, want := range []int{2, 0} {
+		got, found := q.Pop()
+		must.True(t, found)
+		must.Eq(t, want, got)
+	}
+	must.Eq(t, 0, q.Len())
+}
+
+func TestBudgetBoundsSecondTries(t *testing.T) {
+	b := admission.NewBudget(0.5, 4)
+	spent := 0
+	for range 100 {
+		b.Earn()
+		if b.Spend() {
+			spent++
+		}
+	}
+	must.Between(t, 50, spent, 54)
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,6 +33,7 @@
 	gate        *gate
 	counters    Counters
 	flows       *flowTable
+	reporter    atomic.Pointer[reporter]
 	ended       chan struct{}
 	endOnce     sync.Once
 }
@@ -57,8 +58,18 @@
 		ready:       make(chan struct{}),
 		ended:       make(chan struct{}),
 	}
-	a.gate = newGate(&a.views, time.Now())
-	a.flows = newFlowTable(&front{config: config, views: &a.views, gate: a.gate, exchange: x, log: log})
+	a.gate = newGate(&a.views, time.Now(), func() { a.engine.Post(RestartSeen{}) })
+	handler := &front{
+		config:   config,
+		views:    &a.views,
+		gate:     a.gate,
+		exchange: x,
+		repeats:  newRepeats(maxRepeats),
+		prefetch: newPrefetcher(),
+		counters: &a.counters,
+		log:      log,
+	}
+	a.flows = newFlowTable(handler, &a.counters, config.FirstRequest)
 	a.engine = blackboard.New(blackboard.DefaultConfig(), NewBoard(config, ring), a, &Lifecycle{})
 	return a, nil
 }
@@ -75,7 +86,11 @@
 	case FlowsClosed:
 		go a.flows.closeAll()
 	case DrainStarted:
-		go a.drain(effect.Within)
+		go a.drain(effect)
+	case FlowsResumed:
+		a.flows.resume()
+	case StateChanged:
+		go a.announce()
 	case ProcessEnded:
 		a.endOnce.Do(func() { close(a.ended) })
 	case audit.Record:
@@ -148,7 +163,14 @@
 }
 
 // drain lets what is in service end.
-func (a *Agent) drain(within time.Duration) {
-	a.flows.drain(within)
-	a.engine.Post(DrainDone{})
+func (a *Agent) drain(effect DrainStarted) {
+	a.flows.drain(effect.Within)
+	a.engine.Post(DrainDone{Drain: effect.Drain})
+}
+
+// announce tells entries of the host's state at once.
+func (a *Agent) announce() {
+	if reporter := a.reporter.Load(); reporter != nil {
+		reporter.announce(time.Now())
+	}
 }
--- a/agent/board.go
+++ b/agent/board.go
@@ -26,14 +26,19 @@
 	Node   *node.Facts
 	Keys   *keyring.Ring
 	Health Health
+	// FailedLooks counts failing health answers in a row.
+	FailedLooks int
 	// State is the host's state as the lifecycle controller decided it.
 	State tunnel.HostState
 	// StateSince is when State last changed.
 	StateSince time.Time
 	// StopRequested is set once the process was told to end.
 	StopRequested bool
-	// DrainDone is set once the flows of a leaving host have ended.
-	DrainDone bool
+	// DrainDone is the number of the last drain that has ended.
+	DrainDone uint64
+	// RestartSeen is set when the traffic shows that the backend server has
+	// restarted, until the lifecycle controller has acted on it.
+	RestartSeen bool
 }
 
 // NewBoard returns the board of an agent that has just started.
@@ -63,9 +68,21 @@
 
 // Apply implements blackboard.Event.
 func (e HealthSeen) Apply(_ time.Time, board *Board) {
-	board.Health = e.Health
+	if e.Health != HealthFailing {
+		board.FailedLooks = 0
+		board.Health = e.Health
+		return
+	}
+	board.FailedLooks++
+	if board.FailedLooks >= failedLooks {
+		board.Health = HealthFailing
+	}
 }
 
+// failedLooks is the number of failing answers in a row that take a host
+// down. One may be lost on a busy host.
+const failedLooks = 2
+
 // StopRequested tells that the process is to end gracefully.
 type StopRequested struct{}
 
@@ -75,11 +92,22 @@
 }
 
 // DrainDone tells that the flows of a leaving host have ended.
-type DrainDone struct{}
+type DrainDone struct {
+	// Drain is the drain's number.
+	Drain uint64
+}
+
+// Apply implements blackboard.Event.
+func (e DrainDone) Apply(_ time.Time, board *Board) {
+	board.DrainDone = max(board.DrainDone, e.Drain)
+}
+
+// RestartSeen tells that the traffic shows a restart of the backend server.
+type RestartSeen struct{}
 
 // Apply implements blackboard.Event.
-func (DrainDone) Apply(_ time.Time, board *Board) {
-	board.DrainDone = true
+func (RestartSeen) Apply(_ time.Time, board *Board) {
+	board.RestartSeen = true
 }
 
 // View is the immutable snapshot that traffic goroutines read.
--- a/agent/config.go
+++ b/agent/config.go
@@ -26,6 +26,11 @@
 	QueueWait time.Duration
 	// RequestTimeout bounds a request that brings no deadline of its own.
 	RequestTimeout time.Duration
+	// StallTimeout bounds how long a caller may take nothing of an answer
+	// that holds a slot.
+	StallTimeout time.Duration
+	// FirstRequest bounds how long a flow may be without its first request.
+	FirstRequest time.Duration
 	// ReportInterval is the least time between two load reports to an entry.
 	ReportInterval time.Duration
 	// IdleTimeout is how long a silent flow is kept.
@@ -43,6 +48,8 @@
 	return Config{
 		QueueWait:      500 * time.Millisecond,
 		RequestTimeout: 30 * time.Second,
+		StallTimeout:   10 * time.Second,
+		FirstRequest:   10 * time.Second,
 		ReportInterval: 250 * time.Millisecond,
 		IdleTimeout:    60 * time.Second,
 		HealthInterval: 500 * time.Millisecond,
--- a/agent/errors.go
+++ b/agent/errors.go
@@ -1,6 +1,10 @@
 package agent
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
 
 // NotRunError reports a request that the backend server did not begin.
 type NotRunError struct {
@@ -43,3 +47,16 @@
 func (e *NotReadyError) Error() string {
 	return "not ready: " + e.Reason
 }
+
+// causeOf returns the cause of a failed request, and whether it was not run.
+func causeOf(err error) (cause Cause, notRun bool) {
+	var refused *NotRunError
+	if errors.As(err, &refused) {
+		return refused.Cause, true
+	}
+	var unknown *UnknownError
+	if errors.As(err, &unknown) {
+		return unknown.Cause, false
+	}
+	return CauseBackendFailed, false
+}
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/admission"
 )
 
 // Headers between callers, agents and backend servers.
@@ -51,32 +54,61 @@
 		if err != nil {
 			return nil, err
 		}
-		sent, ok := ctx.Value(sentKey{}).(*atomic.Bool)
+		sending, ok := ctx.Value(claimKey{}).(*sending)
 		if !ok {
 			return conn, nil
 		}
-		return &sentConn{Conn: conn, sent: sent}, nil
+		return &claimConn{Conn: conn, ctx: sending.ctx, claim: &sending.claim}, nil
 	}
 	return &exchange{base: base, transport: transport}, nil
 }
 
-// do sends the request. On failure it returns a *NotRunError when no byte
-// reached the backend server or the backend server itself said so, and an
-// *UnknownError otherwise.
-func (x *exchange) do(ctx context.Context, r *http.Request) (*http.Response, error) {
-	sent := &atomic.Bool{}
-	ctx = context.WithValue(ctx, sentKey{}, sent)
-	response, err := x.transport.RoundTrip(x.outgoing(ctx, r))
-	if err != nil && !sent.Load() {
-		return nil, &NotRunError{Cause: CauseBackendUnreachable, Err: err}
+// sending is the state of one request on its way to the backend server.
+type sending struct {
+	ctx   context.Context
+	claim claim
+	// wroteAt and answeredAt are Unix times in nanoseconds, or 0.
+	wroteAt    atomic.Int64
+	answeredAt atomic.Int64
+}
+
+// latency returns the time that the backend server took to answer, or 0.
+func (s *sending) latency() time.Duration {
+	wrote, answered := s.wroteAt.Load(), s.answeredAt.Load()
+	if wrote == 0 || answered < wrote {
+		return 0
+	}
+	return time.Duration(answered - wrote)
+}
+
+func (s *sending) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		WroteRequest:         func(httptrace.WroteRequestInfo) { s.wroteAt.Store(time.Now().UnixNano()) },
+		GotFirstResponseByte: func() { s.answeredAt.Store(time.Now().UnixNano()) },
+	}
+}
+
+// do sends the request and fills in what the host's limit learns from it. On
+// failure it returns a *NotRunError when no byte reached the backend server
+// or the backend server itself said so, and an *UnknownError otherwise.
+func (x *exchange) do(ctx context.Context, r *http.Request, result *admission.Result) (*http.Response, error) {
+	if ctx.Err() != nil {
+		return nil, &NotRunError{Cause: CauseDeadline, Err: ctx.Err()}
 	}
+	s := &sending{ctx: ctx}
+	traced := context.WithValue(ctx, claimKey{}, s)
+	traced = httptrace.WithClientTrace(traced, s.trace())
+	response, err := x.transport.RoundTrip(x.outgoing(traced, r))
 	if err != nil {
-		return nil, &UnknownError{Cause: CauseBackendFailed, Err: err}
+		return nil, failure(ctx, s, err, result)
 	}
+	result.Latency = s.latency()
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) != "" {
 		_ = response.Body.Close()
+		result.Outcome = admission.Shed
 		return nil, &NotRunError{Cause: CauseBackendShed}
 	}
+	result.Outcome = judge(response.StatusCode)
 	if !delimited(r.Method, response) {
 		_ = response.Body.Close()
 		return nil, &UnknownError{Cause: CauseUndelimited}
@@ -84,6 +116,45 @@
 	return response, nil
 }
 
+// failure tells a request that was not run from one whose outcome is unknown.
+func failure(ctx context.Context, s *sending, err error, result *admission.Result) error {
+	notRun := s.claim.giveUp()
+	switch {
+	case notRun && ctx.Err() != nil:
+		return &NotRunError{Cause: CauseDeadline, Err: err}
+	case notRun:
+		result.Outcome = dialOutcome(err)
+		return &NotRunError{Cause: CauseBackendUnreachable, Err: err}
+	case errors.Is(ctx.Err(), context.Canceled):
+		return &UnknownError{Cause: CauseCallerGone, Err: err}
+	default:
+		result.Outcome = admission.Failed
+		return &UnknownError{Cause: CauseBackendFailed, Err: err}
+	}
+}
+
+// dialOutcome tells a backend server that does not listen from one that is
+// slow to accept.
+func dialOutcome(err error) admission.Outcome {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return admission.Failed
+	}
+	return admission.Refused
+}
+
+// judge reads an outcome from a status code.
+func judge(status int) admission.Outcome {
+	switch status {
+	case http.StatusNotImplemented, http.StatusHTTPVersionNotSupported:
+		return admission.Succeeded
+	}
+	if status >= http.StatusInternalServerError {
+		return admission.Failed
+	}
+	return admission.Succeeded
+}
+
 func (x *exchange) outgoing(ctx context.Context, r *http.Request) *http.Request {
 	out := r.Clone(ctx)
 	out.URL.Scheme = x.base.Scheme
@@ -93,6 +164,11 @@
 	for _, name := range hopHeaders {
 		out.Header.Del(name)
 	}
+	out.Header.Del(HeaderDeadline)
+	if deadline, found := ctx.Deadline(); found {
+		left := max(1, time.Until(deadline).Milliseconds())
+		out.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+	}
 	if r.ContentLength == 0 {
 		out.Body = nil
 	}
@@ -101,49 +177,12 @@
 
 // delimited reports whether a truncated body can be told from a whole one.
 func delimited(method string, response *http.Response) bool {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return false
+	}
 	noBody := method == http.MethodHead || response.StatusCode == http.StatusNoContent
 	chunked := len(response.TransferEncoding) > 0
 	return noBody || chunked || response.ContentLength >= 0
 }
 
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
-type sentKey struct{}
-
-// sentConn notes whether any byte was written.
-type sentConn struct {
-	net.Conn
-	sent *atomic.Bool
-}
-
-// Write implements net.Conn.
-func (c *sentConn) Write(p []byte) (int, error) {
-	c.sent.Store(true)
-	return c.Conn.Write(p)
-}
-
-// copyBody copies the answer's body and flushes each piece, so that streams
-// are not held back. The error tells that the answer is not whole.
-func copyBody(w http.ResponseWriter, body io.Reader) error {
-	controller := http.NewResponseController(w)
-	buf := make([]byte, copyBuffer)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return errors.WithStack(werr)
-			}
-			if ferr := controller.Flush(); ferr != nil {
-				return errors.WithStack(ferr)
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return errors.WithStack(err)
-		}
-	}
-}
-
-const copyBuffer = 16 << 10 // bytes
--- a/agent/front.go
+++ b/agent/front.go
@@ -13,6 +13,7 @@
 	"github.com/quic-go/quic-go/http3"
 	"github.com/sirupsen/logrus"
 
+	"github.com/turmericrock/turmericrock/admission"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -22,18 +23,23 @@
 	views    *atomic.Pointer[View]
 	gate     *gate
 	exchange *exchange
+	repeats  *repeats
+	prefetch *prefetcher
+	counters *Counters
 	log      *logrus.Logger
 }
 
 // ServeHTTP implements http.Handler.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	err := f.serve(w, r)
+	err := f.serveOnce(w, r)
 	if err == nil {
+		f.counters.served.Add(1)
 		return
 	}
-	f.log.WithFields(logrus.Fields{"path": r.URL.Path, "error": err}).Debug("request_failed")
-	var notRun *NotRunError
-	if errors.As(err, &notRun) {
+	cause, notRun := causeOf(err)
+	f.counters.add(cause)
+	f.log.WithFields(logrus.Fields{"path": r.URL.Path, "cause": cause, "error": err}).Debug("request_failed")
+	if notRun {
 		reject(w)
 		return
 	}
@@ -41,45 +47,147 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (f *front) serve(w http.ResponseWriter, r *http.Request) error {
+// serveOnce answers a repeat of a request that this agent has run by itself.
+func (f *front) serveOnce(w http.ResponseWriter, r *http.Request) error {
 	view := f.views.Load()
-	if view.State == tunnel.HostLeaving || view.State == tunnel.HostZoneOut {
-		return &NotRunError{Cause: leavingCause(view.State)}
+	if r.Header.Get(HeaderKey) == "" || view.Service.Idempotent {
+		return f.serve(w, r, view)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), f.timeout(r))
+	key := digestKey(r)
+	if state := f.repeats.begin(key); state != "" {
+		f.counters.add(CauseRepeated)
+		w.Header().Set(HeaderRepeated, state)
+		w.WriteHeader(http.StatusConflict)
+		return nil
+	}
+	notRun := false
+	defer func() { f.repeats.end(key, notRun) }()
+	err := f.serve(w, r, view)
+	_, notRun = causeOf(err)
+	return err
+}
+
+func (f *front) serve(w http.ResponseWriter, r *http.Request, view *View) error {
+	flow := flowOf(r.Context())
+	flow.begin()
+	defer flow.end()
+	if err := f.mayRun(view, flow); err != nil {
+		return err
+	}
+	stream := isStream(view, r)
+	ctx, cancel := f.bound(w, r, stream)
 	defer cancel()
-	if !isStream(view, r) {
-		if !f.admit(ctx) {
-			return &NotRunError{Cause: CauseNoSlot}
+	release, err := f.prefetch.fetch(r, stream)
+	if err != nil {
+		return err
+	}
+	defer release()
+	result := admission.Result{}
+	if stream {
+		defer func() { f.gate.observe(result) }()
+	} else {
+		if !f.admit(ctx, flow.priority()) {
+			return &NotRunError{Cause: waitCause(ctx)}
 		}
-		defer f.gate.end()
+		defer func() { f.gate.end(result) }()
 	}
-	response, err := f.exchange.do(ctx, r)
+	result.Began = time.Now()
+	err = f.run(ctx, w, r, stream, &result)
+	if err == nil {
+		flow.served.Store(true)
+	}
+	return err
+}
+
+func (f *front) run(ctx context.Context, w http.ResponseWriter, r *http.Request, stream bool, result *admission.Result) error {
+	response, err := f.exchange.do(ctx, r, result)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	copyHeader(w.Header(), response.Header)
-	w.WriteHeader(response.StatusCode)
-	if err := copyBody(w, response.Body); err != nil {
-		return &UnknownError{Cause: CauseAnswerCut, Err: err}
+	a := &answer{ctx: ctx, w: w, controller: http.NewResponseController(w)}
+	if !stream {
+		a.stall = f.config.StallTimeout
+	}
+	err = a.write(response)
+	if cause, _ := causeOf(err); err != nil && cause == CauseAnswerCut {
+		result.Outcome = admission.Failed
 	}
-	return nil
+	return err
 }
 
-func (f *front) admit(ctx context.Context) bool {
+// mayRun refuses a request that this host may not take up.
+func (f *front) mayRun(view *View, flow *flow) error {
+	switch {
+	case !view.Valid(time.Now()):
+		return &NotRunError{Cause: CauseStaleView}
+	case view.State == tunnel.HostZoneOut:
+		return &NotRunError{Cause: CauseZoneOut}
+	case view.State == tunnel.HostLeaving && flow.draining():
+		return &NotRunError{Cause: CauseLeaving}
+	default:
+		return nil
+	}
+}
+
+func (f *front) admit(ctx context.Context, priority admission.Priority) bool {
 	ctx, cancel := context.WithTimeout(ctx, f.config.QueueWait)
 	defer cancel()
-	return f.gate.begin(ctx)
+	return f.gate.begin(ctx, priority)
 }
 
-// timeout returns the time that the caller gives the request.
-func (f *front) timeout(r *http.Request) time.Duration {
+// bound returns a context that ends with the time that the caller gives the
+// request. Its end unblocks reads and writes of the stream. A stream without
+// a deadline has none.
+func (f *front) bound(w http.ResponseWriter, r *http.Request, stream bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := withBound(r.Context(), f.timeout(r, stream))
+	controller := http.NewResponseController(w)
+	stop := context.AfterFunc(ctx, func() {
+		past := time.Now()
+		_ = controller.SetReadDeadline(past)
+		_ = controller.SetWriteDeadline(past)
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+func withBound(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if timeout > 0 {
+		return context.WithTimeout(ctx, timeout)
+	}
+	return context.WithCancel(ctx)
+}
+
+// timeout returns the time that the caller gives the request, or 0 for no
+// bound.
+func (f *front) timeout(r *http.Request, stream bool) time.Duration {
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64)
-	if err != nil || ms <= 0 {
+	switch {
+	case err == nil && ms > 0 && ms <= int64(maxTimeout/time.Millisecond):
+		return time.Duration(ms) * time.Millisecond
+	case stream:
+		return 0
+	default:
 		return f.config.RequestTimeout
 	}
-	return time.Duration(ms) * time.Millisecond
+}
+
+// maxTimeout is the longest deadline that is taken from a caller.
+const maxTimeout = 7 * 24 * time.Hour
+
+// waitCause tells a request whose deadline passed in the queue from one that
+// found no slot.
+func waitCause(ctx context.Context) Cause {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return CauseCallerGone
+	case ctx.Err() != nil:
+		return CauseDeadline
+	default:
+		return CauseNoSlot
+	}
 }
 
 func isStream(view *View, r *http.Request) bool {
@@ -105,19 +213,3 @@
 	stream.CancelRead(quic.StreamErrorCode(http3.ErrCodeRequestRejected))
 	stream.CancelWrite(quic.StreamErrorCode(http3.ErrCodeRequestRejected))
 }
-
-func copyHeader(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = append(dst[name], values...)
-	}
-	for _, name := range hopHeaders {
-		dst.Del(name)
-	}
-}
-
-func leavingCause(state tunnel.HostState) Cause {
-	if state == tunnel.HostZoneOut {
-		return CauseZoneOut
-	}
-	return CauseLeaving
-}
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -7,60 +7,147 @@
 	"time"
 
 	"github.com/turmericrock/turmericrock/admission"
+	"github.com/turmericrock/turmericrock/internal/invariant"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
-// gate guards the limiter that traffic goroutines share. Control reaches it
-// only through the published view.
+const (
+	// rampPoll is the time between two looks of a waiting request at a limit
+	// that may have risen without another request ending.
+	rampPoll = 50 * time.Millisecond
+	// queuePerSlot and queueLeast size the queue of waiting requests.
+	queuePerSlot = 2
+	queueLeast   = 8
+	// passShare and passBurst bound the flows passed on for load.
+	passShare = 0.5
+	passBurst = 20
+)
+
+// gate guards the limiter and the queue that traffic goroutines share.
+// Control reaches it only through the published view.
 type gate struct {
 	views *atomic.Pointer[View]
+	// onRestart is told of a restart seen from the traffic. It must not
+	// block.
+	onRestart func()
 
 	mu      sync.Mutex
 	limiter *admission.Limiter
+	queue   *admission.Queue[*waiter]
+	budget  *admission.Budget
 	view    *View
-	freed   chan struct{}
 }
 
-func newGate(views *atomic.Pointer[View], now time.Time) *gate {
+// waiter is a request that waits for a slot. Its channel takes one word.
+type waiter struct {
+	admitted chan bool
+}
+
+func newGate(views *atomic.Pointer[View], now time.Time, onRestart func()) *gate {
 	return &gate{
-		views:   views,
-		limiter: admission.NewLimiter(admission.Config{}, now),
-		freed:   make(chan struct{}),
+		views:     views,
+		onRestart: onRestart,
+		limiter:   admission.NewLimiter(admission.Config{}, now),
+		queue:     admission.NewQueue[*waiter](queueLeast),
+		budget:    admission.NewBudget(passShare, passBurst),
 	}
 }
 
 // begin waits for a slot and reports whether it got one before ctx ended.
-func (g *gate) begin(ctx context.Context) bool {
+func (g *gate) begin(ctx context.Context, priority admission.Priority) bool {
+	w, admitted := g.enqueue(priority)
+	if w == nil {
+		return admitted
+	}
+	ticker := time.NewTicker(rampPoll)
+	defer ticker.Stop()
 	for {
-		admitted, freed := g.tryBegin()
-		if admitted {
-			return true
-		}
 		select {
+		case admitted := <-w.admitted:
+			return admitted
+		case <-ticker.C:
+			g.poll()
 		case <-ctx.Done():
-			return false
-		case <-freed:
-		case <-time.After(rampPoll):
-			// The limit may have risen without a request ending.
+			return g.giveUp(w)
 		}
 	}
 }
 
-const rampPoll = 50 * time.Millisecond
+// enqueue admits the request at once or returns its place in the queue.
+func (g *gate) enqueue(priority admission.Priority) (*waiter, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh()
+	if g.queue.Len() == 0 && g.tryBegin() {
+		return nil, true
+	}
+	w := &waiter{admitted: make(chan bool, 1)}
+	added, displaced, found := g.queue.Push(w, priority)
+	if found {
+		displaced.admitted <- false
+	}
+	if !added {
+		return nil, false
+	}
+	g.dispatch()
+	return w, false
+}
 
-func (g *gate) tryBegin() (bool, <-chan struct{}) {
+func (g *gate) poll() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh()
-	return g.limiter.Begin(time.Now()), g.freed
+	g.dispatch()
 }
 
-func (g *gate) end() {
+// giveUp takes the waiter out of the queue. One that was admitted meanwhile
+// keeps its slot.
+func (g *gate) giveUp(w *waiter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limiter.End()
-	close(g.freed)
-	g.freed = make(chan struct{})
+	if g.queue.Remove(w) {
+		return false
+	}
+	return <-w.admitted
+}
+
+// dispatch admits waiting requests while there are slots.
+func (g *gate) dispatch() {
+	for g.queue.Len() > 0 && g.tryBegin() {
+		w, _ := g.queue.Pop()
+		w.admitted <- true
+	}
+}
+
+func (g *gate) tryBegin() bool {
+	now := time.Now()
+	if !g.limiter.Begin(now) {
+		return false
+	}
+	invariant.Check("in_service_within_limit", g.limiter.InService() <= g.limiter.Limit(now))
+	return true
+}
+
+// end frees the slot of a request and learns from its result.
+func (g *gate) end(result admission.Result) {
+	g.learn(func(now time.Time) { g.limiter.End(now, result) })
+}
+
+// observe learns from a request that held no slot.
+func (g *gate) observe(result admission.Result) {
+	g.learn(func(now time.Time) { g.limiter.Observe(now, result) })
+}
+
+func (g *gate) learn(apply func(now time.Time)) {
+	g.mu.Lock()
+	before := g.limiter.Restarts()
+	apply(time.Now())
+	g.dispatch()
+	restarted := g.limiter.Restarts() != before
+	g.mu.Unlock()
+	if restarted {
+		g.onRestart()
+	}
 }
 
 // openFlow admits a flow and reports whether it did.
@@ -68,7 +155,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh()
-	return g.accepting() && g.limiter.OpenFlow()
+	if !g.accepting(time.Now()) || !g.limiter.OpenFlow() {
+		return false
+	}
+	invariant.Check("flow_only_while_accepting", g.view.State.Accepting())
+	invariant.Check("flows_within_connections", g.limiter.Flows() <= g.view.Service.Connections)
+	return true
 }
 
 func (g *gate) closeFlow() {
@@ -77,17 +169,34 @@
 	g.limiter.CloseFlow()
 }
 
-// roomForFlow reports whether a new flow would be admitted.
-func (g *gate) roomForFlow() bool {
+// decideFlow decides on a new flow. Only a first choice that knows a second
+// one passes it on: always when it takes no flows, and within the budget when
+// requests wait for slots here.
+func (g *gate) decideFlow(maySpare bool) flowDecision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh()
-	return g.accepting() && g.limiter.Flows() < g.view.Service.Connections
+	if maySpare {
+		g.budget.Earn()
+	}
+	now := time.Now()
+	takes := g.accepting(now) && g.limiter.RoomForFlow() && !g.limiter.Held(now)
+	switch {
+	case !takes && maySpare:
+		return flowPassed
+	case !takes:
+		return flowRefused
+	case maySpare && g.queue.Len() > 0 && g.budget.Spend():
+		return flowPassed
+	default:
+		return flowTaken
+	}
 }
 
 func (g *gate) restarted(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.refresh()
 	g.limiter.Restarted(now)
 }
 
@@ -106,12 +215,27 @@
 	report.Flows = uint32(g.limiter.Flows())
 	report.InService = uint32(g.limiter.InService())
 	report.Limit = uint32(limit)
-	report.Capacity = uint16(1000 * limit / max(1, g.view.Service.Slots))
+	report.Capacity = uint16(capacityUnit * limit / max(1, g.view.Service.Slots))
 	return report
 }
 
-func (g *gate) accepting() bool {
-	return g.view != nil && g.view.State.Accepting()
+// capacityUnit is the capacity of a host that admits all of its slots.
+const capacityUnit = 1000
+
+// fill sets the figures that the limiter holds.
+func (g *gate) fill(status *Status) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh()
+	status.Flows = g.limiter.Flows()
+	status.InService = g.limiter.InService()
+	status.Queued = g.queue.Len()
+	status.Limit = g.limiter.Limit(time.Now())
+	status.RestartsSeen = g.limiter.Restarts()
+}
+
+func (g *gate) accepting(now time.Time) bool {
+	return g.view.Valid(now) && g.view.State.Accepting()
 }
 
 func (g *gate) refresh() {
@@ -119,21 +243,15 @@
 	if view == g.view || view == nil {
 		return
 	}
+	if g.view != nil {
+		invariant.Check("revision_never_falls", view.Revision >= g.view.Revision)
+	}
 	g.view = view
-	g.limiter.Configure(admission.Config{
+	g.limiter.Configure(time.Now(), admission.Config{
 		Slots:       view.Service.Slots,
 		Connections: view.Service.Connections,
 		Warmup:      view.Service.Warmup,
 		ColdShare:   admission.DefaultColdShare,
 	})
-}
-
-// fill sets the figures that the limiter holds.
-func (g *gate) fill(status *Status) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.refresh()
-	status.Flows = g.limiter.Flows()
-	status.InService = g.limiter.InService()
-	status.Limit = g.limiter.Limit(time.Now())
+	g.queue.Resize(queuePerSlot*view.Service.Slots + queueLeast)
 }
--- a/agent/lifecycle.go
+++ b/agent/lifecycle.go
@@ -23,9 +23,18 @@
 // DrainStarted is the effect that sends GOAWAY on established flows and lets
 // what is in service end within Within.
 type DrainStarted struct {
+	// Drain is the number of the drain.
+	Drain  uint64
 	Within time.Duration
 }
 
+// FlowsResumed is the effect that lets new flows live, since the host serves
+// again.
+type FlowsResumed struct{}
+
+// StateChanged is the effect that tells entries of the host's new state.
+type StateChanged struct{}
+
 // ProcessEnded is the effect that ends the process after a graceful stop.
 type ProcessEnded struct{}
 
@@ -33,6 +42,7 @@
 //
 //	down     -> cold      the backend server answers
 //	cold     -> serving   the warm-up is over
+//	serving  -> cold      the traffic shows that the backend server restarted
 //	any      -> down      the backend server does not answer
 //	any      -> leaving   the VM leaves, the backend server drains, or the
 //	                      process is told to end; there is no way back but
@@ -41,6 +51,7 @@
 //	zone out -> cold      operators have brought the zone back
 type Lifecycle struct {
 	draining   bool
+	drain      uint64
 	validUntil time.Time
 }
 
@@ -60,8 +71,8 @@
 		return effects
 	}
 	next := l.next(now, board, config, service)
-	effects = append(effects, l.enter(now, board, next)...)
-	effects = append(effects, l.drain(now, board, service)...)
+	entered := l.enter(now, board, next)
+	left := l.leave(now, board, service)
 	if board.Node.Current(now) {
 		l.validUntil = now.Add(viewLifetime)
 	}
@@ -77,7 +88,10 @@
 		Zone:        zone.Number,
 		Keys:        board.Keys.Load(),
 	}
-	return append(effects, ViewChanged{View: view})
+	// Traffic sees the new state before the effects that act on flows.
+	effects = append(effects, ViewChanged{View: view})
+	effects = append(effects, entered...)
+	return append(effects, left...)
 }
 
 func (l *Lifecycle) next(now time.Time, board *Board, config *fleet.Config, service fleet.Service) tunnel.HostState {
@@ -88,46 +102,64 @@
 		return tunnel.HostLeaving
 	case board.Health != HealthGood:
 		return tunnel.HostDown
-	case board.State == tunnel.HostServing:
-		return tunnel.HostServing
-	case board.State == tunnel.HostCold && now.Sub(board.StateSince) >= service.Warmup:
-		return tunnel.HostServing
-	default:
+	case !board.State.Accepting() || board.RestartSeen:
+		return tunnel.HostCold
+	case board.State == tunnel.HostCold && now.Sub(board.StateSince) < service.Warmup:
 		return tunnel.HostCold
+	default:
+		return tunnel.HostServing
 	}
 }
 
 func (l *Lifecycle) enter(now time.Time, board *Board, next tunnel.HostState) []blackboard.Effect {
+	restartSeen := board.RestartSeen
+	board.RestartSeen = false
+	if next == tunnel.HostCold && restartSeen {
+		board.StateSince = now
+	}
 	if next == board.State {
 		return nil
 	}
-	board.Node.Audit(now, "host_state", board.State.String(), next.String(), "lifecycle", "self")
+	before := board.State
+	cause := "lifecycle"
+	if restartSeen && next == tunnel.HostCold {
+		cause = "restart_seen"
+	}
+	board.Node.Audit(now, "host_state", before.String(), next.String(), cause, "self")
 	board.State = next
 	board.StateSince = now
-	switch next {
-	case tunnel.HostCold:
-		return []blackboard.Effect{BackendRestarted{}}
-	case tunnel.HostZoneOut:
-		return []blackboard.Effect{FlowsClosed{}}
+	effects := []blackboard.Effect{StateChanged{}}
+	if before == tunnel.HostZoneOut {
+		effects = append(effects, FlowsResumed{})
+	}
+	switch {
+	case next == tunnel.HostCold && !before.Accepting():
+		return append(effects, BackendRestarted{})
+	case next == tunnel.HostZoneOut:
+		return append(effects, FlowsClosed{})
 	default:
-		return nil
+		return effects
 	}
 }
 
-func (l *Lifecycle) drain(now time.Time, board *Board, service fleet.Service) []blackboard.Effect {
+func (l *Lifecycle) leave(now time.Time, board *Board, service fleet.Service) []blackboard.Effect {
 	if board.State != tunnel.HostLeaving {
+		effects := endIdle(board)
+		if l.draining {
+			effects = append(effects, FlowsResumed{})
+		}
 		l.draining = false
-		board.DrainDone = false
-		return endIdle(board)
+		return effects
 	}
-	if board.StopRequested && board.DrainDone {
+	if board.StopRequested && l.draining && board.DrainDone >= l.drain {
 		return []blackboard.Effect{ProcessEnded{}}
 	}
 	if l.draining || now.Sub(board.StateSince) < board.Config.LeaveGrace {
 		return nil
 	}
 	l.draining = true
-	return []blackboard.Effect{DrainStarted{Within: service.Drain}}
+	l.drain++
+	return []blackboard.Effect{DrainStarted{Drain: l.drain, Within: service.Drain}}
 }
 
 // endIdle ends a process that was told to and holds no flows: it has no
--- a/agent/packetconn.go
+++ b/agent/packetconn.go
@@ -12,6 +12,10 @@
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
+// zoneOutGrace is how long the flows of a zone taken out are still told that
+// they are closed. Then nothing is answered.
+const zoneOutGrace = 2 * time.Second
+
 // refusedAddr marks packets of a flow that is to be refused, so that the
 // QUIC listener answers with CONNECTION_REFUSED.
 type refusedAddr struct {
@@ -24,29 +28,33 @@
 type packetConn struct {
 	tunnel      *net.UDPConn
 	returns     *net.UDPConn
-	self        netip.AddrPort
 	incarnation uint16
 	views       *atomic.Pointer[View]
 	gate        *gate
 	counters    *Counters
-	interval    time.Duration
+	reporter    *reporter
 
 	// The fields below belong to the goroutine that calls ReadFrom.
 	buf        []byte
+	control    []byte
 	codec      *tunnel.Codec
 	keys       *keyring.Keys
 	handshakes *handshakes
-	reported   map[netip.AddrPort]time.Time
 }
 
 // ReadFrom implements net.PacketConn.
 func (c *packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
 	for {
-		n, from, err := c.tunnel.ReadFromUDPAddrPort(c.buf)
+		n, controlSize, _, _, err := c.tunnel.ReadMsgUDPAddrPort(c.buf, c.control)
 		if err != nil {
 			return 0, nil, err
 		}
-		payload, addr := c.receive(c.buf[:n], from)
+		now := time.Now()
+		if datagramAge(now, c.control[:controlSize]) > maxDatagramAge {
+			c.counters.add(CauseLateDatagram)
+			continue
+		}
+		payload, addr := c.receive(now, c.buf[:n])
 		if addr != nil {
 			return copy(p, payload), addr, nil
 		}
@@ -55,12 +63,16 @@
 
 // receive returns the payload to deliver and its caller's address, or no
 // address.
-func (c *packetConn) receive(datagram []byte, _ netip.AddrPort) ([]byte, net.Addr) {
+func (c *packetConn) receive(now time.Time, datagram []byte) ([]byte, net.Addr) {
 	view := c.views.Load()
 	if view == nil || !c.refreshKeys(view.Keys) {
 		c.counters.add(CauseNotReady)
 		return nil, nil
 	}
+	if quiet(now, view) {
+		c.counters.add(CauseZoneOut)
+		return nil, nil
+	}
 	header, payload, err := c.codec.Open(datagram)
 	if err != nil {
 		c.counters.add(CauseForged)
@@ -72,26 +84,42 @@
 	}
 	switch header.Kind {
 	case tunnel.KindFlow:
-		c.counters.delivered.Add(1)
-		return payload, net.UDPAddrFromAddrPort(header.Caller)
+		return c.receiveFlow(&header, payload)
 	case tunnel.KindNew, tunnel.KindPassed:
-		c.report(header.Entry)
-		return c.receiveNew(&header, payload, len(datagram))
+		c.reporter.heard(now, header.Entry)
+		return c.receiveNew(now, &header, payload, len(datagram))
 	default:
 		c.counters.add(CauseMalformed)
 		return nil, nil
 	}
 }
 
-func (c *packetConn) receiveNew(header *tunnel.Header, payload []byte, size int) ([]byte, net.Addr) {
+// receiveFlow delivers packets of earlier incarnations as well: the QUIC
+// transport answers them with a stateless reset, so that the caller reconnects
+// at once.
+func (c *packetConn) receiveFlow(header *tunnel.Header, payload []byte) ([]byte, net.Addr) {
+	if header.Incarnation != c.incarnation {
+		c.counters.staleIncarnation.Add(1)
+	}
+	c.counters.delivered.Add(1)
+	return payload, net.UDPAddrFromAddrPort(header.Caller)
+}
+
+func (c *packetConn) receiveNew(now time.Time, header *tunnel.Header, payload []byte, size int) ([]byte, net.Addr) {
 	packet := quicwire.Parse(payload, connid.Size)
 	if packet.Form != quicwire.FormInitial {
 		c.counters.add(CauseMalformed)
 		return nil, nil
 	}
-	decision := c.handshakes.decide(time.Now(), packet.DCID, func() flowDecision {
-		return c.choose(header)
+	// The second choice does not pass a flow on, so that there is one hop at
+	// most.
+	maySpare := header.Kind == tunnel.KindNew && header.Second.IsValid()
+	decision := c.handshakes.decide(now, packet.DCID, func() flowDecision {
+		return c.gate.decideFlow(maySpare)
 	})
+	if decision == flowPassed && !maySpare {
+		decision = flowRefused
+	}
 	caller := net.UDPAddrFromAddrPort(header.Caller)
 	switch decision {
 	case flowTaken:
@@ -106,22 +134,8 @@
 	}
 }
 
-// choose decides on a new flow. The second choice does not pass it on.
-func (c *packetConn) choose(header *tunnel.Header) flowDecision {
-	if c.gate.roomForFlow() {
-		return flowTaken
-	}
-	if header.Kind == tunnel.KindNew && header.Second.IsValid() {
-		return flowPassed
-	}
-	return flowRefused
-}
-
 // pass sends the datagram in buf on to the second choice.
 func (c *packetConn) pass(header *tunnel.Header, size int) {
-	if !header.Second.IsValid() {
-		return
-	}
 	passed := *header
 	passed.Kind = tunnel.KindPassed
 	passed.Second = netip.AddrPort{}
@@ -131,28 +145,6 @@
 	_, _ = c.tunnel.WriteToUDPAddrPort(datagram, header.Second)
 }
 
-// report sends the entry a load report, at most one in each interval.
-func (c *packetConn) report(entry netip.AddrPort) {
-	now := time.Now()
-	if !entry.IsValid() || now.Sub(c.reported[entry]) < c.interval {
-		return
-	}
-	if len(c.reported) >= maxReported {
-		clear(c.reported)
-	}
-	c.reported[entry] = now
-	payload, err := tunnel.EncodeReport(c.gate.report(c.incarnation))
-	if err != nil {
-		return
-	}
-	buf := make([]byte, tunnel.HeaderSize+len(payload)+tunnel.TagSize)
-	copy(buf[tunnel.HeaderSize:], payload)
-	datagram := c.codec.Seal(buf, len(payload), &tunnel.Header{Kind: tunnel.KindReport, Caller: entry})
-	_, _ = c.tunnel.WriteToUDPAddrPort(datagram, entry)
-}
-
-const maxReported = 4096
-
 func (c *packetConn) refreshKeys(keys *keyring.Keys) bool {
 	if keys == c.keys {
 		return true
@@ -165,8 +157,17 @@
 	return true
 }
 
+// quiet reports whether the zone was taken out some time ago, so that nothing
+// is received and nothing answered.
+func quiet(now time.Time, view *View) bool {
+	return view.State == tunnel.HostZoneOut && now.Sub(view.Since) > zoneOutGrace
+}
+
 // WriteTo implements net.PacketConn. Answers go straight to the caller.
 func (c *packetConn) WriteTo(p []byte, addr net.Addr) (int, error) {
+	if view := c.views.Load(); view != nil && quiet(time.Now(), view) {
+		return len(p), nil
+	}
 	switch addr := addr.(type) {
 	case *net.UDPAddr:
 		return c.returns.WriteToUDP(p, addr)
--- /dev/null
+++ b/agent/reporter.go
@@ -0,0 +1,102 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+const (
+	// maxReported bounds the entries that are remembered.
+	maxReported = 4096
+	// entryMemory is how long an entry that sent a packet of a new flow is
+	// told of changes.
+	entryMemory = time.Minute
+)
+
+// reporter sends load reports to entries: in answer to the packets of new
+// flows, at most one to an entry in each interval, and to all entries heard
+// of lately when the host's state changes.
+type reporter struct {
+	conn        *net.UDPConn
+	views       *atomic.Pointer[View]
+	gate        *gate
+	incarnation uint16
+	interval    time.Duration
+
+	mu      sync.Mutex
+	codec   *tunnel.Codec
+	keys    *keyring.Keys
+	entries map[netip.AddrPort]entryTimes
+}
+
+type entryTimes struct {
+	heard    time.Time
+	reported time.Time
+}
+
+// heard notes a packet of a new flow from the entry and reports to it when a
+// report is due.
+func (r *reporter) heard(now time.Time, entry netip.AddrPort) {
+	if !entry.IsValid() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	times, found := r.entries[entry]
+	if !found && len(r.entries) >= maxReported {
+		clear(r.entries)
+	}
+	times.heard = now
+	if now.Sub(times.reported) >= r.interval {
+		times.reported = now
+		r.send(entry)
+	}
+	r.entries[entry] = times
+}
+
+// announce reports to all entries heard of lately.
+func (r *reporter) announce(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for entry, times := range r.entries {
+		if now.Sub(times.heard) > entryMemory {
+			delete(r.entries, entry)
+			continue
+		}
+		r.entries[entry] = entryTimes{heard: times.heard, reported: now}
+		r.send(entry)
+	}
+}
+
+func (r *reporter) send(entry netip.AddrPort) {
+	view := r.views.Load()
+	if view == nil || !r.refreshKeys(view.Keys) {
+		return
+	}
+	payload, err := tunnel.EncodeReport(r.gate.report(r.incarnation))
+	if err != nil {
+		return
+	}
+	buf := make([]byte, tunnel.HeaderSize+len(payload)+tunnel.TagSize)
+	copy(buf[tunnel.HeaderSize:], payload)
+	header := &tunnel.Header{Kind: tunnel.KindReport, Service: view.Tag, Caller: entry}
+	_, _ = r.conn.WriteToUDPAddrPort(r.codec.Seal(buf, len(payload), header), entry)
+}
+
+func (r *reporter) refreshKeys(keys *keyring.Keys) bool {
+	if keys == r.keys {
+		return true
+	}
+	codec, err := tunnel.NewCodec(keys)
+	if err != nil {
+		return false
+	}
+	r.codec, r.keys = codec, keys
+	return true
+}
--- a/agent/status.go
+++ b/agent/status.go
@@ -27,6 +27,8 @@
 	// Limit is the number of requests admitted at a time, of Slots.
 	Limit int `json:"limit"`
 	Slots int `json:"slots"`
+	// RestartsSeen counts restarts of the backend server seen from traffic.
+	RestartsSeen uint64 `json:"restarts_seen"`
 	// Refusals counts refused requests, flows and datagrams by cause.
 	Refusals map[string]int64 `json:"refusals"`
 }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -54,7 +54,8 @@
 	Zones []string `json:"zones"`
 	// Drain bounds how long a leaving host keeps its established flows.
 	Drain time.Duration `json:"drain"`
-	// Warmup is the time over which a started host reaches its full slots.
+	// Warmup is the time for which a started host is held to a small share of
+	// its slots. Then it rises to all of them step by step.
 	Warmup time.Duration `json:"warmup"`
 	// Idempotent tells that a request may be repeated without harm.
 	Idempotent bool `json:"idempotent"`
