--- a/agent/gate.go
+++ b/agent/gate.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmericrock/turmericrock/admission"
 	"github.com/turmericrock/turmericrock/internal/invariant"
+	"github.com/turmericrock/turmericrock/placement"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -170,9 +171,9 @@
 }
 
 // decideFlow decides on a new flow. Only a first choice that knows a second
-// one passes it on: always when it takes no flows, and within the budget when
-// requests wait for slots here.
-func (g *gate) decideFlow(maySpare bool) flowDecision {
+// one passes it on: always when it takes no flows, when the second has the
+// lesser load, and within the budget when requests wait for slots here.
+func (g *gate) decideFlow(maySpare bool, second tunnel.Load) flowDecision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh()
@@ -186,13 +187,24 @@
 		return flowPassed
 	case !takes:
 		return flowRefused
-	case maySpare && g.queue.Len() > 0 && g.budget.Spend():
+	case maySpare && g.spares(now, second):
 		return flowPassed
 	default:
 		return flowTaken
 	}
 }
 
+// spares reports whether a flow is better off at the second choice.
+func (g *gate) spares(now time.Time, second tunnel.Load) bool {
+	if second != tunnel.UnknownLoad {
+		own := g.load(now).Load()
+		if placement.PreferSecond(uint64(own), uint64(second)) {
+			return true
+		}
+	}
+	return g.queue.Len() > 0 && g.budget.Spend()
+}
+
 func (g *gate) restarted(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -209,16 +221,24 @@
 	if g.view == nil {
 		return report
 	}
-	limit := g.limiter.Limit(time.Now())
+	report = g.load(time.Now())
+	report.Incarnation = incarnation
 	report.State = g.view.State
 	report.Revision = g.view.Revision
-	report.Flows = uint32(g.limiter.Flows())
-	report.InService = uint32(g.limiter.InService())
-	report.Limit = uint32(limit)
-	report.Capacity = uint16(capacityUnit * limit / max(1, g.view.Service.Slots))
 	return report
 }
 
+// load returns the report's figures of the load.
+func (g *gate) load(now time.Time) tunnel.Report {
+	limit := g.limiter.Limit(now)
+	return tunnel.Report{
+		Flows:     uint32(g.limiter.Flows()),
+		InService: uint32(g.limiter.InService()),
+		Limit:     uint32(limit),
+		Capacity:  uint16(capacityUnit * limit / max(1, g.view.Service.Slots)),
+	}
+}
+
 // capacityUnit is the capacity of a host that admits all of its slots.
 const capacityUnit = 1000
 
--- a/agent/packetconn.go
+++ b/agent/packetconn.go
@@ -85,6 +85,9 @@
 	switch header.Kind {
 	case tunnel.KindFlow:
 		return c.receiveFlow(&header, payload)
+	case tunnel.KindProbe:
+		c.reporter.heard(now, header.Entry)
+		return nil, nil
 	case tunnel.KindNew, tunnel.KindPassed:
 		c.reporter.heard(now, header.Entry)
 		return c.receiveNew(now, &header, payload, len(datagram))
@@ -115,7 +118,7 @@
 	// most.
 	maySpare := header.Kind == tunnel.KindNew && header.Second.IsValid()
 	decision := c.handshakes.decide(now, packet.DCID, func() flowDecision {
-		return c.gate.decideFlow(maySpare)
+		return c.gate.decideFlow(maySpare, header.SecondLoad)
 	})
 	if decision == flowPassed && !maySpare {
 		decision = flowRefused
--- a/agent/quic.go
+++ b/agent/quic.go
@@ -65,6 +65,7 @@
 	}
 	reporter := &reporter{
 		conn:        tunnelConn,
+		self:        a.config.Self.Addr,
 		views:       &a.views,
 		gate:        a.gate,
 		incarnation: a.incarnation,
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -24,6 +24,7 @@
 // of lately when the host's state changes.
 type reporter struct {
 	conn        *net.UDPConn
+	self        netip.AddrPort
 	views       *atomic.Pointer[View]
 	gate        *gate
 	incarnation uint16
@@ -33,6 +34,8 @@
 	codec   *tunnel.Codec
 	keys    *keyring.Keys
 	entries map[netip.AddrPort]entryTimes
+	// sequence rises with each report.
+	sequence uint64
 }
 
 type entryTimes struct {
@@ -79,13 +82,22 @@
 	if view == nil || !r.refreshKeys(view.Keys) {
 		return
 	}
-	payload, err := tunnel.EncodeReport(r.gate.report(r.incarnation))
+	r.sequence++
+	report := r.gate.report(r.incarnation)
+	report.Sequence = r.sequence
+	payload, err := tunnel.EncodeReport(report)
 	if err != nil {
 		return
 	}
 	buf := make([]byte, tunnel.HeaderSize+len(payload)+tunnel.TagSize)
 	copy(buf[tunnel.HeaderSize:], payload)
-	header := &tunnel.Header{Kind: tunnel.KindReport, Service: view.Tag, Caller: entry}
+	header := &tunnel.Header{
+		Kind:     tunnel.KindReport,
+		Service:  view.Tag,
+		Revision: report.Revision,
+		Caller:   entry,
+		Second:   r.self,
+	}
 	_, _ = r.conn.WriteToUDPAddrPort(r.codec.Seal(buf, len(payload), header), entry)
 }
 
