--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -44,9 +44,9 @@
 		"ready":        {1, (*stage).ready},
 		"load":         {2, (*stage).startLoad},
 		"end":          {1, (*stage).endLoad},
-		"kill":         {1, onNode((*world.Node).Kill)},
-		"killprocess":  {1, onNode(func(n *world.Node) { n.KillProcess() })},
-		"killbackend":  {1, onNode((*world.Node).KillBackend)},
+		"crash":        {1, onNode((*world.Node).Kill)},
+		"crashprocess": {1, onNode(func(n *world.Node) { n.KillProcess() })},
+		"crashbackend": {1, onNode((*world.Node).KillBackend)},
 		"freeze":       {1, onNode(func(n *world.Node) { n.Freeze() })},
 		"thaw":         {1, onNode(func(n *world.Node) { n.Thaw() })},
 		"withdraw":     {1, onNode((*world.Node).Withdraw)},
@@ -56,7 +56,7 @@
 		"coldstart":    {1, onNode(func(n *world.Node) { n.Backend.Restart() })},
 		"startbackend": {1, onNodeErr((*world.Node).StartBackend)},
 		"restart":      {1, onNodeErr(func(n *world.Node) error { return n.Start() })},
-		"stop":         {1, (*stage).stop},
+		"shutdown":     {1, (*stage).shutdown},
 		"list":         {2, (*stage).list},
 		"zone":         {2, (*stage).setZone},
 		"publish":      {0, (*stage).publish},
@@ -66,7 +66,7 @@
 		"sink":         {2, (*stage).sink},
 		"mark":         {2, (*stage).mark},
 		"excuse":       {1, (*stage).excuse},
-		"wait":         {1, (*stage).wait},
+		"sleep":        {1, (*stage).sleep},
 		"await":        {1, (*stage).await},
 		"expect":       {3, (*stage).expect},
 		"rotate":       {1, (*stage).rotate},
@@ -267,15 +267,15 @@
 	return nil
 }
 
-// stop ends processes gracefully and fails when one does not end.
-func (s *stage) stop(args []string) error {
+// shutdown ends processes gracefully and fails when one does not end.
+func (s *stage) shutdown(args []string) error {
 	for _, name := range args {
 		node, err := s.node(name)
 		if err != nil {
 			return err
 		}
 		if !node.Stop(stopWait) {
-			return &AwaitError{Condition: "stop " + name, Err: context.DeadlineExceeded}
+			return &AwaitError{Condition: "shutdown " + name, Err: context.DeadlineExceeded}
 		}
 	}
 	return nil
@@ -405,10 +405,10 @@
 	return nil
 }
 
-func (s *stage) wait(args []string) error {
+func (s *stage) sleep(args []string) error {
 	d, err := time.ParseDuration(args[0])
 	if err != nil {
-		return &UsageError{Verb: "wait", Argument: args[0], Allowed: "a duration"}
+		return &UsageError{Verb: "sleep", Argument: args[0], Allowed: "a duration"}
 	}
 	world.Pause(s.ctx, d)
 	return nil
