--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	log      *logrus.Logger
 	trail    *audit.Trail
 	engine   *blackboard.Engine[*Board]
+	control  *node.Control
 	views    atomic.Pointer[View]
 	status   atomic.Pointer[Status]
 	deadline *deadline
@@ -53,6 +54,8 @@
 		probes:   newProbeSender(config.Self.Addr, ring),
 		stop:     make(chan struct{}),
 	}
+	board.Node.Configure(config.Control, node.NewRandom())
+	e.control = node.NewControl(config.Mesh, board.Node, reader, log, e.deliver)
 	e.engine = NewControl(board, e)
 	return e
 }
@@ -60,7 +63,7 @@
 // NewControl returns an engine with an entry's controllers over the board.
 func NewControl(board *Board, executor blackboard.Executor) *blackboard.Engine[*Board] {
 	return blackboard.New(blackboard.DefaultConfig(), board, executor,
-		NewMembership(), &Viewer{}, &Validity{}, &Reporter{}, &recorder{})
+		stepper, NewMembership(), &Viewer{}, &Validity{}, &Reporter{}, &recorder{})
 }
 
 // recorder is the controller that hands on what the others noted.
@@ -86,6 +89,8 @@
 		}
 	case audit.Record:
 		e.trail.Add(effect)
+	default:
+		e.control.Execute(effect)
 	}
 }
 
@@ -146,6 +151,14 @@
 	return nil
 }
 
+// deliver hands an update to the control goroutine.
+func (e *Entry) deliver(ctx context.Context, update node.Update) {
+	e.engine.Deliver(ctx, NodeUpdated{Update: update})
+}
+
+// stepper runs the replica before the controllers that act on the facts.
+var stepper = node.Stepper[*Board]{Facts: func(board *Board) *node.Facts { return board.Node }}
+
 // await returns when ctx ends or the grace of a stop is over.
 func (e *Entry) await(ctx context.Context) {
 	select {
@@ -161,10 +174,9 @@
 }
 
 func (e *Entry) follow(ctx context.Context) {
-	post := func(update node.Update) {
-		e.engine.Post(NodeUpdated{Update: update})
+	if err := e.control.Run(ctx); err != nil {
+		e.log.WithField("error", err).Error("mesh_failed")
 	}
-	node.NewFollower(e.reader, post, e.log).Run(ctx)
 }
 
 // listenAll binds the sockets for callers' packets, and for each worker one
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,8 +9,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
 	"github.com/turmericrock/turmericrock/internal/inifile"
+	"github.com/turmericrock/turmericrock/mesh"
 )
 
 // Common are the settings of every role.
@@ -42,6 +44,10 @@
 	Certificate string
 	Key         string
 	Authority   string
+	// Seeds are addresses to ask while no VM list is known.
+	Seeds []netip.AddrPort
+	// FleetLimit is the greatest number of nodes in the fleet.
+	FleetLimit int
 }
 
 // Descriptions of allowed values.
@@ -68,12 +74,36 @@
 		KeyFile:  f.Required("keys", "file", "the path of a key file"),
 		LogLevel: readLevel(f),
 		Ops:      readOps(f),
-		Mesh: Mesh{
-			Address:     readPeer(f, "mesh", "address"),
-			Certificate: f.Required("mesh", "certificate", allowedPEM),
-			Key:         f.Required("mesh", "key", allowedPEM),
-			Authority:   f.Required("mesh", "authority", allowedPEM),
-		},
+		Mesh:     readMesh(f),
+	}
+}
+
+func readMesh(f *inifile.File) Mesh {
+	return Mesh{
+		Address:     readPeer(f, "mesh", "address"),
+		Certificate: f.Required("mesh", "certificate", allowedPEM),
+		Key:         f.Required("mesh", "key", allowedPEM),
+		Authority:   f.Required("mesh", "authority", allowedPEM),
+		Seeds:       readSeeds(f),
+		FleetLimit:  f.Number("mesh", "fleet_limit", dissemination.DefaultConfig().FleetLimit, 1, maxFleet),
+	}
+}
+
+const maxFleet = 100_000 // nodes
+
+func readSeeds(f *inifile.File) []netip.AddrPort {
+	if f.Text("mesh", "seeds", "") == "" {
+		return nil
+	}
+	return f.AddrPorts("mesh", "seeds", allowedListen)
+}
+
+// apply fills in what the mesh's settings tell.
+func (m Mesh) apply(links *mesh.Config, control *dissemination.Config) {
+	links.Address = m.Address
+	control.FleetLimit = m.FleetLimit
+	for _, addr := range m.Seeds {
+		control.Seeds = append(control.Seeds, fleet.VM{Mesh: addr})
 	}
 }
 
