Cause failures in fleets of replicas and check what must hold

Splits, outages, stale answers, wrong lists, pauses and restarts, alone and in random order. Found by the tests: a node whose parents hear other zones did not know of it while the platform was down; a starting node acted on what a stale platform alone had told.

--- a/dissemination/config.go
+++ b/dissemination/config.go
@@ -51,6 +51,9 @@
 	// WakeFallback is how long after a pause a node that reaches nobody
 	// waits for a confirmation.
 	WakeFallback time.Duration
+	// JoinWait is how long a node that has just started waits for a peer to
+	// say that it has no newer configuration.
+	JoinWait time.Duration
 }
 
 // DefaultConfig returns the settings that need no value from operators.
@@ -72,5 +75,6 @@
 		ConfirmLimit: 6 * time.Second,
 		PauseGap:     time.Second,
 		WakeFallback: 10 * time.Second,
+		JoinWait:     2 * time.Second,
 	}
 }
--- a/dissemination/evidence.go
+++ b/dissemination/evidence.go
@@ -43,6 +43,9 @@
 	if now.Sub(r.lastStep) > r.config.PauseGap && !r.lastStep.IsZero() {
 		return false
 	}
+	if !r.joined(now) {
+		return false
+	}
 	if !r.pause.paused {
 		return true
 	}
@@ -53,6 +56,19 @@
 	return now.Sub(r.pause.wokeAt) > r.config.WakeFallback
 }
 
+// joined reports whether a node that has just started knows that the peers
+// that it polls have no newer configuration, or has waited JoinWait for their
+// answer. What the platform alone tells may be stale.
+func (r *Replica) joined(now time.Time) bool {
+	if r.adoptedAt.IsZero() {
+		return true
+	}
+	if !r.peersAsked && now.Sub(r.adoptedAt) > r.config.JoinWait {
+		r.peersAsked = true
+	}
+	return r.peersAsked
+}
+
 // ZoneOpen reports whether packets may go into the zone, as far as the node
 // can know:
 //
--- a/dissemination/fleet_test.go
+++ b/dissemination/fleet_test.go
@@ -82,6 +82,18 @@
 	return nodes
 }
 
+// node returns the node with the ID.
+func (f *fixture) node(id string) *controlnet.Node {
+	f.t.Helper()
+	for _, n := range f.Nodes() {
+		if n.VM.ID == id {
+			return n
+		}
+	}
+	f.t.Fatalf("no node %s", id)
+	return nil
+}
+
 func (f *fixture) oldestAge() time.Duration {
 	oldest := time.Duration(0)
 	for _, n := range f.Nodes() {
--- /dev/null
+++ b/dissemination/machine_test.go
@@ -0,0 +1,168 @@
+package dissemination_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/turmericrock/turmericrock/dissemination"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/controlnet"
+	"github.com/turmericrock/turmericrock/internal/fleetgen"
+)
+
+// machine drives a small fleet through random failures and checks what must
+// hold at every step.
+type machine struct {
+	*fixture
+	// held is the highest revision seen at each start of a node.
+	held   map[*controlnet.Node]uint64
+	groups int
+	old    controlnet.Values
+	from   time.Time
+}
+
+func newMachine(t *testing.T, rt *rapid.T) *machine {
+	size := fleetgen.Size{Regions: 2, Zones: 3, Entries: 6, Hosts: 18, Services: 6, Parts: 2}
+	f := newFixture(t, rapid.Uint64().Draw(rt, "seed"), size)
+	f.Fleet.Start(time.Second)
+	f.Advance(15 * time.Second)
+	f.allAt(1)
+	return &machine{fixture: f, held: make(map[*controlnet.Node]uint64), old: f.Platform.Values(), from: f.Now()}
+}
+
+func (m *machine) anyNode(rt *rapid.T) *controlnet.Node {
+	return rapid.SampledFrom(m.Nodes()).Draw(rt, "node")
+}
+
+func (m *machine) split(groups int) {
+	m.groups = groups
+	m.Cut = func(from, to *controlnet.Node) bool { return m.group(from) != m.group(to) }
+}
+
+// group puts zones, and one node of each apart, into groups.
+func (m *machine) group(n *controlnet.Node) int {
+	for i, other := range m.Nodes() {
+		if other == n {
+			return (i / 3) % max(1, m.groups)
+		}
+	}
+	return 0
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"zone": func(rt *rapid.T) {
+			zone := rapid.IntRange(0, 2).Draw(rt, "zone")
+			out := rapid.Bool().Draw(rt, "out")
+			must.NoError(rt, m.SetZoneOut(zone, out))
+		},
+		"service": func(*rapid.T) { must.NoError(m.t, m.ChangeService(1)) },
+		"split":   func(rt *rapid.T) { m.split(rapid.IntRange(1, 3).Draw(rt, "groups")) },
+		"platform down": func(rt *rapid.T) {
+			m.Platform.SetDown(rapid.Bool().Draw(rt, "down"))
+		},
+		"platform stale": func(rt *rapid.T) {
+			if rapid.Bool().Draw(rt, "stale") {
+				m.Platform.Serve(m.old)
+			} else {
+				m.old = m.Platform.Values()
+				m.Platform.Serve(nil)
+			}
+		},
+		"platform cut": func(rt *rapid.T) { m.anyNode(rt).CutPlatform(rapid.Bool().Draw(rt, "cut")) },
+		"pause":        func(rt *rapid.T) { m.anyNode(rt).Pause() },
+		"resume":       func(rt *rapid.T) { m.anyNode(rt).Resume() },
+		"restart": func(rt *rapid.T) {
+			n := m.anyNode(rt)
+			m.restart(n, rapid.Bool().Draw(rt, "later"))
+		},
+		"restart half": func(*rapid.T) {
+			for i, n := range m.Nodes() {
+				if i%2 == 0 {
+					m.restart(n, false)
+				}
+			}
+		},
+		"empty list": func(rt *rapid.T) {
+			zone := rapid.SampledFrom(m.Zones()).Draw(rt, "zone")
+			must.NoError(rt, m.PublishList(fleet.VMList{Zone: zone.Name}))
+		},
+		"advance": func(rt *rapid.T) {
+			m.Advance(time.Duration(rapid.IntRange(10, 4000).Draw(rt, "ms")) * time.Millisecond)
+		},
+		"": m.check,
+	}
+}
+
+func (m *machine) restart(n *controlnet.Node, later bool) {
+	n.Kill()
+	delete(m.held, n)
+	wait := time.Duration(0)
+	if later {
+		wait = 5 * time.Second
+	}
+	n.Start(wait)
+}
+
+// check asserts what holds in any state of the fleet.
+func (m *machine) check(rt *rapid.T) {
+	for _, n := range m.Nodes() {
+		if !n.Alive() {
+			continue
+		}
+		m.checkNode(rt, n)
+	}
+	config := dissemination.DefaultConfig()
+	watching := (config.Watchers + config.Spares) * 3
+	must.LessEq(rt, watching*8+len(m.Nodes()), m.Platform.WorstSecond(m.from))
+}
+
+func (m *machine) checkNode(rt *rapid.T, n *controlnet.Node) {
+	revision := n.Holder.Revision()
+	must.GreaterEq(rt, m.held[n], revision, must.Sprintf("%s went back", n.VM.ID))
+	m.held[n] = revision
+	config := n.Holder.Config()
+	if config == nil {
+		must.False(rt, n.Replica.Current(m.Now()))
+		return
+	}
+	must.Eq(rt, m.Digests[revision], config.Digest)
+	for _, zone := range config.Manifest.Zones {
+		if zone.Out {
+			must.False(rt, n.Replica.ZoneOpen(m.Now(), zone.Name))
+		}
+	}
+}
+
+// heal ends every failure and checks that the fleet comes together.
+func (m *machine) heal() {
+	m.Cut = nil
+	m.Platform.SetDown(false)
+	m.Platform.Serve(nil)
+	must.NoError(m.t, m.PublishLists())
+	for _, n := range m.Nodes() {
+		n.CutPlatform(false)
+		n.Resume()
+	}
+	m.Advance(40 * time.Second)
+	for _, n := range m.Nodes() {
+		must.True(m.t, n.Alive())
+	}
+	m.allAt(m.Revision())
+	for _, n := range m.Nodes() {
+		for _, zone := range m.Zones() {
+			must.Eq(m.t, !zone.Out, n.Replica.ZoneOpen(m.Now(), zone.Name))
+		}
+	}
+}
+
+func TestRandomFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(t, rt)
+		rt.Repeat(m.actions())
+		m.heal()
+	})
+}
--- /dev/null
+++ b/dissemination/main_test.go
@@ -0,0 +1,24 @@
+package dissemination_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the number of the randomised runs, unless the
+// command line gives them.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "25"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/dissemination/pending.go
+++ b/dissemination/pending.go
@@ -312,6 +312,9 @@
 		return
 	}
 	r.counts.Adopted++
+	if r.adoptedAt.IsZero() {
+		r.adoptedAt = now
+	}
 	r.values.keep(heldManifest{digest: p.digest, manifest: *p.manifest, raw: p.raw})
 	r.changed[changedConfig] = true
 }
--- a/dissemination/replica.go
+++ b/dissemination/replica.go
@@ -36,6 +36,11 @@
 	zoneNames []string
 	zonesOf   *fleet.Config
 	place     ownPlace
+	// adoptedAt is when the first configuration was adopted.
+	adoptedAt time.Time
+	// peersAsked is set once a peer answered a poll with a configuration that
+	// is not newer than the one in force.
+	peersAsked bool
 	// checked and lacking hold the latest outcome of incomplete.
 	checked completeness
 	lacking bool
--- a/dissemination/state.go
+++ b/dissemination/state.go
@@ -50,8 +50,11 @@
 		Digest:   r.digest(),
 		Age:      ageOf(now, r.holder.ConfirmedAt()),
 	}
+	// While the configuration is not confirmed, every node needs to know which
+	// zones are heard.
+	all := l.hello.All || r.holder.Age(now) > r.config.ConfirmLimit/2
 	for _, zone := range r.zones() {
-		if l.hello.All || zone == l.hello.Zone {
+		if all || zone == l.hello.Zone {
 			state.Zones = append(state.Zones, r.zoneState(now, zone))
 		}
 	}
@@ -139,6 +142,9 @@
 		r.answered(r.peer(l.vm))
 	}
 	r.noteHeard(l.hello.Zone, asked)
+	if state.Revision != 0 && state.Revision <= r.holder.Revision() {
+		r.peersAsked = true
+	}
 	if state.Revision == r.holder.Revision() && bytes.Equal(state.Digest, r.digest()) {
 		r.holder.Confirm(state.Revision, timeOf(asked, state.Age))
 	}
--- a/internal/controlnet/network.go
+++ b/internal/controlnet/network.go
@@ -7,7 +7,6 @@
 
 	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
-	"github.com/turmericrock/turmericrock/platform"
 	"github.com/turmericrock/turmericrock/revision"
 )
 
@@ -54,7 +53,7 @@
 	}
 	n.Platform = &Platform{
 		net:       n,
-		values:    make(map[string]platform.Value),
+		values:    make(Values),
 		watches:   make(map[string][]func()),
 		perSecond: make(map[int64]int),
 	}
@@ -105,6 +104,8 @@
 	Holder  *revision.Holder
 	Replica *dissemination.Replica
 	Traffic Traffic
+	// Seeds are the addresses that the process is given at its start.
+	Seeds []fleet.VM
 
 	// born counts the starts of the process.
 	born        int
@@ -149,6 +150,7 @@
 		}
 		config := n.net.config.Control
 		config.Self = n.VM
+		config.Seeds = n.Seeds
 		n.alive = true
 		n.paused = false
 		n.inbox = nil
--- a/internal/controlnet/platform.go
+++ b/internal/controlnet/platform.go
@@ -1,6 +1,7 @@
 package controlnet
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
@@ -11,8 +12,8 @@
 // Platform is a fake of the platform that holds values in memory.
 type Platform struct {
 	net    *Network
-	values map[string]platform.Value
-	stale  map[string]platform.Value
+	values Values
+	stale  Values
 	down   bool
 	// watches holds the waiting watches by key.
 	watches map[string][]func()
@@ -35,22 +36,25 @@
 	}
 }
 
-// SetStale makes reads return the values of this moment, or ends that.
-func (p *Platform) SetStale(stale bool) {
-	p.stale = nil
-	if stale {
-		p.stale = make(map[string]platform.Value, len(p.values))
-		for key, value := range p.values {
-			p.stale[key] = value
-		}
-	}
+// Values is what a platform held at one moment.
+type Values map[string]platform.Value
+
+// Values returns the values of this moment.
+func (p *Platform) Values() Values {
+	return maps.Clone(p.values)
+}
+
+// Serve makes reads return the values given instead of the latest ones, or
+// ends that when values is nil.
+func (p *Platform) Serve(values Values) {
+	p.stale = values
 	for key := range p.watches {
 		p.wake(key)
 	}
 }
 
 // WorstSecond returns the greatest number of reads in one second from the
-// time on, with each watch that waits at its end counted again.
+// time on. A watch counts as one.
 func (p *Platform) WorstSecond(from time.Time) int {
 	worst := 0
 	for second, count := range p.perSecond {
@@ -91,6 +95,9 @@
 	born := n.born
 	answer := func(value platform.Value, err error) {
 		p.net.after(p.net.latency(), func() {
+			if n.platformCut {
+				value, err = platform.Value{}, &platform.ReadError{Key: read.Key}
+			}
 			if n.born == born {
 				n.handle(dissemination.ReadDone{Key: read.Key, Started: started, Value: value, Err: err})
 			}
