--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,195 @@
+package mesh_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/dissemination"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/metrics"
+	"github.com/turmericrock/turmericrock/internal/standin/pki"
+	"github.com/turmericrock/turmericrock/mesh"
+)
+
+// peer is a mesh with the events that it posted.
+type peer struct {
+	*mesh.Mesh
+	vm     fleet.VM
+	tls    *tls.Config
+	events chan dissemination.Event
+}
+
+func newAuthority(t *testing.T) *pki.Authority {
+	t.Helper()
+	authority, err := pki.NewAuthority()
+	must.NoError(t, err)
+	return authority
+}
+
+func tlsOf(t *testing.T, trusted, issuer *pki.Authority, name string) *tls.Config {
+	t.Helper()
+	pair, err := issuer.TLS(name)
+	must.NoError(t, err)
+	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: trusted.Pool(), MinVersion: tls.VersionTLS13}
+}
+
+func start(t *testing.T, id string, config *tls.Config) *peer {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	p := &peer{
+		vm:     fleet.VM{ID: id, Zone: "zone-1", Mesh: listener.Addr().(*net.TCPAddr).AddrPort()},
+		tls:    config,
+		events: make(chan dissemination.Event, 64),
+	}
+	settings := mesh.DefaultConfig()
+	settings.TLS = config
+	settings.Hello = p.hello()
+	p.Mesh = mesh.New(settings, func(_ context.Context, event dissemination.Event) { p.events <- event })
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- p.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-served)
+	})
+	return p
+}
+
+func (p *peer) hello() dissemination.Hello {
+	return dissemination.Hello{Protocol: dissemination.Protocol, ID: p.vm.ID, Zone: p.vm.Zone}
+}
+
+// next returns the next event, which is of type E.
+func next[E dissemination.Event](t *testing.T, p *peer) E {
+	t.Helper()
+	event, ok := (<-p.events).(E)
+	must.True(t, ok)
+	return event
+}
+
+func (p *peer) refused(cause string) int64 {
+	total := int64(0)
+	p.Collect(func(s metrics.Sample) {
+		if s.Name == "mesh_refused" && s.Cause == cause {
+			total += s.Value
+		}
+	})
+	return total
+}
+
+func TestMessagesPassBothWays(t *testing.T) {
+	authority := newAuthority(t)
+	a := start(t, "a", tlsOf(t, authority, authority, mesh.ServerName))
+	b := start(t, "b", tlsOf(t, authority, authority, mesh.ServerName))
+	a.Open(dissemination.Dial{Link: 1, Peer: b.vm, Hello: a.hello()})
+	in := next[dissemination.LinkOpened](t, b)
+	out := next[dissemination.LinkOpened](t, a)
+	must.Eq(t, "a", in.Hello.ID)
+	must.True(t, in.Inbound)
+	must.Eq(t, "b", out.Hello.ID)
+	must.False(t, out.Inbound)
+	// The message is large enough to be compressed.
+	large := dissemination.Value{Parts: [][]byte{make([]byte, 100_000)}}
+	a.Send(1, dissemination.Message{Value: &large})
+	must.Eq(t, large, *next[dissemination.Received](t, b).Message.Value)
+	b.Send(in.Link, dissemination.Message{State: &dissemination.State{Probe: 7}})
+	must.Eq(t, 7, next[dissemination.Received](t, a).Message.State.Probe)
+	a.Close(1)
+	must.Eq(t, 1, next[dissemination.LinkClosed](t, a).Link)
+	must.Eq(t, in.Link, next[dissemination.LinkClosed](t, b).Link)
+}
+
+func TestRefusedPeersAreCountedByCause(t *testing.T) {
+	authority, other := newAuthority(t), newAuthority(t)
+	good := tlsOf(t, authority, authority, mesh.ServerName)
+	server := start(t, "server", good)
+	cases := []struct {
+		cause  string
+		config *tls.Config
+	}{
+		{"certificate", tlsOf(t, authority, other, mesh.ServerName)},
+		{"certificate_name", tlsOf(t, authority, authority, "proofs.teifi.test")},
+		{"handshake", &tls.Config{RootCAs: authority.Pool(), MinVersion: tls.VersionTLS13}},
+	}
+	for _, c := range cases {
+		client := start(t, "client", c.config)
+		client.Open(dissemination.Dial{Link: 1, Peer: server.vm, Hello: client.hello()})
+		must.False(t, next[dissemination.LinkClosed](t, client).Refused)
+		must.Eq(t, 1, server.refused(c.cause), must.Sprint(c.cause))
+	}
+}
+
+func TestServerWithAnotherNameIsNotTrusted(t *testing.T) {
+	authority := newAuthority(t)
+	server := start(t, "server", tlsOf(t, authority, authority, "proofs.teifi.test"))
+	client := start(t, "client", tlsOf(t, authority, authority, mesh.ServerName))
+	client.Open(dissemination.Dial{Link: 1, Peer: server.vm, Hello: client.hello()})
+	must.Eq(t, 1, next[dissemination.LinkClosed](t, client).Link)
+}
+
+func TestNothingListens(t *testing.T) {
+	authority := newAuthority(t)
+	client := start(t, "client", tlsOf(t, authority, authority, mesh.ServerName))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	addr := listener.Addr().(*net.TCPAddr).AddrPort()
+	must.NoError(t, listener.Close())
+	client.Open(dissemination.Dial{Link: 1, Peer: fleet.VM{ID: "gone", Mesh: addr}, Hello: client.hello()})
+	must.True(t, next[dissemination.LinkClosed](t, client).Refused)
+}
+
+// raw opens a WebSocket with a good certificate and sends what it is told.
+func raw(t *testing.T, addr netip.AddrPort, config *tls.Config) *websocket.Conn {
+	t.Helper()
+	config = config.Clone()
+	config.ServerName = mesh.ServerName
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	conn, _, err := websocket.Dial(ctx, "wss://"+addr.String()+"/mesh", &websocket.DialOptions{HTTPClient: client})
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.CloseNow() })
+	return conn
+}
+
+func TestGarbageEndsALink(t *testing.T) {
+	authority := newAuthority(t)
+	good := tlsOf(t, authority, authority, mesh.ServerName)
+	hello, err := dissemination.Encode(dissemination.Message{Hello: &dissemination.Hello{Protocol: dissemination.Protocol, ID: "x", Zone: "zone-1"}})
+	must.NoError(t, err)
+	old, err := dissemination.Encode(dissemination.Message{Hello: &dissemination.Hello{Protocol: 99, ID: "x", Zone: "zone-1"}})
+	must.NoError(t, err)
+	state, err := dissemination.Encode(dissemination.Message{State: &dissemination.State{}})
+	must.NoError(t, err)
+	cases := []struct {
+		cause    string
+		messages [][]byte
+	}{
+		{"encoding", [][]byte{{0xff, 0x00}}},
+		{"hello", [][]byte{state}},
+		{"protocol", [][]byte{old}},
+		{"encoding", [][]byte{hello, {0x01, 0x02, 0x03}}},
+		{"kind", [][]byte{hello, {0xa0}}},
+	}
+	for _, c := range cases {
+		server := start(t, "server", good)
+		conn := raw(t, server.vm.Mesh, good)
+		ctx := context.Background()
+		for _, message := range c.messages {
+			must.NoError(t, conn.Write(ctx, websocket.MessageBinary, message))
+		}
+		for err = nil; err == nil; {
+			_, _, err = conn.Read(ctx)
+		}
+		must.Eq(t, 1, server.refused(c.cause), must.Sprint(c.cause))
+	}
+}
