Spread flows by two choices that the first agent corrects

Change: the first agent passes a flow on once to a second choice with a lesser load; it remembers loads that any entry told, since at the design size few entries know a recent one. Entries double the weight of a warm host below three quarters of the mean load, ramp an old report of a cold host by the declared warm-up, and probe twice a second where the rate allows. internal/bench compares five ways in one deterministic run. Outside the entry's packages: agent/packetconn.go and quic.go (Loads).

--- a/agent/packetconn.go
+++ b/agent/packetconn.go
@@ -9,6 +9,7 @@
 	"github.com/turmericrock/turmericrock/connid"
 	"github.com/turmericrock/turmericrock/internal/quicwire"
 	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/placement"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -40,8 +41,16 @@
 	codec      *tunnel.Codec
 	keys       *keyring.Keys
 	handshakes *handshakes
+	peers      *placement.Loads[netip.AddrPort]
 }
 
+const (
+	// peerLoadAge is how long the load of a second choice is remembered.
+	peerLoadAge = 5 * time.Second
+	// maxPeers bounds the second choices that are remembered.
+	maxPeers = 1024
+)
+
 // ReadFrom implements net.PacketConn.
 func (c *packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
 	for {
@@ -118,7 +127,8 @@
 	// most.
 	maySpare := header.Kind == tunnel.KindNew && header.Second.IsValid()
 	decision := c.handshakes.decide(now, packet.DCID, func() flowDecision {
-		return c.gate.decideFlow(maySpare, header.SecondLoad)
+		second := c.peers.Recent(now, header.Second, uint64(header.SecondLoad))
+		return c.gate.decideFlow(maySpare, tunnel.Load(second))
 	})
 	if decision == flowPassed && !maySpare {
 		decision = flowRefused
--- a/agent/quic.go
+++ b/agent/quic.go
@@ -15,6 +15,7 @@
 
 	"github.com/turmericrock/turmericrock/connid"
 	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/placement"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -84,6 +85,7 @@
 		buf:         make([]byte, tunnel.MaxDatagram),
 		control:     make([]byte, controlSize),
 		handshakes:  newHandshakes(time.Now()),
+		peers:       placement.NewLoads[netip.AddrPort](peerLoadAge, maxPeers),
 	}, nil
 }
 
--- a/entry/board.go
+++ b/entry/board.go
@@ -86,14 +86,10 @@
 	if h == nil {
 		return ReportUnlisted
 	}
-	weight := h.weight()
 	verdict := h.accept(now, e.Service, e.Report)
 	if verdict != ReportAccepted {
 		return verdict
 	}
-	if h.weight() != weight {
-		b.dirty[h.vm.Service] = struct{}{}
-	}
 	b.hearZone(h.vm.Zone, e.Report)
 	return verdict
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/placement"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -17,8 +18,8 @@
 	// reportQuiet is how long after a report an agent may coalesce the next
 	// one, so that a packet sent in this time may have no report of its own.
 	reportQuiet = time.Second
-	// loadMaxAge is the age at which a reported load is no longer used.
-	loadMaxAge = 5 * time.Second
+	// LoadMaxAge is the age at which a reported load is no longer used.
+	LoadMaxAge = 5 * time.Second
 	// coldWeight is the weight of a host whose capacity is not known.
 	coldWeight = 0.2
 	// weightSteps is the number of steps in which a weight is given, so that
@@ -45,6 +46,8 @@
 	state HostState
 	// usable tells that packets may be sent to the address.
 	usable bool
+	// weight is the share of new flows relative to other hosts.
+	weight float64
 	// added tells that the host was listed after the entry's first list.
 	added bool
 
@@ -107,7 +110,7 @@
 // observe notes whether new flows were placed on the host since the last
 // call.
 func (h *host) observe(now time.Time) {
-	if h.reported() && now.Sub(h.reportedAt) > loadMaxAge {
+	if h.reported() && now.Sub(h.reportedAt) > LoadMaxAge {
 		h.cell.load.Store(uint32(tunnel.UnknownLoad))
 	}
 	placed := h.cell.placed.Load()
@@ -136,18 +139,74 @@
 	return now.Sub(h.waitingSince)
 }
 
-// weight returns the host's share of new flows.
-func (h *host) weight() float64 {
-	if h.state.silent() {
-		return coldWeight
+// reweigh works out the share of new flows of each host of a service and
+// reports whether one changed. warmup returns the service's warm-up wish.
+func reweigh(now time.Time, hosts []*host, warmup func(fleet.ServiceID) time.Duration) bool {
+	mean := meanLoad(hosts)
+	changed := false
+	for _, h := range hosts {
+		weight := h.share(now, warmup)
+		if h.warm() {
+			weight *= placement.CatchUp(float64(h.cell.load.Load()), mean)
+		}
+		changed = changed || weight != h.weight
+		h.weight = weight
 	}
-	if !h.reported() {
-		if h.added {
-			return coldWeight
+	return changed
+}
+
+// meanLoad returns the mean of the loads that are known.
+func meanLoad(hosts []*host) float64 {
+	total, known := 0.0, 0.0
+	for _, h := range hosts {
+		if load := h.cell.load.Load(); h.state == HostLive && load != uint32(tunnel.UnknownLoad) {
+			total += float64(load)
+			known++
 		}
+	}
+	return total / max(known, 1)
+}
+
+// warm reports whether the host is known to admit its declared slots.
+func (h *host) warm() bool {
+	known := h.cell.load.Load() != uint32(tunnel.UnknownLoad)
+	return known && h.state == HostLive && h.report.State == tunnel.HostServing && h.report.Capacity >= fullCapacity
+}
+
+// share returns the host's share of new flows by its capacity.
+func (h *host) share(now time.Time, warmup func(fleet.ServiceID) time.Duration) float64 {
+	weight := 1.0
+	switch {
+	case h.state.silent():
+		weight = coldWeight
+	case h.reported() && h.report.State == tunnel.HostCold:
+		capacity := RampedCapacity(h.report, now.Sub(h.reportedAt), warmup(h.vm.Service))
+		weight = quantized(capacity)
+	case h.reported():
+		weight = quantized(float64(h.report.Capacity) / fullCapacity)
+	case h.added:
+		weight = coldWeight
+	}
+	return weight
+}
+
+// RampedCapacity returns the share of its declared slots that a cold host
+// admits by now, given its report and the report's age. An old report would
+// hold a host at its first capacity long after its warm-up.
+func RampedCapacity(report tunnel.Report, age, warmup time.Duration) float64 {
+	capacity := float64(report.Capacity) / fullCapacity
+	if age <= LoadMaxAge {
+		return capacity
+	}
+	if warmup <= 0 {
 		return 1
 	}
-	steps := math.Ceil(float64(h.report.Capacity) * weightSteps / fullCapacity)
+	return min(1, capacity+float64(age)/float64(warmup))
+}
+
+// quantized returns the capacity in weightSteps steps, and at least one.
+func quantized(capacity float64) float64 {
+	steps := math.Ceil(capacity * weightSteps)
 	return min(max(steps, 1), weightSteps) / weightSteps
 }
 
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -65,10 +65,24 @@
 		h.observe(now)
 		m.decide(now, board, h, openZones[h.vm.Zone])
 	}
+	weigh(now, board, config)
 	m.changes.flush(now, board.Node)
 	return m.prober.step(now, board)
 }
 
+// weigh works out the hosts' shares of new flows.
+func weigh(now time.Time, board *Board, config *fleet.Config) {
+	warmup := func(id fleet.ServiceID) time.Duration {
+		service, _ := config.Service(id)
+		return service.Warmup
+	}
+	for id, hosts := range board.byService {
+		if reweigh(now, hosts, warmup) {
+			board.dirty[id] = struct{}{}
+		}
+	}
+}
+
 // listsChanged reports whether a VM list differs from the one last applied.
 func (m *Membership) listsChanged(board *Board) bool {
 	changed := len(m.versions) != len(board.Node.Lists)
@@ -109,7 +123,7 @@
 		m.note(h, h.state.String(), HostUnreported.String(), "replaced")
 		h.retire()
 		h.waitingSince = time.Time{}
-		h.added = true
+		h.added, h.weight = true, coldWeight
 		h.state = HostUnreported
 	}
 	h.vm = vm
--- a/entry/prober.go
+++ b/entry/prober.go
@@ -16,9 +16,7 @@
 	probeBurst = 10
 	// probeInterval is the least time between two probes of a host, and the
 	// age at which a report is renewed.
-	probeInterval = time.Second
-	// probeRetry is the same while a report is due.
-	probeRetry = 500 * time.Millisecond
+	probeInterval = 500 * time.Millisecond
 	// probeGone is the same for a host that is gone.
 	probeGone = 5 * time.Second
 )
@@ -46,7 +44,7 @@
 	var effects []blackboard.Effect
 	effects = p.sweep(now, board, &p.urgent, effects, func(h *host) bool {
 		owes := !h.waitingSince.IsZero() && !h.state.silent()
-		return owes && now.Sub(h.probedAt) >= probeRetry
+		return owes && now.Sub(h.probedAt) >= probeInterval
 	})
 	return p.sweep(now, board, &p.turn, effects, func(h *host) bool {
 		return now.Sub(h.probedAt) >= h.probeAge() && now.Sub(h.reportedAt) >= probeInterval
--- a/entry/viewer.go
+++ b/entry/viewer.go
@@ -93,7 +93,7 @@
 		if !eligible || !declared || board.closed[zone.Number] {
 			continue
 		}
-		sv.Candidates = append(sv.Candidates, placement.Candidate{Seed: h.seed, Weight: h.weight()})
+		sv.Candidates = append(sv.Candidates, placement.Candidate{Seed: h.seed, Weight: h.weight})
 		sv.Hosts = append(sv.Hosts, HostView{Addr: h.vm.Addr, Zone: zone.Number, cell: h.cell})
 	}
 	return sv
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -26,13 +26,13 @@
 func measureControl(show func(Figure)) error {
 	for _, share := range shares {
 		size := fleetgen.DesignSize().Scaled(share)
-		before := heap()
+		before := heapInUse()
 		control, err := NewEntryControl(size)
 		if err != nil {
 			return err
 		}
 		name := fmt.Sprintf("entry_control_%d_hosts", size.Hosts)
-		show(Figure{Name: name + "_memory", Value: float64(heap()-before) / (1 << 20), Unit: "MiB"})
+		show(Figure{Name: name + "_memory", Value: float64(heapInUse()-before) / (1 << 20), Unit: "MiB"})
 		scan := microseconds(control.Scan)
 		report := microseconds(control.Report)
 		turn := microseconds(control.Turn)
@@ -57,7 +57,7 @@
 	return float64(result.T.Nanoseconds()) / float64(result.N) / 1000
 }
 
-func heap() uint64 {
+func heapInUse() uint64 {
 	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
--- a/internal/bench/figure.go
+++ b/internal/bench/figure.go
@@ -27,6 +27,7 @@
 	return []Measure{
 		{Name: "place", Run: measurePlace},
 		{Name: "control", Run: measureControl},
+		{Name: "fairness", Run: measureFairness},
 		{Name: "forward", Run: func(show func(Figure)) error { return measureForward(binary, show) }},
 	}
 }
