Spread word of lost nodes over the mesh

Cause: at 930 entries before 5,000 hosts each entry places 75 new flows a second and probes at a bounded rate, so it meets a given dead host about once in a minute and learns of its death from its own silence alone. A caller's repeated first packet reaches other entries that have not learned of it and hashes to the same host.

Change: a node whose child breaks its link, or stops polling, tells the nodes that hold every list; a child heard again is told of too. Links closed on purpose are told apart, so that a change of parents is no loss. A zone of which nothing is heard while others are is told as silent. Entries hold both against a host until it reports to them.

--- a/dissemination/action.go
+++ b/dissemination/action.go
@@ -104,6 +104,8 @@
 // LinkClosed tells that a link could not be opened or has ended.
 type LinkClosed struct {
 	Link LinkID
+	// Graceful tells that the other side ended the link on purpose.
+	Graceful bool
 	// Refused tells that the address answered and nothing listens there, or
 	// another VM does.
 	Refused bool
--- a/dissemination/codec.go
+++ b/dissemination/codec.go
@@ -72,7 +72,7 @@
 // fault returns what is wrong with a message, or nothing.
 func (m Message) fault() string {
 	kinds := 0
-	for _, set := range []bool{m.Hello != nil, m.State != nil, m.Want != nil, m.Value != nil} {
+	for _, set := range []bool{m.Hello != nil, m.State != nil, m.Want != nil, m.Value != nil, m.Presence != nil} {
 		if set {
 			kinds++
 		}
@@ -86,6 +86,8 @@
 		return m.State.fault()
 	case m.Want != nil:
 		return m.Want.fault()
+	case m.Presence != nil:
+		return presenceFault(m.Presence)
 	default:
 		return m.Value.fault()
 	}
--- a/dissemination/link.go
+++ b/dissemination/link.go
@@ -25,6 +25,8 @@
 	heardAt time.Time
 	// echo is the latest probe of the other side.
 	echo uint64
+	// lost tells that word of the loss of the other side was given.
+	lost bool
 	// state is the latest state of the other side.
 	state State
 }
@@ -112,6 +114,9 @@
 		return
 	}
 	r.removeLink(event.Link)
+	if l.inbound && !event.Graceful {
+		r.lost(now, l)
+	}
 	if l.inbound || l.vm.ID == "" {
 		return
 	}
@@ -130,6 +135,9 @@
 // checkLinks drops links whose other side is silent.
 func (r *Replica) checkLinks(now time.Time) {
 	for _, l := range r.sortedLinks() {
+		if l.inbound && now.Sub(l.heardAt) > r.config.SilentAfter {
+			r.lost(now, l)
+		}
 		switch {
 		case l.inbound && now.Sub(l.heardAt) > inboundSilent:
 			r.drop(l, "silent")
--- a/dissemination/message.go
+++ b/dissemination/message.go
@@ -10,6 +10,8 @@
 	State *State `cbor:"2,keyasint,omitempty"`
 	Want  *Want  `cbor:"3,keyasint,omitempty"`
 	Value *Value `cbor:"4,keyasint,omitempty"`
+	// Presence is word of nodes that were lost or heard again.
+	Presence []Presence `cbor:"5,keyasint,omitempty"`
 }
 
 // Hello opens a link in both directions.
--- /dev/null
+++ b/dissemination/presence_test.go
@@ -0,0 +1,118 @@
+package dissemination_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/dissemination"
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/controlnet"
+)
+
+// lastAgent returns an agent that nobody polls.
+func (f *fixture) lastAgent() *controlnet.Node {
+	f.t.Helper()
+	var last *controlnet.Node
+	for _, n := range f.Nodes() {
+		if n.VM.Role == fleet.RoleAgent && !n.Replica.Hello().All {
+			last = n
+		}
+	}
+	must.NotNil(f.t, last)
+	return last
+}
+
+// entriesHold checks that every entry holds the node lost, or not.
+func (f *fixture) entriesHold(id string, lost bool) {
+	f.t.Helper()
+	for _, n := range f.Nodes() {
+		if n.VM.Role != fleet.RoleEntry || !n.Alive() {
+			continue
+		}
+		_, held := n.Replica.Lost(f.Now(), id)
+		must.Eq(f.t, lost, held, must.Sprintf("entry %s", n.VM.ID))
+	}
+}
+
+func TestEveryEntryHearsOfALostAgent(t *testing.T) {
+	f := started(t, 21)
+	agent := f.lastAgent()
+	f.entriesHold(agent.VM.ID, false)
+	agent.Kill()
+	f.Advance(2 * time.Second)
+	f.entriesHold(agent.VM.ID, true)
+	agent.Start(0)
+	f.Advance(10 * time.Second)
+	f.entriesHold(agent.VM.ID, false)
+}
+
+func TestEveryEntryHearsOfAPausedAgent(t *testing.T) {
+	f := started(t, 22)
+	agent := f.lastAgent()
+	agent.Pause()
+	f.Advance(6 * time.Second)
+	f.entriesHold(agent.VM.ID, true)
+	agent.Resume()
+	f.Advance(4 * time.Second)
+	f.entriesHold(agent.VM.ID, false)
+}
+
+func TestNobodyIsHeldLostInQuietTimes(t *testing.T) {
+	f := started(t, 23)
+	f.Advance(2 * time.Minute)
+	for _, n := range f.Nodes() {
+		f.entriesHold(n.VM.ID, false)
+	}
+}
+
+func TestASilentZoneIsTold(t *testing.T) {
+	f := started(t, 24)
+	zone := f.lastAgent().VM.Zone
+	for _, n := range f.zone(zone) {
+		n.Kill()
+	}
+	f.Advance(10 * time.Second)
+	for _, n := range f.Nodes() {
+		if n.VM.Role == fleet.RoleEntry && n.Alive() {
+			must.True(t, n.Replica.ZoneSilent(f.Now(), zone), must.Sprintf("entry %s", n.VM.ID))
+		}
+	}
+}
+
+func TestAPeerThatMovesIsNotLost(t *testing.T) {
+	f := started(t, 25)
+	zone := f.lastAgent().VM.Zone
+	before := f.dials()
+	list := f.Lists[zone]
+	list.Version++
+	const joined = 8
+	for i := range joined {
+		vm := fleet.VM{ID: fmt.Sprintf("joined-%d", i), Zone: zone, Role: fleet.RoleEntry, State: fleet.VMLive}
+		ip := netip.AddrFrom4([4]byte{127, 200, 0, byte(i + 1)})
+		vm.Addr = netip.AddrPortFrom(ip, 7300)
+		vm.Mesh = netip.AddrPortFrom(ip, 7400)
+		list.VMs = append(list.VMs, vm)
+		f.Add(vm, 0).Start(0)
+	}
+	f.Lists[zone] = list
+	must.NoError(t, f.PublishLists())
+	f.Advance(30 * time.Second)
+	for _, n := range f.Nodes() {
+		must.Zero(t, n.Replica.Counts().Presences, must.Sprintf("node %s", n.VM.ID))
+	}
+	// Besides the links of the nodes that joined, others were exchanged.
+	must.Greater(t, before+uint64(joined*dissemination.DefaultConfig().Parents), f.dials())
+}
+
+// dials counts the links opened so far.
+func (f *fixture) dials() uint64 {
+	dials := uint64(0)
+	for _, n := range f.Nodes() {
+		dials += n.Replica.Counts().Dials
+	}
+	return dials
+}
--- a/dissemination/replica.go
+++ b/dissemination/replica.go
@@ -40,8 +40,11 @@
 	nextLink LinkID
 	nextDial time.Time
 	changed  map[string]bool
-	actions  []Action
-	counts   Counts
+	// presences holds word of nodes that were lost or heard again.
+	presences map[string]presence
+	news      []news
+	actions   []Action
+	counts    Counts
 }
 
 // Counts counts what a Replica decided and saw.
@@ -66,6 +69,8 @@
 	Full uint64
 	// Pauses counts pauses of the process.
 	Pauses uint64
+	// Presences counts word of nodes that were lost or heard again.
+	Presences uint64
 	// Retained counts lists that lost so many VMs that these were kept.
 	Retained uint64
 }
@@ -87,6 +92,8 @@
 		refused:  make(map[string]time.Time),
 		nextLink: 1,
 		changed:  make(map[string]bool),
+
+		presences: make(map[string]presence),
 	}
 }
 
@@ -116,6 +123,7 @@
 		r.readDone(now, event)
 	}
 	r.push(now)
+	r.spread(now)
 }
 
 // Step does what is due by time. It is called a few times a second.
@@ -129,6 +137,7 @@
 	r.poll(now)
 	r.scheduleReads(now)
 	r.push(now)
+	r.spread(now)
 }
 
 func (r *Replica) start(now time.Time) {
--- a/dissemination/state.go
+++ b/dissemination/state.go
@@ -93,6 +93,8 @@
 		r.wantReceived(l, *message.Want)
 	case message.Value != nil:
 		r.valueReceived(now, l, *message.Value)
+	case message.Presence != nil:
+		r.presenceReceived(now, l, message.Presence)
 	}
 }
 
@@ -101,6 +103,7 @@
 	if state.Probe != 0 {
 		l.echo = state.Probe
 		l.heardAt = now
+		r.present(now, l)
 		r.send(l, Message{State: r.state(now, l)})
 	}
 	if asked, ok := r.askedAt(l, state.Echo); ok {
--- a/entry/host.go
+++ b/entry/host.go
@@ -55,6 +55,8 @@
 	// placedSeen is the cell's count at the last scan.
 	placedSeen uint64
 	probedAt   time.Time
+	// word is what peers hold against the host, or nothing.
+	word string
 	// waitingSince is when the earliest unanswered packet was sent, or zero.
 	waitingSince time.Time
 }
--- a/entry/hoststate.go
+++ b/entry/hoststate.go
@@ -1,14 +1,16 @@
 package entry
 
 // HostState is what an entry believes of a listed host. The states are told
-// apart by the platform's list, which lags, by the agent's own reports, and
-// by silence: a probe or a packet of a new flow that no report followed.
+// apart by the platform's list, which lags, by the agent's own reports, by the
+// word of the nodes that the agent polls, and by silence: a probe or a packet
+// of a new flow that no report followed.
 //
 //	state       evidence                                new flows  probed
 //	unreported  listed, no report of this VM yet        cold share yes
 //	live        the agent reports that it accepts       by weight  yes
-//	suspect     silent for SuspectAfter: paused, cut    none       yes
-//	            off, or dead
+//	suspect     silent for SuspectAfter, lost by its    none       yes
+//	            peers, or in a zone that is silent:
+//	            paused, cut off, or dead
 //	gone        silent for goneAfter, yet still listed  none       seldom
 //	leaving     the list or the agent says so           none       yes
 //	down        the agent says that its backend server  none       yes
@@ -18,7 +20,7 @@
 //	unusable    listed with an address that is not      none       no
 //	            IPv4 or outside AgentNetworks
 //
-// Evidence counts in this order: address, zone, list, silence, report. A
+// Evidence counts in this order: address, zone, list, silence, peers, report. A
 // paused host that answers again is live by its first report. A host that
 // restarted, or was replaced on its address, shows another incarnation or VM
 // ID: what was known of the earlier one is forgotten and its late reports are
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -19,6 +19,9 @@
 	// pauseGap is the time between two scans above which the process was
 	// paused, and what it did not hear tells nothing.
 	pauseGap = time.Second
+	// zoneReportAge is the age from which a report does not count against the
+	// silence of the host's whole zone.
+	zoneReportAge = 2 * time.Second
 	// goneAfter is how long a silent host may be listed before it is probed
 	// seldom.
 	goneAfter = 30 * time.Second
@@ -58,11 +61,13 @@
 	paused := !m.scanned.IsZero() && now.Sub(m.scanned) > pauseGap
 	m.scanned = now
 	openZones := closeZones(now, board, config)
+	silentZones := findSilentZones(now, board, config)
 	for _, h := range board.order {
 		if paused {
 			h.waitingSince = time.Time{}
 		}
 		h.observe(now)
+		h.word = peersWord(now, board, h, silentZones[h.vm.Zone])
 		m.decide(now, board, h, openZones[h.vm.Zone])
 	}
 	m.changes.flush(now, board.Node)
@@ -173,6 +178,31 @@
 	return openZones
 }
 
+// findSilentZones returns the zones of which nothing is heard any more.
+func findSilentZones(now time.Time, board *Board, config *fleet.Config) map[string]bool {
+	silent := make(map[string]bool)
+	for _, zone := range config.Manifest.Zones {
+		if board.Node.ZoneSilent(now, zone.Name) {
+			silent[zone.Name] = true
+		}
+	}
+	return silent
+}
+
+// peersWord returns what peers hold against the host, or nothing. A report
+// that came later counts more than their word.
+func peersWord(now time.Time, board *Board, h *host, zoneSilent bool) string {
+	lostAt, lost := board.Node.Lost(now, h.vm.ID)
+	switch {
+	case lost && lostAt.After(h.reportedAt):
+		return "lost by peers"
+	case zoneSilent && now.Sub(h.reportedAt) > zoneReportAge:
+		return "zone silent"
+	default:
+		return ""
+	}
+}
+
 // decide moves the host to the state that the evidence gives.
 func (m *Membership) decide(now time.Time, board *Board, h *host, zoneOpen bool) {
 	next, cause := h.next(now, board.Config.SuspectAfter, zoneOpen)
@@ -198,6 +228,8 @@
 		return HostGone, "silent"
 	case silence >= suspectAfter:
 		return HostSuspect, "silent"
+	case h.word != "":
+		return HostSuspect, h.word
 	case !h.reported():
 		return HostUnreported, "no report"
 	case h.report.State == tunnel.HostLeaving:
--- a/entry/membership_test.go
+++ b/entry/membership_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/node"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -284,3 +286,20 @@
 	}
 	return count
 }
+
+func TestPeersWordMakesSuspectUntilTheHostReports(t *testing.T) {
+	b := newBed(t, "a")
+	addrs := b.list("a", 4)
+	b.run(3 * time.Second)
+	hello := dissemination.Hello{Protocol: dissemination.Protocol, ID: b.board.hosts[addrs[1]].vm.ID, Zone: "a"}
+	link := dissemination.LinkID(2)
+	b.update(node.Happened{Event: dissemination.LinkOpened{Link: link, Hello: hello, Inbound: true}})
+	b.update(node.Happened{Event: dissemination.LinkClosed{Link: link}})
+	b.silent[addrs[1]] = true
+	b.run(scanInterval)
+	must.Eq(t, HostSuspect, b.state(addrs[1]))
+	must.MapNotContainsKey(t, b.eligible(), addrs[1])
+	b.silent[addrs[1]] = false
+	b.run(probeInterval + 2*scanInterval)
+	must.Eq(t, HostLive, b.state(addrs[1]))
+}
--- a/internal/controlnet/link.go
+++ b/internal/controlnet/link.go
@@ -66,8 +66,9 @@
 	n.handle(dissemination.LinkOpened{Link: out.id, Hello: hello})
 }
 
-// close ends the link at both ends.
-func (e *end) close() {
+// close ends the link at both ends. The peer is told whether it was on
+// purpose.
+func (e *end) close(graceful bool) {
 	if e.closed {
 		return
 	}
@@ -80,7 +81,7 @@
 		}
 		peer.closed = true
 		delete(peer.node.links, peer.id)
-		peer.node.handle(dissemination.LinkClosed{Link: peer.id})
+		peer.node.handle(dissemination.LinkClosed{Link: peer.id, Graceful: graceful})
 	})
 	if e.node.alive {
 		e.node.handle(dissemination.LinkClosed{Link: e.id})
@@ -124,7 +125,7 @@
 			e.stuckSince = net.Now()
 		}
 		if net.Now().Sub(e.stuckSince) > breakAfter {
-			e.close()
+			e.close(false)
 			return
 		}
 		e.pumping = true
@@ -146,7 +147,7 @@
 			return
 		}
 		if message, err = dissemination.Decode(data); err != nil {
-			e.close()
+			e.close(false)
 			return
 		}
 	}
--- a/internal/controlnet/network.go
+++ b/internal/controlnet/network.go
@@ -163,7 +163,7 @@
 	n.alive = false
 	n.born++
 	for _, e := range n.links {
-		e.close()
+		e.close(false)
 	}
 }
 
@@ -225,7 +225,7 @@
 			n.send(action)
 		case dissemination.Close:
 			if e := n.links[action.Link]; e != nil {
-				e.close()
+				e.close(true)
 			}
 		case dissemination.ConfigJudged:
 			if action.Verdict == revision.Accepted && n.net.Adopted != nil {
--- a/internal/node/facts.go
+++ b/internal/node/facts.go
@@ -154,3 +154,14 @@
 	}
 	return strconv.FormatUint(c.Revision(), 10)
 }
+
+// Lost reports whether peers say that the VM was lost, and when.
+func (f *Facts) Lost(now time.Time, id string) (time.Time, bool) {
+	return f.replica.Lost(now, id)
+}
+
+// ZoneSilent reports whether nothing is heard of the availability zone any
+// more while others are.
+func (f *Facts) ZoneSilent(now time.Time, zone string) bool {
+	return f.replica.ZoneSilent(now, zone)
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -129,10 +129,10 @@
 	}
 }
 
-// Close closes a link.
+// Close closes a link on purpose: the other side's LinkClosed is graceful.
 func (m *Mesh) Close(id dissemination.LinkID) {
 	if l := m.link(id); l != nil {
-		l.close()
+		go func() { _ = l.conn.Close(websocket.StatusNormalClosure, "") }()
 	}
 }
 
@@ -260,12 +260,12 @@
 	m.counts.opened(1)
 	m.post(ctx, opened)
 	go l.write(linkCtx, m.config.WriteTimeout)
-	l.read(linkCtx)
+	graceful := l.read(linkCtx)
 	m.mu.Lock()
 	delete(m.links, id)
 	m.mu.Unlock()
 	m.counts.opened(-1)
-	m.post(ctx, dissemination.LinkClosed{Link: id})
+	m.post(ctx, dissemination.LinkClosed{Link: id, Graceful: graceful})
 }
 
 // link is one WebSocket connection.
@@ -287,25 +287,25 @@
 	}
 }
 
-// read hands messages on until the link ends. A message that is not valid
-// ends it.
-func (l *link) read(ctx context.Context) {
+// read hands messages on until the link ends and reports whether the other
+// side ended it on purpose. A message that is not valid ends it.
+func (l *link) read(ctx context.Context) bool {
 	defer l.cancel()
 	defer func() { _ = l.conn.CloseNow() }()
 	for {
 		kind, data, err := l.conn.Read(ctx)
 		if err != nil {
-			return
+			return websocket.CloseStatus(err) == websocket.StatusNormalClosure
 		}
 		l.mesh.counts.message(true, len(data))
 		if kind != websocket.MessageBinary {
 			l.mesh.counts.add(causeText)
-			return
+			return false
 		}
 		message, err := dissemination.Decode(data)
 		if err != nil {
 			l.mesh.counts.add(causeOf(err))
-			return
+			return false
 		}
 		l.mesh.post(ctx, dissemination.Received{Link: l.id, Message: message})
 	}
