--- a/agent/quic.go
+++ b/agent/quic.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +13,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"github.com/turmericrock/turmericrock/connid"
+	"github.com/turmericrock/turmericrock/keyring"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -71,7 +74,7 @@
 	key := quic.StatelessResetKey(reset)
 	return &quic.Transport{
 		Conn:                  conn,
-		ConnectionIDGenerator: &idGenerator{issuer: issuer},
+		ConnectionIDGenerator: &idGenerator{issuer: issuer, views: &a.views, keys: view.Keys},
 		StatelessResetKey:     &key,
 		ConnContext:           a.admitFlow,
 	}, nil
@@ -107,13 +110,21 @@
 
 var errFlowRefused = &NotRunError{Cause: CauseFlowRefused}
 
-// idGenerator adapts an issuer to the QUIC library.
+// idGenerator adapts an issuer to the QUIC library. It issues under the keys
+// of the current view.
 type idGenerator struct {
 	issuer *connid.Issuer
+	views  *atomic.Pointer[View]
+
+	mu   sync.Mutex
+	keys *keyring.Keys
 }
 
 // GenerateConnectionID implements quic.ConnectionIDGenerator.
 func (g *idGenerator) GenerateConnectionID() (quic.ConnectionID, error) {
+	if err := g.refreshKeys(g.views.Load().Keys); err != nil {
+		return quic.ConnectionID{}, err
+	}
 	id, err := g.issuer.Next()
 	if err != nil {
 		return quic.ConnectionID{}, err
@@ -121,6 +132,21 @@
 	return quic.ConnectionIDFromBytes(id), nil
 }
 
+func (g *idGenerator) refreshKeys(keys *keyring.Keys) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if keys == g.keys {
+		return nil
+	}
+	codec, err := connid.NewCodec(keys)
+	if err != nil {
+		return err
+	}
+	g.issuer.SetCodec(codec)
+	g.keys = keys
+	return nil
+}
+
 // ConnectionIDLen implements quic.ConnectionIDGenerator.
 func (g *idGenerator) ConnectionIDLen() int {
 	return connid.Size
--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -88,6 +88,14 @@
 	if m, found := s.marks[name]; found && measure == "begun" {
 		return begun(m.nodes) - m.begun, "", nil
 	}
+	if what, found := strings.CutPrefix(measure, "audit:"); found {
+		node, err := s.node(name)
+		if err != nil {
+			return 0, "", err
+		}
+		count, err := node.Audited(what)
+		return count, "", err
+	}
 	if measure == "fallen" {
 		node, err := s.node(name)
 		if err != nil {
--- a/internal/standin/world/revisions.go
+++ b/internal/standin/world/revisions.go
@@ -5,6 +5,7 @@
 	"os"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -13,6 +14,22 @@
 // force.
 var acceptedLine = regexp.MustCompile(`msg=audit .*cause=published .*to=(\d+) what=configuration$`)
 
+// Audited returns the number of changes of the subject in the node's audit
+// trail.
+func (n *Node) Audited(what string) (int, error) {
+	data, err := os.ReadFile(n.LogPath())
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	count := 0
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, "msg=audit ") && strings.HasSuffix(line, " what="+what+"\n") {
+			count++
+		}
+	}
+	return count, nil
+}
+
 // Revisions returns the revisions that came into force at the node, in order,
 // as its audit trail tells them.
 func (n *Node) Revisions() ([]uint64, error) {
