--- a/agent/config.go
+++ b/agent/config.go
@@ -8,7 +8,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/mesh"
 )
 
 // Config holds the settings of an agent.
@@ -26,6 +28,11 @@
 	QueueWait time.Duration
 	// RequestTimeout bounds a request that brings no deadline of its own.
 	RequestTimeout time.Duration
+	// StallTimeout bounds how long a caller may take nothing of an answer
+	// that holds a slot.
+	StallTimeout time.Duration
+	// FirstRequest bounds how long a flow may be without its first request.
+	FirstRequest time.Duration
 	// ReportInterval is the least time between two load reports to an entry.
 	ReportInterval time.Duration
 	// IdleTimeout is how long a silent flow is kept.
@@ -36,6 +43,10 @@
 	// LeaveGrace is the time between the decision to leave and the GOAWAY on
 	// established flows, in which entries learn of it.
 	LeaveGrace time.Duration
+	// Mesh holds the settings of the links to other processes.
+	Mesh mesh.Config
+	// Control tells how the agent takes part in spreading the configuration.
+	Control dissemination.Config
 }
 
 // DefaultConfig returns the settings that need no value from operators.
@@ -43,9 +54,13 @@
 	return Config{
 		QueueWait:      500 * time.Millisecond,
 		RequestTimeout: 30 * time.Second,
+		StallTimeout:   10 * time.Second,
+		FirstRequest:   10 * time.Second,
 		ReportInterval: 250 * time.Millisecond,
 		IdleTimeout:    60 * time.Second,
 		HealthInterval: 500 * time.Millisecond,
 		LeaveGrace:     time.Second,
+		Mesh:           mesh.DefaultConfig(),
+		Control:        dissemination.DefaultConfig(),
 	}
 }
--- a/internal/cli/base.go
+++ b/internal/cli/base.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"os"
 	"os/signal"
@@ -32,8 +33,8 @@
 	trail   *audit.Trail
 	ring    *keyring.Ring
 	loop    *reload.Loop
-	// mesh is this process's certificate on the mesh.
-	mesh *certs.Pair
+	// mesh is the TLS configuration of links to other processes.
+	mesh *tls.Config
 }
 
 // newBase loads what the settings name. It starts nothing.
@@ -50,11 +51,12 @@
 	if err != nil {
 		return nil, err
 	}
-	mesh, err := certs.LoadPair(common.Mesh.Certificate, common.Mesh.Key)
+	pair, err := certs.LoadPair(common.Mesh.Certificate, common.Mesh.Key)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := certs.LoadAuthority(common.Mesh.Authority); err != nil {
+	authority, err := certs.LoadAuthority(common.Mesh.Authority)
+	if err != nil {
 		return nil, err
 	}
 	trail := audit.NewTrail(log, auditSize)
@@ -65,10 +67,15 @@
 		trail:   trail,
 		ring:    ring,
 		loop:    reload.New(log, trail),
-		mesh:    mesh,
+		mesh: &tls.Config{
+			GetCertificate:       pair.Get,
+			GetClientCertificate: pair.GetClient,
+			RootCAs:              authority,
+			MinVersion:           tls.VersionTLS13,
+		},
 	}
 	b.watchKeys()
-	b.watchPair(mesh, common.Mesh.Certificate)
+	b.watchPair(pair, common.Mesh.Certificate)
 	return b, nil
 }
 
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -42,6 +42,7 @@
 		Certificate: f.Required("agent", "certificate", allowedPEM),
 		Key:         f.Required("agent", "key", allowedPEM),
 	}
+	settings.Mesh.apply(&settings.Agent.Mesh, &settings.Agent.Control)
 	refuseClashes(f, settings.sockets())
 	return settings, f.Finish()
 }
