--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -221,10 +223,30 @@
 func (n *Node) commonSettings() string {
 	return fmt.Sprintf(
 		"[node]\nid = %s\nzone = %s\naddress = %s\n\n[platform]\nurl = %s\n\n[keys]\nfile = %s\n\n[log]\nlevel = %s\n\n[ops]\naddress = %s\n\n"+
-			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\nfleet_limit = 200\n",
+			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\nfleet_limit = 200\n%s",
 		n.vm.ID, n.vm.Zone, n.vm.Addr, n.world.gatekeeper.url(n.vm.ID), n.world.path("keys.ini"), n.world.config.LogLevel, n.ops,
-		n.vm.Mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"))
+		n.vm.Mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"), n.seeds())
 }
 
 // stopWait bounds the wait for a process that was killed.
 const stopWait = 10 * time.Second
+
+// maxSeeds is the number of other nodes that a node is told to ask while it
+// knows no list.
+const maxSeeds = 4
+
+// seeds returns the setting that names nodes started earlier.
+func (n *Node) seeds() string {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	var addrs []string
+	for _, id := range slices.Sorted(maps.Keys(n.world.nodes)) {
+		if other := n.world.nodes[id]; other != n && len(addrs) < maxSeeds {
+			addrs = append(addrs, other.vm.Mesh.String())
+		}
+	}
+	if len(addrs) == 0 {
+		return ""
+	}
+	return "seeds = " + strings.Join(addrs, ", ") + "\n"
+}
