Probe hosts only while the facts may be acted on

Cause: an entry that was frozen while a zone was taken out probed a host of the zone as soon as it was thawed, before it knew; the scenario zone_out_frozen_entry counted 1 packet at the address of a lost host. Packets of callers were dropped by the view's validity, which was ruled out.

Change: the prober waits until the facts are current.

--- a/entry/membership.go
+++ b/entry/membership.go
@@ -72,6 +72,10 @@
 	}
 	weigh(now, board, config)
 	m.changes.flush(now, board.Node)
+	if !board.Node.Current(now) {
+		// A probe is a packet too: it may not go into a zone by an old view.
+		return nil
+	}
 	return m.prober.step(now, board)
 }
 
