--- a/internal/controlscale/measure.go
+++ b/internal/controlscale/measure.go
@@ -50,7 +50,9 @@
 	// Step is the mean processor time of one step of a replica, with its
 	// share of the messages, in virtual steady state.
 	Step time.Duration
-	// CPUShare is the share of a core that a node spends at StepRate.
+	// CPUShare is the share of a core that a node spends at StepRate, had
+	// each step the mean cost of those measured. It is an upper bound: the
+	// steps measured are fewer and carry the same messages.
 	CPUShare float64
 }
 
@@ -115,7 +117,7 @@
 		Size:     size,
 		Phases:   b.phases,
 		Step:     step,
-		CPUShare: float64(cpu) / float64(size.Nodes()) / float64(steadyTime),
+		CPUShare: step.Seconds() * StepRate,
 	}, nil
 }
 
