Send word of nodes in batches, once a step

Cause: each word went out by itself, so a watcher sent and received up to 739 messages a second while half of 5,930 nodes restarted. Change: news is spread by the step and not by each event.

--- a/dissemination/replica.go
+++ b/dissemination/replica.go
@@ -129,7 +129,6 @@
 		r.readDone(now, event)
 	}
 	r.push(now)
-	r.spread(now)
 }
 
 // Step does what is due by time. It is called a few times a second.
