--- a/entry/placer.go
+++ b/entry/placer.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/turmericrock/turmericrock/connid"
+	"github.com/turmericrock/turmericrock/internal/invariant"
 	"github.com/turmericrock/turmericrock/internal/quicwire"
 	"github.com/turmericrock/turmericrock/placement"
 	"github.com/turmericrock/turmericrock/tunnel"
@@ -97,7 +98,7 @@
 		return Decision{Verdict: VerdictZoneOut}
 	case !usableAddr(view.AgentNetworks, owner.Addr):
 		return Decision{Verdict: VerdictForeignAddr}
-	case owner.Service != service.Tag:
+	case !invariant.Check(invariantService, owner.Service == service.Tag):
 		return Decision{Verdict: VerdictViolation}
 	}
 	return Decision{
@@ -121,20 +122,35 @@
 		Service: service.Tag,
 		Agent:   host.Addr,
 	}
-	violated := view.ZonesOut[host.Zone]
+	if !openZone(view, host) {
+		return Decision{Verdict: VerdictViolation}
+	}
 	if second != placement.None {
 		other := &service.Hosts[second]
+		differ := invariant.Check(invariantSecond, other.Addr != host.Addr)
+		if !differ || !openZone(view, other) {
+			return Decision{Verdict: VerdictViolation}
+		}
 		decision.Second = other.Addr
 		decision.SecondLoad = tunnel.Load(other.cell.load.Load())
-		violated = violated || view.ZonesOut[other.Zone] || other.Addr == host.Addr
-	}
-	if violated {
-		return Decision{Verdict: VerdictViolation}
 	}
 	host.cell.placed.Add(1)
 	return decision
 }
 
+// Names of invariants.
+const (
+	invariantService = "packet_goes_to_the_service_addressed"
+	invariantZone    = "new_flow_goes_to_an_open_zone"
+	invariantSecond  = "second_choice_differs_from_first"
+)
+
+// openZone reports whether the host's zone is open in the view. Eligible
+// hosts stand in open zones.
+func openZone(view *View, host *HostView) bool {
+	return invariant.Check(invariantZone, !view.ZonesOut[host.Zone])
+}
+
 // flowKey hashes the caller's address and the connection ID that it chose, so
 // that many flows behind one address spread over hosts.
 func flowKey(src netip.AddrPort, dcid []byte) uint64 {
