--- a/dissemination/link.go
+++ b/dissemination/link.go
@@ -25,6 +25,8 @@
 	heardAt time.Time
 	// echo is the latest probe of the other side.
 	echo uint64
+	// lost tells that word of the loss of the other side was given.
+	lost bool
 	// state is the latest state of the other side.
 	state State
 }
@@ -51,6 +53,16 @@
 	return r.ordered
 }
 
+// polling reports whether a link stands over which the node polls.
+func (r *Replica) polling() bool {
+	for _, l := range r.links {
+		if !l.inbound && l.up {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Replica) addLink(l *link) {
 	r.links[l.id] = l
 	r.ordered = nil
@@ -112,6 +124,9 @@
 		return
 	}
 	r.removeLink(event.Link)
+	if l.inbound && !event.Graceful {
+		r.lost(now, l)
+	}
 	if l.inbound || l.vm.ID == "" {
 		return
 	}
@@ -130,13 +145,16 @@
 // checkLinks drops links whose other side is silent.
 func (r *Replica) checkLinks(now time.Time) {
 	for _, l := range r.sortedLinks() {
+		if l.inbound && now.Sub(l.heardAt) > r.config.SilentAfter {
+			r.lost(now, l)
+		}
 		switch {
 		case l.inbound && now.Sub(l.heardAt) > inboundSilent:
 			r.drop(l, "silent")
 		case !l.inbound && !l.up && now.Sub(l.since) > dialTimeout:
 			r.drop(l, "timeout")
 			r.linkFailed(now, l, StatusDead)
-		case !l.inbound && l.up && now.Sub(l.heardAt) > r.config.SilentAfter:
+		case !l.inbound && l.up && now.Sub(l.heardAt) > r.silentAfter(l):
 			r.counts.Silent++
 			r.drop(l, "silent")
 			r.linkFailed(now, l, StatusSilent)
@@ -144,6 +162,11 @@
 	}
 }
 
+// silentAfter returns how long the other side may leave polls unanswered.
+func (r *Replica) silentAfter(l *link) time.Duration {
+	return r.config.SilentAfter - r.config.Heartbeat + r.pollInterval(l)
+}
+
 func (r *Replica) linkFailed(now time.Time, l *link, status Status) {
 	if l.vm.ID != "" {
 		r.failed(now, r.peer(l.vm), status)
@@ -153,6 +176,10 @@
 // chooseLinks opens at most one link and closes those that are no longer
 // wanted, once the wanted ones stand.
 func (r *Replica) chooseLinks(now time.Time) {
+	if now.Before(r.nextChoice) {
+		return
+	}
+	r.nextChoice = now.Add(r.jitter(dialGap))
 	wanted := r.wantedPeers(now)
 	byID := make(map[string]*link)
 	for _, l := range r.links {
--- a/dissemination/message.go
+++ b/dissemination/message.go
@@ -10,6 +10,8 @@
 	State *State `cbor:"2,keyasint,omitempty"`
 	Want  *Want  `cbor:"3,keyasint,omitempty"`
 	Value *Value `cbor:"4,keyasint,omitempty"`
+	// Presence is word of nodes that were lost or heard again.
+	Presence []Presence `cbor:"5,keyasint,omitempty"`
 }
 
 // Hello opens a link in both directions.
@@ -79,8 +81,8 @@
 type ListWant struct {
 	_    struct{} `cbor:",toarray"`
 	Zone string
-	// Base is the version that the sender holds, 0 for none.
-	Base uint64
+	// Bases lists the versions that the sender holds, the latest last.
+	Bases []uint64
 }
 
 // Value brings values.
@@ -110,7 +112,6 @@
 
 // ListValue is a VM list, whole or as the difference from an older version.
 type ListValue struct {
-	_       struct{} `cbor:",toarray"`
 	Zone    string
 	Version uint64
 	// Base is the version that the difference starts from, 0 for a whole
--- a/internal/controlnet/link.go
+++ b/internal/controlnet/link.go
@@ -1,9 +1,14 @@
 package controlnet
 
 import (
+	"bytes"
+	"compress/flate"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericrock/turmericrock/dissemination"
+	"github.com/turmericrock/turmericrock/mesh"
 )
 
 // end is one end of a link.
@@ -66,8 +71,9 @@
 	n.handle(dissemination.LinkOpened{Link: out.id, Hello: hello})
 }
 
-// close ends the link at both ends.
-func (e *end) close() {
+// close ends the link at both ends. The peer is told whether it was on
+// purpose.
+func (e *end) close(graceful bool) {
 	if e.closed {
 		return
 	}
@@ -80,7 +86,7 @@
 		}
 		peer.closed = true
 		delete(peer.node.links, peer.id)
-		peer.node.handle(dissemination.LinkClosed{Link: peer.id})
+		peer.node.handle(dissemination.LinkClosed{Link: peer.id, Graceful: graceful})
 	})
 	if e.node.alive {
 		e.node.handle(dissemination.LinkClosed{Link: e.id})
@@ -105,10 +111,32 @@
 	if err != nil {
 		return
 	}
+	size := n.net.wireSize(data)
 	n.Traffic.MessagesOut++
-	n.Traffic.BytesOut += len(data)
+	n.Traffic.BytesOut += size
 	e.peer.node.Traffic.MessagesIn++
-	e.peer.node.Traffic.BytesIn += len(data)
+	e.peer.node.Traffic.BytesIn += size
+}
+
+// wireSize returns the size of a message as the mesh sends it: large ones are
+// compressed.
+func (n *Network) wireSize(data []byte) int {
+	if len(data) < mesh.CompressionThreshold {
+		return len(data)
+	}
+	key := xxhash.Sum64(data)
+	if size, found := n.sizes[key]; found {
+		return size
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return len(data)
+	}
+	_, _ = w.Write(data)
+	_ = w.Close()
+	n.sizes[key] = out.Len()
+	return out.Len()
 }
 
 // pump delivers what is on its way, or tries again while there is a cut. As
@@ -124,7 +152,7 @@
 			e.stuckSince = net.Now()
 		}
 		if net.Now().Sub(e.stuckSince) > breakAfter {
-			e.close()
+			e.close(false)
 			return
 		}
 		e.pumping = true
@@ -146,7 +174,7 @@
 			return
 		}
 		if message, err = dissemination.Decode(data); err != nil {
-			e.close()
+			e.close(false)
 			return
 		}
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -19,6 +19,10 @@
 
 const path = "/mesh"
 
+// CompressionThreshold is the size in bytes from which messages are
+// compressed: whole lists and parts are, heartbeats are not.
+const CompressionThreshold = 4096
+
 // Mesh holds the links of one process. It is safe for concurrent use.
 type Mesh struct {
 	config Config
@@ -129,10 +133,10 @@
 	}
 }
 
-// Close closes a link.
+// Close closes a link on purpose: the other side's LinkClosed is graceful.
 func (m *Mesh) Close(id dissemination.LinkID) {
 	if l := m.link(id); l != nil {
-		l.close()
+		go func() { _ = l.conn.Close(websocket.StatusNormalClosure, "") }()
 	}
 }
 
@@ -168,7 +172,11 @@
 func (m *Mesh) open(ctx context.Context, addr netip.AddrPort, hello dissemination.Hello) (*websocket.Conn, dissemination.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.OpenTimeout)
 	defer cancel()
-	options := &websocket.DialOptions{HTTPClient: m.client, CompressionMode: websocket.CompressionDisabled}
+	options := &websocket.DialOptions{
+		HTTPClient:           m.client,
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: CompressionThreshold,
+	}
 	conn, _, err := websocket.Dial(ctx, "wss://"+addr.String()+path, options)
 	if err != nil {
 		return nil, dissemination.Hello{}, &LinkError{Cause: causeDial, Err: err}
@@ -210,7 +218,10 @@
 }
 
 func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: CompressionThreshold,
+	})
 	if err != nil {
 		m.counts.add(causeUpgrade)
 		return
@@ -260,12 +271,12 @@
 	m.counts.opened(1)
 	m.post(ctx, opened)
 	go l.write(linkCtx, m.config.WriteTimeout)
-	l.read(linkCtx)
+	graceful := l.read(linkCtx)
 	m.mu.Lock()
 	delete(m.links, id)
 	m.mu.Unlock()
 	m.counts.opened(-1)
-	m.post(ctx, dissemination.LinkClosed{Link: id})
+	m.post(ctx, dissemination.LinkClosed{Link: id, Graceful: graceful})
 }
 
 // link is one WebSocket connection.
@@ -287,25 +298,25 @@
 	}
 }
 
-// read hands messages on until the link ends. A message that is not valid
-// ends it.
-func (l *link) read(ctx context.Context) {
+// read hands messages on until the link ends and reports whether the other
+// side ended it on purpose. A message that is not valid ends it.
+func (l *link) read(ctx context.Context) bool {
 	defer l.cancel()
 	defer func() { _ = l.conn.CloseNow() }()
 	for {
 		kind, data, err := l.conn.Read(ctx)
 		if err != nil {
-			return
+			return websocket.CloseStatus(err) == websocket.StatusNormalClosure
 		}
 		l.mesh.counts.message(true, len(data))
 		if kind != websocket.MessageBinary {
 			l.mesh.counts.add(causeText)
-			return
+			return false
 		}
 		message, err := dissemination.Decode(data)
 		if err != nil {
 			l.mesh.counts.add(causeOf(err))
-			return
+			return false
 		}
 		l.mesh.post(ctx, dissemination.Received{Link: l.id, Message: message})
 	}
