Cover the mechanisms of membership and placing that no test held

Change: tests for report coalescing, old loads, weights by capacity and load, zones without hosts, rare probes of gone hosts, gathered audit records, key changes in the worker, and second choices among equal weights.

--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -40,6 +40,7 @@
 	silent   map[netip.AddrPort]bool
 	reports  map[netip.AddrPort]tunnel.Report
 	answers  []ReportReceived
+	asked    map[netip.AddrPort]int
 }
 
 func newBed(t *testing.T, zones ...string) *bed {
@@ -57,6 +58,7 @@
 		lists:   make(map[string]fleet.VMList),
 		silent:  make(map[netip.AddrPort]bool),
 		reports: make(map[netip.AddrPort]tunnel.Report),
+		asked:   make(map[netip.AddrPort]int),
 	}
 	b.engine = NewControl(b.board, b)
 	for i, zone := range zones {
@@ -80,6 +82,7 @@
 		b.audits = append(b.audits, effect)
 	case Probe:
 		b.probes++
+		b.asked[effect.Agent]++
 		b.answer(effect.Agent)
 	}
 }
--- a/entry/membership_test.go
+++ b/entry/membership_test.go
@@ -303,3 +303,98 @@
 	b.run(probeInterval + 2*scanInterval)
 	must.Eq(t, HostLive, b.state(addrs[1]))
 }
+
+func TestNewFlowsAwaitAReportUnlessOneJustCame(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := &host{cell: &hostCell{}}
+	report := tunnel.Report{Incarnation: 1, State: tunnel.HostServing, Sequence: 1, Capacity: 1000}
+	must.Eq(t, ReportAccepted, h.accept(now, h.vm.Service.Tag(), report))
+	h.cell.placed.Add(2)
+	h.observe(now.Add(scanInterval))
+	must.Zero(t, h.silence(now.Add(time.Minute)))
+	h.observe(now.Add(reportQuiet))
+	must.Zero(t, h.silence(now.Add(time.Minute)))
+	h.cell.placed.Add(1)
+	h.observe(now.Add(reportQuiet))
+	must.Eq(t, time.Second, h.silence(now.Add(reportQuiet+time.Second)))
+}
+
+func TestOldLoadsAreNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := &host{cell: &hostCell{}}
+	h.accept(now, h.vm.Service.Tag(), tunnel.Report{Sequence: 1, Flows: 9, Capacity: 1000})
+	h.observe(now.Add(LoadMaxAge))
+	must.Eq(t, 10, h.cell.load.Load())
+	h.observe(now.Add(LoadMaxAge + 1))
+	must.Eq(t, uint32(tunnel.UnknownLoad), h.cell.load.Load())
+}
+
+func TestWeightsFollowCapacityAndLoad(t *testing.T) {
+	now := time.Unix(1000, 0)
+	warmup := func(fleet.ServiceID) time.Duration { return time.Minute }
+	make3 := func(edit func(*tunnel.Report)) []*host {
+		var hosts []*host
+		for i := range 3 {
+			h := &host{cell: &hostCell{}, state: HostLive}
+			report := tunnel.Report{State: tunnel.HostServing, Sequence: 1, Flows: 100, Capacity: 1000}
+			if i == 0 {
+				edit(&report)
+			}
+			h.accept(now, h.vm.Service.Tag(), report)
+			hosts = append(hosts, h)
+		}
+		return hosts
+	}
+	weigh := func(at time.Time, edit func(*tunnel.Report)) []float64 {
+		hosts := make3(edit)
+		must.True(t, reweigh(at, hosts, warmup))
+		must.False(t, reweigh(at, hosts, warmup))
+		return []float64{hosts[0].weight, hosts[1].weight, hosts[2].weight}
+	}
+	cold := func(r *tunnel.Report) { r.State, r.Capacity, r.Flows = tunnel.HostCold, 200, 0 }
+	must.Eq(t, []float64{1, 1, 1}, weigh(now, func(*tunnel.Report) {}))
+	must.Eq(t, []float64{2, 1, 1}, weigh(now, func(r *tunnel.Report) { r.Flows = 50 }))
+	must.Eq(t, []float64{0.25, 1, 1}, weigh(now, cold))
+	must.Eq(t, []float64{0.75, 1, 1}, weigh(now.Add(30*time.Second), cold))
+	must.Eq(t, []float64{1, 1, 1}, weigh(now.Add(time.Hour), cold))
+	must.Eq(t, []float64{0.5, 1, 1}, weigh(now, func(r *tunnel.Report) { r.Capacity, r.Flows = 490, 50 }))
+}
+
+func TestZoneWithoutHostsIsClosedToo(t *testing.T) {
+	b := newBed(t, "a", "b")
+	b.list("a", 2)
+	b.run(2 * time.Second)
+	b.board.zoneWord["b"] = b.revision + 1
+	b.run(time.Second)
+	must.True(t, b.view.ZonesOut[2])
+}
+
+func TestGoneHostsAreProbedSeldom(t *testing.T) {
+	b := newBed(t, "a")
+	addrs := b.list("a", 4)
+	b.run(3 * time.Second)
+	b.silent[addrs[0]] = true
+	b.run(goneAfter + 2*time.Second)
+	must.Eq(t, HostGone, b.state(addrs[0]))
+	b.asked = make(map[netip.AddrPort]int)
+	b.run(10 * probeGone)
+	must.Between(t, 9, b.asked[addrs[0]], 11)
+	must.Greater(t, 50, b.asked[addrs[1]])
+}
+
+func TestChangesAreGathered(t *testing.T) {
+	b := newBed(t, "a")
+	c := newChanges()
+	kind := change{zone: "a", from: "live", to: "suspect", cause: "silent"}
+	b.board.Node.TakeEffects()
+	c.add(kind, testEntry)
+	c.flush(b.now, b.board.Node)
+	must.Len(t, 1, b.board.Node.TakeEffects())
+	c.add(kind, testEntry)
+	c.flush(b.now.Add(changesInterval-1), b.board.Node)
+	must.Len(t, 0, b.board.Node.TakeEffects())
+	c.add(kind, testEntry)
+	c.flush(b.now.Add(changesInterval), b.board.Node)
+	must.Len(t, 1, b.board.Node.TakeEffects())
+	must.MapLen(t, 0, c.groups)
+}
--- a/entry/traffic_test.go
+++ b/entry/traffic_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/turmericrock/turmericrock/connid"
 	"github.com/turmericrock/turmericrock/internal/quicwire"
+	"github.com/turmericrock/turmericrock/keyring"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -110,12 +111,33 @@
 	l.carry(packet, packet, initialPacket(quicwire.MinInitial))
 	must.Eq(t, 3, l.entry.counters.Count(VerdictStaleView))
 	must.Zero(t, l.entry.counters.Count(VerdictForward))
+	must.Zero(t, l.entry.counters.newFlows.Load())
 
 	l.entry.deadline.extend(time.Now().Add(time.Hour))
 	l.carry(packet)
 	must.Eq(t, 1, l.entry.counters.Count(VerdictForward))
 }
 
+func TestWorkerSealsWithTheCurrentKey(t *testing.T) {
+	l := newLane(t)
+	l.carry(shortPacket(t, testKeys, l.owner()))
+	l.arrived()
+	view := *l.entry.views.Load()
+	keys := &keyring.Keys{Active: 2, Keys: []keyring.Key{testKeys.Keys[0], {Generation: 2, Secret: [32]byte{2}}}}
+	codec, err := connid.NewCodec(keys)
+	must.NoError(t, err)
+	view.Keys, view.ConnIDs = keys, codec
+	l.entry.views.Store(&view)
+	l.carry(shortPacket(t, testKeys, l.owner()))
+	buf := make([]byte, tunnel.MaxDatagram)
+	n, err := l.agent.Read(buf)
+	must.NoError(t, err)
+	later, err := tunnel.NewCodec(&keyring.Keys{Active: 2, Keys: keys.Keys[1:]})
+	must.NoError(t, err)
+	_, _, err = later.Open(buf[:n])
+	must.NoError(t, err)
+}
+
 func TestWorkerPausedBetweenPlacingAndSending(t *testing.T) {
 	l := newLane(t)
 	l.worker.view = l.entry.views.Load()
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -17,7 +17,11 @@
 }
 
 func drawCandidates(t *rapid.T) []Candidate {
-	weights := rapid.SliceOfN(rapid.SampledFrom([]float64{0, 0.25, 1}), 0, 12).Draw(t, "weights")
+	allowed := []float64{0, 0.25, 1}
+	if rapid.Bool().Draw(t, "equal") {
+		allowed = []float64{0.5}
+	}
+	weights := rapid.SliceOfN(rapid.SampledFrom(allowed), 0, 12).Draw(t, "weights")
 	return sampleCandidates(weights...)
 }
 
