Measure added latency and an agent's memory for a flow

Change: make bench runs 4 entries and 7 agents as processes, 14 callers with 300 requests each, against the same handler over HTTP/3 in the same run.

--- a/internal/bench/figure.go
+++ b/internal/bench/figure.go
@@ -29,5 +29,6 @@
 		{Name: "control", Run: measureControl},
 		{Name: "fairness", Run: measureFairness},
 		{Name: "forward", Run: func(show func(Figure)) error { return measureForward(binary, show) }},
+		{Name: "latency", Run: func(show func(Figure)) error { return measureLatency(binary, show) }},
 	}
 }
