Hold the checks on probes and peers' word by tests

Cause: no test of the package failed without the wait of probes for current facts, nor without a silent zone's word.

--- a/entry/membership_test.go
+++ b/entry/membership_test.go
@@ -398,3 +398,12 @@
 	must.Len(t, 1, b.board.Node.TakeEffects())
 	must.MapLen(t, 0, c.groups)
 }
+
+func TestSilentZoneCountsUnlessTheHostReported(t *testing.T) {
+	b := newBed(t, "a")
+	h := b.board.hosts[b.list("a", 1)[0]]
+	h.reportedAt = b.now
+	must.Eq(t, "", peersWord(b.now.Add(zoneReportAge), b.board, h, true))
+	must.Eq(t, "zone silent", peersWord(b.now.Add(zoneReportAge+1), b.board, h, true))
+	must.Eq(t, "", peersWord(b.now.Add(time.Hour), b.board, h, false))
+}
--- a/entry/validity_test.go
+++ b/entry/validity_test.go
@@ -29,6 +29,21 @@
 	must.True(t, b.until.After(b.now))
 }
 
+func TestWokenEntryProbesNobodyBeforeItsFactsAreConfirmed(t *testing.T) {
+	b := newBed(t, "a")
+	b.list("a", 2)
+	b.run(2 * time.Second)
+	b.now = b.now.Add(20 * time.Second)
+	probes := b.probes
+	for range 10 {
+		b.engine.Step(b.now)
+		b.now = b.now.Add(scanInterval)
+	}
+	must.Eq(t, probes, b.probes)
+	b.run(time.Second)
+	must.Greater(t, probes, b.probes)
+}
+
 func TestDeadlineIsOnTheMonotonicClock(t *testing.T) {
 	start := time.Now()
 	d := newDeadline(start)
