--- a/dissemination/link.go
+++ b/dissemination/link.go
@@ -25,8 +25,8 @@
 	heardAt time.Time
 	// echo is the latest probe of the other side.
 	echo uint64
-	// told is the revision and the list versions last sent over the link.
-	told map[string]uint64
+	// lost tells that word of the loss of the other side was given.
+	lost bool
 	// state is the latest state of the other side.
 	state State
 }
@@ -40,13 +40,37 @@
 	inboundSilent = 10 * time.Second
 )
 
+// sortedLinks returns the links in order of their IDs, so that equal inputs
+// give equal decisions.
 func (r *Replica) sortedLinks() []*link {
-	ids := slices.Sorted(maps.Keys(r.links))
-	links := make([]*link, 0, len(ids))
-	for _, id := range ids {
-		links = append(links, r.links[id])
+	if r.ordered != nil {
+		return r.ordered
 	}
-	return links
+	r.ordered = make([]*link, 0, len(r.links))
+	for _, id := range slices.Sorted(maps.Keys(r.links)) {
+		r.ordered = append(r.ordered, r.links[id])
+	}
+	return r.ordered
+}
+
+// polling reports whether a link stands over which the node polls.
+func (r *Replica) polling() bool {
+	for _, l := range r.links {
+		if !l.inbound && l.up {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) addLink(l *link) {
+	r.links[l.id] = l
+	r.ordered = nil
+}
+
+func (r *Replica) removeLink(id LinkID) {
+	delete(r.links, id)
+	r.ordered = nil
 }
 
 func (r *Replica) linkOpened(now time.Time, event LinkOpened) {
@@ -84,15 +108,14 @@
 		r.act(Close{Link: event.Link, Cause: "full"})
 		return
 	}
-	r.links[event.Link] = &link{
+	r.addLink(&link{
 		id:      event.Link,
 		inbound: true,
 		hello:   event.Hello,
 		up:      true,
 		since:   now,
 		heardAt: now,
-		told:    make(map[string]uint64),
-	}
+	})
 }
 
 func (r *Replica) linkClosed(now time.Time, event LinkClosed) {
@@ -100,7 +123,10 @@
 	if l == nil {
 		return
 	}
-	delete(r.links, event.Link)
+	r.removeLink(event.Link)
+	if l.inbound && !event.Graceful {
+		r.lost(now, l)
+	}
 	if l.inbound || l.vm.ID == "" {
 		return
 	}
@@ -112,20 +138,23 @@
 }
 
 func (r *Replica) drop(l *link, cause string) {
-	delete(r.links, l.id)
+	r.removeLink(l.id)
 	r.act(Close{Link: l.id, Cause: cause})
 }
 
 // checkLinks drops links whose other side is silent.
 func (r *Replica) checkLinks(now time.Time) {
 	for _, l := range r.sortedLinks() {
+		if l.inbound && now.Sub(l.heardAt) > r.config.SilentAfter {
+			r.lost(now, l)
+		}
 		switch {
 		case l.inbound && now.Sub(l.heardAt) > inboundSilent:
 			r.drop(l, "silent")
 		case !l.inbound && !l.up && now.Sub(l.since) > dialTimeout:
 			r.drop(l, "timeout")
 			r.linkFailed(now, l, StatusDead)
-		case !l.inbound && l.up && now.Sub(l.heardAt) > r.config.SilentAfter:
+		case !l.inbound && l.up && now.Sub(l.heardAt) > r.silentAfter(l):
 			r.counts.Silent++
 			r.drop(l, "silent")
 			r.linkFailed(now, l, StatusSilent)
@@ -133,6 +162,11 @@
 	}
 }
 
+// silentAfter returns how long the other side may leave polls unanswered.
+func (r *Replica) silentAfter(l *link) time.Duration {
+	return r.config.SilentAfter - r.config.Heartbeat + r.pollInterval(l)
+}
+
 func (r *Replica) linkFailed(now time.Time, l *link, status Status) {
 	if l.vm.ID != "" {
 		r.failed(now, r.peer(l.vm), status)
@@ -142,6 +176,10 @@
 // chooseLinks opens at most one link and closes those that are no longer
 // wanted, once the wanted ones stand.
 func (r *Replica) chooseLinks(now time.Time) {
+	if now.Before(r.nextChoice) {
+		return
+	}
+	r.nextChoice = now.Add(r.jitter(dialGap))
 	wanted := r.wantedPeers(now)
 	byID := make(map[string]*link)
 	for _, l := range r.links {
@@ -185,9 +223,9 @@
 		return
 	}
 	r.nextDial = now.Add(r.jitter(dialGap))
-	l := &link{id: r.nextLink, vm: vm, since: now, wanted: true, told: make(map[string]uint64)}
+	l := &link{id: r.nextLink, vm: vm, since: now, wanted: true}
 	r.nextLink += 2
-	r.links[l.id] = l
+	r.addLink(l)
 	r.counts.Dials++
 	r.act(Dial{Link: l.id, Peer: vm, Hello: r.Hello()})
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -8,7 +8,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/mesh"
 )
 
 // Config holds the settings of an entry.
@@ -26,6 +28,10 @@
 	BatchSize int
 	// SuspectAfter is how long a host may owe a report before it is avoided.
 	SuspectAfter time.Duration
+	// Mesh holds the settings of the links to other processes.
+	Mesh mesh.Config
+	// Control tells how the entry takes part in spreading the configuration.
+	Control dissemination.Config
 	// StopGrace is how long a stopping entry goes on forwarding.
 	StopGrace time.Duration
 }
@@ -46,6 +52,8 @@
 		Workers:      1,
 		BatchSize:    64,
 		SuspectAfter: 2 * time.Second,
+		Mesh:         mesh.DefaultConfig(),
+		Control:      dissemination.DefaultConfig(),
 		StopGrace:    5 * time.Second,
 	}
 }
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -19,6 +19,9 @@
 	// pauseGap is the time between two scans above which the process was
 	// paused, and what it did not hear tells nothing.
 	pauseGap = time.Second
+	// zoneReportAge is the age from which a report does not count against the
+	// silence of the host's whole zone.
+	zoneReportAge = 2 * time.Second
 	// goneAfter is how long a silent host may be listed before it is probed
 	// seldom.
 	goneAfter = 30 * time.Second
@@ -58,17 +61,33 @@
 	paused := !m.scanned.IsZero() && now.Sub(m.scanned) > pauseGap
 	m.scanned = now
 	openZones := closeZones(now, board, config)
+	silentZones := findSilentZones(now, board, config)
 	for _, h := range board.order {
 		if paused {
 			h.waitingSince = time.Time{}
 		}
 		h.observe(now)
+		h.word = peersWord(now, board, h, silentZones[h.vm.Zone])
 		m.decide(now, board, h, openZones[h.vm.Zone])
 	}
+	weigh(now, board, config)
 	m.changes.flush(now, board.Node)
 	return m.prober.step(now, board)
 }
 
+// weigh works out the hosts' shares of new flows.
+func weigh(now time.Time, board *Board, config *fleet.Config) {
+	warmup := func(id fleet.ServiceID) time.Duration {
+		service, _ := config.Service(id)
+		return service.Warmup
+	}
+	for id, hosts := range board.byService {
+		if reweigh(now, hosts, warmup) {
+			board.dirty[id] = struct{}{}
+		}
+	}
+}
+
 // listsChanged reports whether a VM list differs from the one last applied.
 func (m *Membership) listsChanged(board *Board) bool {
 	changed := len(m.versions) != len(board.Node.Lists)
@@ -109,10 +128,11 @@
 		m.note(h, h.state.String(), HostUnreported.String(), "replaced")
 		h.retire()
 		h.waitingSince = time.Time{}
-		h.added = true
+		h.added, h.weight = true, coldWeight
 		h.state = HostUnreported
 	}
 	h.vm = vm
+	h.usable = usableAddr(board.Config.AgentNetworks, addr)
 }
 
 // index orders the hosts and groups them by service.
@@ -172,9 +192,34 @@
 	return openZones
 }
 
+// findSilentZones returns the zones of which nothing is heard any more.
+func findSilentZones(now time.Time, board *Board, config *fleet.Config) map[string]bool {
+	silent := make(map[string]bool)
+	for _, zone := range config.Manifest.Zones {
+		if board.Node.ZoneSilent(now, zone.Name) {
+			silent[zone.Name] = true
+		}
+	}
+	return silent
+}
+
+// peersWord returns what peers hold against the host, or nothing. A report
+// that came later counts more than their word.
+func peersWord(now time.Time, board *Board, h *host, zoneSilent bool) string {
+	lostAt, lost := board.Node.Lost(now, h.vm.ID)
+	switch {
+	case lost && lostAt.After(h.reportedAt):
+		return "lost by peers"
+	case zoneSilent && now.Sub(h.reportedAt) > zoneReportAge:
+		return "zone silent"
+	default:
+		return ""
+	}
+}
+
 // decide moves the host to the state that the evidence gives.
 func (m *Membership) decide(now time.Time, board *Board, h *host, zoneOpen bool) {
-	next, cause := h.next(now, board.Config, zoneOpen)
+	next, cause := h.next(now, board.Config.SuspectAfter, zoneOpen)
 	if next == h.state {
 		return
 	}
@@ -184,10 +229,10 @@
 }
 
 // next returns the state by the evidence, in the order of HostState's table.
-func (h *host) next(now time.Time, config Config, zoneOpen bool) (HostState, string) {
+func (h *host) next(now time.Time, suspectAfter time.Duration, zoneOpen bool) (HostState, string) {
 	silence := h.silence(now)
 	switch {
-	case !usableAddr(config.AgentNetworks, h.vm.Addr):
+	case !h.usable:
 		return HostUnusable, "address"
 	case !zoneOpen:
 		return HostZoneOut, "zone"
@@ -195,8 +240,10 @@
 		return HostLeaving, "listed leaving"
 	case silence >= goneAfter:
 		return HostGone, "silent"
-	case silence >= config.SuspectAfter:
+	case silence >= suspectAfter:
 		return HostSuspect, "silent"
+	case h.word != "":
+		return HostSuspect, h.word
 	case !h.reported():
 		return HostUnreported, "no report"
 	case h.report.State == tunnel.HostLeaving:
