Move silent flows, bound repeats and declare bodies in the caller

Cause: the caller declared Content-Length: 0 for every request with a body, because the library takes the length from a Body that the stream interface forbids; agents dropped the body. It repeated refusals without a bound, never left a silent path, and kept replaced flows open.

Change: requests go through http3.ClientConn.RoundTrip, which sends once; a trace tells whether a stream was opened. A refusal opens another flow, the old one closes with its last request. A flow silent for a second is probed on a new local address; a stream of a reserved type draws a stateless reset from a restarted host, since keep-alives are too short for one. A flow that stays silent is replaced; only idempotent requests leave it.

A check of Content-Length of its own was dropped, since the library's fails TestTruncatedAnswerIsNeverWhole when the length is short.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -175,20 +175,50 @@
 	if err != nil {
 		return nil, &NotRunError{Err: err}
 	}
-	f, stream, err := c.open(ctx)
+	for round := 1; ; round++ {
+		x := &exchange{request: outgoing, body: request.Body, out: out}
+		response, err := c.tryFlow(ctx, x, request.Idempotent)
+		if err == nil {
+			return response, nil
+		}
+		if x.opened.Load() {
+			return nil, c.judge(x, err)
+		}
+		var dial *DialError
+		if round == openRounds || ctx.Err() != nil || permanent(err) || errors.As(err, &dial) {
+			return nil, &NotRunError{Err: err}
+		}
+	}
+}
+
+// openRounds is how often a flow that takes no new stream is replaced within
+// one attempt.
+const openRounds = 2
+
+// tryFlow sends the request on the client's flow.
+func (c *Client) tryFlow(ctx context.Context, x *exchange, idempotent bool) (*Response, error) {
+	f, err := c.acquire(ctx)
 	if err != nil {
-		return nil, &NotRunError{Err: err}
+		return nil, err
 	}
 	defer c.release(f)
-	x := &exchange{stream: stream, request: outgoing, body: request.Body, out: out}
-	response, err := x.run(ctx, f, request.Idempotent)
+	response, err := x.run(ctx, f, idempotent)
 	if err == nil {
 		return response, nil
 	}
-	if !x.answered && rejected(err) {
-		c.events.refused.Add(1)
+	// A flow that opened no stream has ended, or a GOAWAY has arrived. One
+	// that refused may do so again.
+	if !x.opened.Load() && ctx.Err() == nil || x.refused(err) {
 		c.retire(f)
-		return nil, &NotRunError{Err: err}
 	}
-	return nil, &UnknownError{Err: err}
+	return nil, err
+}
+
+// judge tells a refusal from an unknown outcome.
+func (c *Client) judge(x *exchange, err error) error {
+	if x.refused(err) {
+		c.events.refused.Add(1)
+		return &NotRunError{Err: err}
+	}
+	return &UnknownError{Err: err}
 }
--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,239 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/shoenig/test/must"
+)
+
+func TestRefusedRequestIsRepeatedWhole(t *testing.T) {
+	refusals := 3
+	bodies := make(chan string, 1)
+	s := newService(t, func(run int64, w http.ResponseWriter, r *http.Request) {
+		if run <= int64(refusals) {
+			reject(w)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		bodies <- string(body)
+	})
+	c := s.client(s.config())
+	response, err := c.Do(testContext(t), Request{Method: http.MethodPost, Path: "/", Body: []byte("psalm 23")})
+	must.NoError(t, err)
+	must.Eq(t, refusals+1, response.Attempts)
+	must.Eq(t, "psalm 23", await(t, "body", bodies))
+}
+
+func TestUnknownOutcomeIsRepeatedOnlyWhenIdempotent(t *testing.T) {
+	s := newService(t, func(run int64, w http.ResponseWriter, _ *http.Request) {
+		if run == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	c := s.client(s.config())
+	_, err := c.Do(testContext(t), Request{Method: http.MethodPost, Path: "/"})
+	mustBe[*UnknownError](t, err)
+	must.Eq(t, 1, s.runs.Load())
+
+	s.runs.Store(0)
+	response, err := c.Do(testContext(t), Request{Method: http.MethodPost, Path: "/", Idempotent: true})
+	must.NoError(t, err)
+	must.Eq(t, "done", string(response.Body))
+	must.Eq(t, 2, s.runs.Load())
+}
+
+// A reset in mid-answer with the code for requests that were not run is no
+// refusal, since the request was answered.
+func TestRejectAfterAnswerIsUnknown(t *testing.T) {
+	arrived := make(chan struct{})
+	s := newService(t, func(_ int64, w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		stream, err := w.(http3.HTTPStreamer).HTTPStream()
+		must.NoError(t, err)
+		_, _ = io.WriteString(stream, "half")
+		<-arrived
+		stream.CancelWrite(quic.StreamErrorCode(http3.ErrCodeRequestRejected))
+	})
+	c := s.client(s.config())
+	_, err := c.Stream(testContext(t), Request{Method: http.MethodGet, Path: "/"}, func([]byte) { close(arrived) })
+	mustBe[*UnknownError](t, err)
+	must.Eq(t, 1, s.runs.Load())
+}
+
+func TestTruncatedAnswerIsNeverWhole(t *testing.T) {
+	endings := map[string]func(*http3.Stream){
+		"clean end": func(stream *http3.Stream) { _ = stream.Close() },
+		"reset":     func(stream *http3.Stream) { stream.CancelWrite(quic.StreamErrorCode(http3.ErrCodeNoError)) },
+	}
+	for name, end := range endings {
+		t.Run(name, func(t *testing.T) {
+			s := newService(t, func(_ int64, w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "10")
+				w.WriteHeader(http.StatusOK)
+				stream, err := w.(http3.HTTPStreamer).HTTPStream()
+				must.NoError(t, err)
+				_, _ = io.WriteString(stream, "half")
+				end(stream)
+			})
+			c := s.client(s.config())
+			_, err := c.Do(testContext(t), Request{Method: http.MethodGet, Path: "/"})
+			mustBe[*UnknownError](t, err)
+		})
+	}
+}
+
+// Repeating a stream whose pieces were handed on would double them.
+func TestStreamIsNotRepeatedAfterFirstPiece(t *testing.T) {
+	arrived := make(chan struct{})
+	s := newService(t, func(_ int64, w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "piece")
+		_ = http.NewResponseController(w).Flush()
+		<-arrived
+		panic(http.ErrAbortHandler)
+	})
+	c := s.client(s.config())
+	var got []byte
+	_, err := c.Stream(testContext(t), Request{Method: http.MethodGet, Path: "/", Idempotent: true}, func(piece []byte) {
+		got = append(got, piece...)
+		close(arrived)
+	})
+	mustBe[*UnknownError](t, err)
+	must.Eq(t, "piece", string(got))
+	must.Eq(t, 1, s.runs.Load())
+}
+
+func TestBudgetBoundsRepeats(t *testing.T) {
+	s := newService(t, func(_ int64, w http.ResponseWriter, _ *http.Request) { reject(w) })
+	config := s.config()
+	config.RetryRatio = 0.1
+	config.RetryBurst = 5
+	c := s.client(config)
+	const requests = 40
+	for range requests {
+		_, err := c.Do(testContext(t), Request{Method: http.MethodGet, Path: "/"})
+		mustBe[*NotRunError](t, err)
+	}
+	// Without the budget there would be Attempts for each request.
+	must.Less(t, 2*requests, s.runs.Load())
+	must.Positive(t, c.Stats().OverBudget)
+}
+
+func TestDeadline(t *testing.T) {
+	left := make(chan string, 1)
+	cancelled := make(chan error, 1)
+	s := newService(t, func(_ int64, _ http.ResponseWriter, r *http.Request) {
+		left <- r.Header.Get(HeaderDeadline)
+		<-r.Context().Done()
+		cancelled <- r.Context().Err()
+	})
+	c := s.client(s.config())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := c.Do(ctx, Request{Method: http.MethodPost, Path: "/"})
+	mustBe[*UnknownError](t, err)
+	must.ErrorIs(t, err, context.DeadlineExceeded)
+	ms, err := strconv.Atoi(await(t, "deadline", left))
+	must.NoError(t, err)
+	must.Between(t, 1, ms, 1000)
+	must.Error(t, await(t, "cancellation", cancelled))
+
+	_, err = c.Do(ctx, Request{Method: http.MethodPost, Path: "/"})
+	mustBe[*NotRunError](t, err)
+	must.Eq(t, 1, s.runs.Load())
+}
+
+func TestUnusableRequestsAreNotSent(t *testing.T) {
+	s := newService(t, func(int64, http.ResponseWriter, *http.Request) {})
+	c := s.client(s.config())
+	_, err := c.Do(testContext(t), Request{Method: "NOT A METHOD", Path: "/"})
+	mustBe[*RequestError](t, err)
+	c.Close()
+	_, err = c.Do(testContext(t), Request{Method: http.MethodGet, Path: "/"})
+	mustBe[*ClosedError](t, err)
+	must.Eq(t, 0, s.runs.Load())
+}
+
+func TestGoAwayMovesNewRequestsOnly(t *testing.T) {
+	began := make(chan struct{}, 1)
+	release := make(chan struct{})
+	s := newService(t, func(_ int64, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/feed" {
+			began <- struct{}{}
+			<-release
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	c := s.client(s.config())
+	feed := make(chan *Response, 1)
+	go func() {
+		response, err := c.Do(testContext(t), Request{Method: http.MethodGet, Path: "/feed"})
+		must.NoError(t, err)
+		feed <- response
+	}()
+	await(t, "feed", began)
+	first := await(t, "first flow", s.conns)
+	s.goAway()
+	for c.Stats().Flows < 2 {
+		_, err := c.Do(testContext(t), Request{Method: http.MethodGet, Path: "/lookup"})
+		must.NoError(t, err)
+	}
+	must.NoError(t, first.Context().Err())
+	close(release)
+	must.Eq(t, "/feed", string(await(t, "answer", feed).Body))
+	await(t, "end of the first flow", first.Context().Done())
+	second := await(t, "second flow", s.conns)
+	must.NoError(t, second.Context().Err())
+}
+
+// A restarted agent answers packets of the flows before it with a stateless
+// reset. The silence limit is out of reach, so nothing else can end the flow.
+func TestStatelessResetEndsFlowAtOnce(t *testing.T) {
+	s := newService(t, func(_ int64, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hold" {
+			_, _ = io.WriteString(w, "begun")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}
+	})
+	config := s.config()
+	config.SilentAfter = time.Hour
+	config.IdleTimeout = time.Hour
+	c := s.client(config)
+	begun := make(chan struct{})
+	held := make(chan error, 1)
+	go func() {
+		_, err := c.Stream(testContext(t), Request{Method: http.MethodPost, Path: "/hold"}, func([]byte) { close(begun) })
+		held <- err
+	}()
+	// The answer acknowledges the request, so nothing is left to send again.
+	await(t, "answer", begun)
+	s.stop()
+	s.start()
+	err := await(t, "end of the request", held)
+	mustBe[*UnknownError](t, err)
+	mustBe[*quic.StatelessResetError](t, err)
+	_, err = c.Do(testContext(t), Request{Method: http.MethodGet, Path: "/"})
+	must.NoError(t, err)
+}
+
+func TestRefusedFlowIsClosedOnceIdle(t *testing.T) {
+	s := newService(t, func(run int64, w http.ResponseWriter, _ *http.Request) {
+		if run == 1 {
+			reject(w)
+		}
+	})
+	c := s.client(s.config())
+	_, err := c.Do(testContext(t), Request{Method: http.MethodGet, Path: "/"})
+	must.NoError(t, err)
+	first := await(t, "first flow", s.conns)
+	await(t, "end of the first flow", first.Context().Done())
+	must.Eq(t, 2, c.Stats().Flows)
+}
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -68,13 +68,17 @@
 	return "flow went silent"
 }
 
-// TruncatedError reports an answer that ended before its declared length.
-type TruncatedError struct {
-	Got  int64
-	Want int64
+// DialError reports a flow that could not be opened.
+type DialError struct {
+	Err error
 }
 
 // Error implements error.
-func (e *TruncatedError) Error() string {
-	return fmt.Sprintf("answer has %d of %d bytes", e.Got, e.Want)
+func (e *DialError) Error() string {
+	return fmt.Sprintf("open flow: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error {
+	return e.Err
 }
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -1,94 +1,81 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 )
 
-// exchange carries one request on a stream of its own. It uses the stream
-// itself and not http3.ClientConn.RoundTrip, and http3.Transport is never
-// asked to send, so that no library can repeat a request.
+// exchange carries one request on a stream of its own. It uses
+// http3.ClientConn, which sends a request once. http3.Transport, which repeats
+// requests by itself, is never asked to send one.
 type exchange struct {
-	stream  *http3.RequestStream
 	request *http.Request
 	body    []byte
 	out     *receiver
+	// opened is set once the request may have left.
+	opened atomic.Bool
 	// answered is set once the head of an answer has arrived.
 	answered bool
 }
 
-// run sends the request and receives the answer. An idempotent request does
-// not wait for a flow that was given up.
+// run sends the request on the flow and receives the answer. An idempotent
+// request does not wait for a flow that was given up.
 func (x *exchange) run(ctx context.Context, f *flow, idempotent bool) (*Response, error) {
-	stop := context.AfterFunc(ctx, x.cancel)
-	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if idempotent {
-		unwatch := context.AfterFunc(f.lost, x.cancel)
-		defer unwatch()
+		stop := context.AfterFunc(f.lost, func() { cancel(&LostError{}) })
+		defer stop()
 	}
-	response, err := x.carry()
-	if err == nil {
-		return response, nil
-	}
-	x.cancel()
-	switch {
-	case ctx.Err() != nil:
-		return nil, errors.WithStack(ctx.Err())
-	case idempotent && f.lost.Err() != nil:
-		return nil, &LostError{}
-	default:
-		return nil, err
+	response, err := x.carry(ctx, f)
+	if err != nil && ctx.Err() != nil {
+		return nil, errors.WithStack(context.Cause(ctx))
 	}
+	return response, err
 }
 
-func (x *exchange) cancel() {
-	x.stream.CancelRead(quic.StreamErrorCode(http3.ErrCodeRequestCanceled))
-	x.stream.CancelWrite(quic.StreamErrorCode(http3.ErrCodeRequestCanceled))
-}
-
-func (x *exchange) carry() (*Response, error) {
-	if err := x.stream.SendRequestHeader(x.request); err != nil {
-		return nil, errors.WithStack(err)
-	}
+func (x *exchange) carry(ctx context.Context, f *flow) (*Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { x.opened.Store(true) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { x.opened.Store(true) },
+	})
+	outgoing := x.request.WithContext(ctx)
 	if len(x.body) > 0 {
-		// A failed write is told by the answer: the agent may have refused.
-		_, _ = x.stream.Write(x.body)
-	}
-	_ = x.stream.Close()
-	response, err := x.stream.ReadResponse()
-	for err == nil && response.StatusCode < http.StatusOK {
-		response, err = x.stream.ReadResponse()
+		outgoing.Body = io.NopCloser(bytes.NewReader(x.body))
+		outgoing.ContentLength = int64(len(x.body))
 	}
+	response, err := f.http.RoundTrip(outgoing)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	x.answered = true
 	defer func() { _ = response.Body.Close() }()
-	if err := x.receive(response); err != nil {
+	if err := x.receive(response.Body); err != nil {
 		return nil, err
 	}
 	return &Response{Status: response.StatusCode, Header: response.Header}, nil
 }
 
-// receive hands on the body and checks that it is whole.
-func (x *exchange) receive(response *http.Response) error {
+// receive hands on the body. The library fails a body that is shorter or
+// longer than the declared length.
+func (x *exchange) receive(body io.Reader) error {
 	buf := make([]byte, readBuffer)
-	var got int64
 	for {
-		n, err := response.Body.Read(buf)
+		n, err := body.Read(buf)
 		if n > 0 {
-			got += int64(n)
 			x.out.take(buf[:n])
 		}
 		if err == io.EOF {
-			return checkLength(x.request.Method, response, got)
+			return nil
 		}
 		if err != nil {
 			return errors.WithStack(err)
@@ -96,15 +83,6 @@
 	}
 }
 
-func checkLength(method string, response *http.Response, got int64) error {
-	noBody := method == http.MethodHead || response.StatusCode == http.StatusNotModified
-	want, err := strconv.ParseInt(response.Header.Get("Content-Length"), 10, 64)
-	if noBody || err != nil || got == want {
-		return nil
-	}
-	return &TruncatedError{Got: got, Want: want}
-}
-
 const readBuffer = 16 << 10 // bytes
 
 // build returns the request as it is sent. The error is a *RequestError, or
@@ -121,7 +99,6 @@
 	if request.Header != nil {
 		out.Header = request.Header.Clone()
 	}
-	out.ContentLength = int64(len(request.Body))
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		out.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
@@ -129,8 +106,9 @@
 	return out, nil
 }
 
-// rejected reports whether the agent said that the request was not run.
-func rejected(err error) bool {
+// refused reports whether the agent said that the request was not run. No
+// request that was answered is refused.
+func (x *exchange) refused(err error) bool {
 	var h3 *http3.Error
-	return errors.As(err, &h3) && h3.Remote && h3.ErrorCode == http3.ErrCodeRequestRejected
+	return !x.answered && errors.As(err, &h3) && h3.Remote && h3.ErrorCode == http3.ErrCodeRequestRejected
 }
--- a/caller/flow.go
+++ b/caller/flow.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 )
@@ -27,7 +26,9 @@
 
 	mu    sync.Mutex
 	links []*link
-	ended bool
+	// released is closed once the links are.
+	released chan struct{}
+	ended    bool
 
 	// active and retired belong to the client's lock.
 	active  int
@@ -64,7 +65,7 @@
 	defer cancel()
 	l, err := c.config.newLink()
 	if err != nil {
-		return nil, err
+		return nil, &DialError{Err: err}
 	}
 	tlsConfig := http3.ConfigureTLSConfig(c.config.TLS.Clone())
 	tlsConfig.ServerName = c.config.ServerName
@@ -77,7 +78,7 @@
 	})
 	if err != nil {
 		l.close()
-		return nil, errors.WithStack(err)
+		return nil, &DialError{Err: err}
 	}
 	lost, giveUp := context.WithCancel(context.Background())
 	f := &flow{
@@ -88,6 +89,7 @@
 		giveUp:   giveUp,
 		migrated: func() { c.events.migrations.Add(1) },
 		links:    []*link{l},
+		released: make(chan struct{}),
 	}
 	c.events.flows.Add(1)
 	return f, nil
@@ -133,4 +135,5 @@
 	for _, l := range links {
 		l.close()
 	}
+	close(f.released)
 }
--- a/caller/flows.go
+++ b/caller/flows.go
@@ -4,39 +4,8 @@
 	"context"
 
 	"github.com/pkg/errors"
-	"github.com/quic-go/quic-go/http3"
 )
 
-// openRounds is how often a flow that takes no new stream is replaced within
-// one attempt.
-const openRounds = 2
-
-// open returns a stream for a new request on the client's flow. The caller
-// releases the flow.
-func (c *Client) open(ctx context.Context) (*flow, *http3.RequestStream, error) {
-	var failed error
-	for range openRounds {
-		f, err := c.acquire(ctx)
-		if err != nil {
-			return nil, nil, err
-		}
-		stream, err := f.http.OpenRequestStream(ctx)
-		if err == nil {
-			return f, stream, nil
-		}
-		// The flow has ended, or a GOAWAY has arrived.
-		failed = errors.WithStack(err)
-		if ctx.Err() == nil {
-			c.retire(f)
-		}
-		c.release(f)
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return nil, nil, failed
-}
-
 // acquire returns the client's flow for one request, opening one when there
 // is none.
 func (c *Client) acquire(ctx context.Context) (*flow, error) {
--- a/caller/path.go
+++ b/caller/path.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/quicvarint"
 )
 
 const (
@@ -56,7 +57,12 @@
 		case <-ticker.C:
 		}
 		stats := f.quic.ConnectionStats()
-		if s.observe(stats.PacketsReceived, watchInterval) < f.config.limit(stats.SmoothedRTT) {
+		limit := f.config.limit(stats.SmoothedRTT)
+		quiet := s.observe(stats.PacketsReceived, watchInterval)
+		if quiet == nudgeAfter(f.config) {
+			f.nudge()
+		}
+		if quiet < limit {
 			continue
 		}
 		f.silent.Store(true)
@@ -66,6 +72,31 @@
 	}
 }
 
+// nudgeAfter returns the silence after which a keep-alive must have been
+// answered on most paths, in whole ticks.
+func nudgeAfter(c *Config) time.Duration {
+	return (c.KeepAlive + 2*watchInterval).Truncate(watchInterval)
+}
+
+// nudge sends a packet that a host which does not know the flow answers with
+// a stateless reset. Keep-alives are too short for that (RFC 9000, section
+// 10.3). The stream has a reserved type, which receivers ignore (RFC 9114,
+// section 6.2.3).
+func (f *flow) nudge() {
+	stream, err := f.quic.OpenUniStream()
+	if err != nil {
+		return
+	}
+	payload := quicvarint.Append(nil, reservedStreamType)
+	_, _ = stream.Write(append(payload, make([]byte, nudgeSize)...))
+	_ = stream.Close()
+}
+
+const (
+	reservedStreamType = 0x21
+	nudgeSize          = 48 // bytes
+)
+
 // candidate is a new path that is being checked.
 type candidate struct {
 	link *link
--- /dev/null
+++ b/caller/path_test.go
@@ -0,0 +1,174 @@
+package caller
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// feed is a service that answers with the pieces of a channel.
+func feed(t *testing.T, pieces <-chan string) *service {
+	return newService(t, func(_ int64, w http.ResponseWriter, r *http.Request) {
+		for piece := range pieces {
+			_, _ = io.WriteString(w, piece)
+			if http.NewResponseController(w).Flush() != nil {
+				return
+			}
+		}
+	})
+}
+
+func TestSilentPathIsLeft(t *testing.T) {
+	pieces := make(chan string)
+	s := feed(t, pieces)
+	c := s.client(s.config())
+	received := make(chan string)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Stream(testContext(t), Request{Method: http.MethodGet, Path: "/feed"}, func(piece []byte) {
+			received <- string(piece)
+		})
+		ended <- err
+	}()
+	pieces <- "one"
+	must.Eq(t, "one", await(t, "piece", received))
+	for round := range 2 {
+		must.Eq(t, round+1, s.relay.Silence())
+		pieces <- "two"
+		must.Eq(t, "two", await(t, "piece after the move", received))
+	}
+	close(pieces)
+	must.NoError(t, await(t, "end", ended))
+	stats := c.Stats()
+	must.Eq(t, 1, stats.Flows)
+	must.Eq(t, 1, s.runs.Load())
+	must.GreaterEq(t, 2, stats.Migrations)
+	c.mu.Lock()
+	links := c.flow.links
+	c.mu.Unlock()
+	for _, l := range links[:len(links)-1] {
+		must.True(t, l.socket.isParked())
+	}
+	must.False(t, links[len(links)-1].socket.isParked())
+}
+
+func TestNothingIsLeftAfterClose(t *testing.T) {
+	pieces := make(chan string)
+	s := feed(t, pieces)
+	defer close(pieces)
+	c := s.client(s.config())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Stream(testContext(t), Request{Method: http.MethodGet, Path: "/"}, func([]byte) {})
+		ended <- err
+	}()
+	pieces <- "one"
+	c.mu.Lock()
+	f := c.flow
+	c.mu.Unlock()
+	c.Close()
+	mustBe[*UnknownError](t, await(t, "end", ended))
+	await(t, "release", f.released)
+	for _, l := range f.links {
+		must.ErrorIs(t, l.socket.udp.SetDeadline(time.Time{}), net.ErrClosed)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	must.MapEmpty(t, c.flows)
+}
+
+// A host that died takes no new path either. Another flow replaces the
+// silent one, and only an idempotent request leaves it.
+func TestDeadFlowIsReplaced(t *testing.T) {
+	began := make(chan string, 4)
+	s := newService(t, func(_ int64, _ http.ResponseWriter, r *http.Request) {
+		began <- r.URL.Path
+		<-r.Context().Done()
+	})
+	other := newService(t, func(_ int64, w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "other")
+	})
+	other.tls.Certificates = s.tls.Certificates
+	other.stop()
+	other.start()
+	config := s.config()
+	config.ProbeTimeout = 100 * time.Millisecond
+	c := s.client(config)
+	lookup := make(chan *Response, 1)
+	order := make(chan error, 1)
+	go func() {
+		response, err := c.Do(testContext(t), Request{Method: http.MethodGet, Path: "/lookup", Idempotent: true})
+		must.NoError(t, err)
+		lookup <- response
+	}()
+	go func() {
+		_, err := c.Do(testContext(t), Request{Method: http.MethodPost, Path: "/order"})
+		order <- err
+	}()
+	await(t, "request", began)
+	await(t, "request", began)
+	s.relay.SetEntries(other.relayTargets())
+	must.Eq(t, "other", string(await(t, "answer from the other host", lookup).Body))
+	select {
+	case err := <-order:
+		t.Fatalf("an order left its flow: %v", err)
+	default:
+	}
+	c.Close()
+	mustBe[*UnknownError](t, await(t, "end of the order", order))
+	must.Eq(t, 2, s.runs.Load())
+	must.Eq(t, 1, other.runs.Load())
+}
+
+func TestSilenceCountsTicks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s silence
+		packets := uint64(0)
+		quiet := 0
+		for range rapid.IntRange(1, 100).Draw(t, "ticks") {
+			arrived := rapid.Uint64Range(0, 2).Draw(t, "arrived")
+			packets += arrived
+			if arrived > 0 {
+				quiet = 0
+			} else {
+				quiet++
+			}
+			got := s.observe(packets, watchInterval)
+			must.Eq(t, time.Duration(quiet)*watchInterval, got)
+		}
+	})
+}
+
+func TestBudgetNeverExceedsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(0, 0)
+		now := start
+		const ratio, burst = 0.25, 4.0
+		b := newBudget(ratio, burst, now)
+		requests, repeats := 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.deposit()
+				requests++
+			} else if b.withdraw(now) {
+				repeats++
+			}
+		}
+		allowed := burst + ratio*float64(requests) + budgetTrickle*now.Sub(start).Seconds()
+		must.LessEq(t, allowed+1e-6, float64(repeats))
+	})
+}
+
+func TestBackoffIsBounded(t *testing.T) {
+	config := DefaultConfig()
+	for attempt := 1; attempt < 20; attempt++ {
+		wait := config.backoff(attempt)
+		must.Between(t, config.Backoff/2, wait, config.MaxBackoff*3/2)
+	}
+}
--- /dev/null
+++ b/caller/server_test.go
@@ -0,0 +1,180 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/internal/standin/fabric"
+	"github.com/turmericrock/turmericrock/internal/standin/pki"
+)
+
+const (
+	testName    = "proofs.quillhaven.test"
+	testTimeout = 30 * time.Second
+)
+
+// service is a small HTTP/3 service behind a relay.
+type service struct {
+	t       *testing.T
+	relay   *fabric.Fabric
+	pki     *pki.Authority
+	tls     *tls.Config
+	key     quic.StatelessResetKey
+	addr    netip.AddrPort
+	handler http.Handler
+	// runs counts the requests that the handler began.
+	runs atomic.Int64
+	// conns receives each accepted connection.
+	conns chan *quic.Conn
+
+	mu        sync.Mutex
+	server    *http3.Server
+	transport *quic.Transport
+}
+
+// newService starts a service whose handler is told how many requests it has
+// begun.
+func newService(t *testing.T, handler func(run int64, w http.ResponseWriter, r *http.Request)) *service {
+	authority, err := pki.NewAuthority()
+	must.NoError(t, err)
+	certificate, err := authority.TLS(testName)
+	must.NoError(t, err)
+	relay, err := fabric.Listen(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddr("127.0.0.1"), 1)
+	must.NoError(t, err)
+	t.Cleanup(relay.Close)
+	s := &service{
+		t:     t,
+		relay: relay,
+		pki:   authority,
+		tls:   &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13},
+		addr:  netip.MustParseAddrPort("127.0.0.1:0"),
+		conns: make(chan *quic.Conn, 64),
+	}
+	_, err = rand.Read(s.key[:])
+	must.NoError(t, err)
+	s.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler(s.runs.Add(1), w, r)
+	})
+	s.server = &http3.Server{Handler: s.handler}
+	s.start()
+	t.Cleanup(s.stop)
+	return s
+}
+
+// start listens on the address of the service.
+func (s *service) start() {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.addr))
+	must.NoError(s.t, err)
+	s.addr = socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	transport := &quic.Transport{Conn: socket, StatelessResetKey: &s.key}
+	listener, err := transport.Listen(http3.ConfigureTLSConfig(s.tls), &quic.Config{})
+	must.NoError(s.t, err)
+	s.mu.Lock()
+	s.transport = transport
+	s.mu.Unlock()
+	s.relay.SetEntries([]netip.AddrPort{s.addr})
+	go s.accept(listener)
+}
+
+func (s *service) accept(listener *quic.Listener) {
+	for {
+		conn, err := listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		server := s.server
+		s.mu.Unlock()
+		s.conns <- conn
+		go func() { _ = server.ServeQUICConn(conn) }()
+	}
+}
+
+// stop ends the service at once, without a word to callers.
+func (s *service) stop() {
+	s.mu.Lock()
+	transport := s.transport
+	s.mu.Unlock()
+	_ = transport.Close()
+	_ = transport.Conn.Close()
+}
+
+// goAway sends GOAWAY on the connections so far. Later ones are served anew.
+func (s *service) goAway() {
+	s.mu.Lock()
+	old := s.server
+	s.server = &http3.Server{Handler: s.handler}
+	s.mu.Unlock()
+	go func() { _ = old.Shutdown(context.Background()) }()
+}
+
+func (s *service) config() Config {
+	config := DefaultConfig()
+	config.Addr = s.relay.Addr()
+	config.ServerName = testName
+	config.TLS = &tls.Config{RootCAs: s.pki.Pool(), MinVersion: tls.VersionTLS13}
+	config.Backoff = time.Millisecond
+	config.MaxBackoff = 4 * time.Millisecond
+	return config
+}
+
+func (s *service) client(config Config) *Client {
+	c := New(config)
+	s.t.Cleanup(c.Close)
+	return c
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// await receives from the channel within the test's time.
+func await[T any](t *testing.T, what string, c <-chan T) T {
+	t.Helper()
+	select {
+	case value := <-c:
+		return value
+	case <-time.After(testTimeout):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// reject resets the stream with H3_REQUEST_REJECTED.
+func reject(w http.ResponseWriter) {
+	stream, err := w.(http3.HTTPStreamer).HTTPStream()
+	if err != nil {
+		return
+	}
+	stream.CancelRead(quic.StreamErrorCode(http3.ErrCodeRequestRejected))
+	stream.CancelWrite(quic.StreamErrorCode(http3.ErrCodeRequestRejected))
+}
+
+// relayTargets returns the address to which a relay carries packets.
+func (s *service) relayTargets() []netip.AddrPort {
+	return []netip.AddrPort{s.addr}
+}
+
+// mustBe fails unless an error of the type is in the chain.
+func mustBe[E error](t *testing.T, err error) {
+	t.Helper()
+	var target E
+	if !errors.As(err, &target) {
+		t.Fatalf("got error %v, want a %T", err, target)
+	}
+}
