--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,11 +28,13 @@
 	trail       *audit.Trail
 	incarnation uint16
 	engine      *blackboard.Engine[*Board]
+	control     *node.Control
 	views       atomic.Pointer[View]
 	ready       chan struct{}
 	gate        *gate
 	counters    Counters
 	flows       *flowTable
+	reporter    atomic.Pointer[reporter]
 	ended       chan struct{}
 	endOnce     sync.Once
 }
@@ -57,9 +59,22 @@
 		ready:       make(chan struct{}),
 		ended:       make(chan struct{}),
 	}
-	a.gate = newGate(&a.views, time.Now())
-	a.flows = newFlowTable(&front{config: config, views: &a.views, gate: a.gate, exchange: x, log: log})
-	a.engine = blackboard.New(blackboard.DefaultConfig(), NewBoard(config, ring), a, &Lifecycle{})
+	a.gate = newGate(&a.views, time.Now(), func() { a.engine.Post(RestartSeen{}) })
+	handler := &front{
+		config:   config,
+		views:    &a.views,
+		gate:     a.gate,
+		exchange: x,
+		repeats:  newRepeats(maxRepeats),
+		prefetch: newPrefetcher(),
+		counters: &a.counters,
+		log:      log,
+	}
+	a.flows = newFlowTable(handler, &a.counters, config.FirstRequest)
+	board := NewBoard(config, ring)
+	board.Node.Configure(config.Control, node.NewRandom())
+	a.control = node.NewControl(config.Mesh, board.Node, reader, log, a.deliver)
+	a.engine = blackboard.New(blackboard.DefaultConfig(), board, a, stepper, &Lifecycle{})
 	return a, nil
 }
 
@@ -75,11 +90,17 @@
 	case FlowsClosed:
 		go a.flows.closeAll()
 	case DrainStarted:
-		go a.drain(effect.Within)
+		go a.drain(effect)
+	case FlowsResumed:
+		a.flows.resume()
+	case StateChanged:
+		go a.announce()
 	case ProcessEnded:
 		a.endOnce.Do(func() { close(a.ended) })
 	case audit.Record:
 		a.trail.Add(effect)
+	default:
+		a.control.Execute(effect)
 	}
 }
 
@@ -130,11 +151,18 @@
 	return nil
 }
 
+// deliver hands an update to the control goroutine.
+func (a *Agent) deliver(ctx context.Context, update node.Update) {
+	a.engine.Deliver(ctx, NodeUpdated{Update: update})
+}
+
+// stepper runs the replica before the controllers that act on the facts.
+var stepper = node.Stepper[*Board]{Facts: func(board *Board) *node.Facts { return board.Node }}
+
 func (a *Agent) follow(ctx context.Context) {
-	post := func(update node.Update) {
-		a.engine.Post(NodeUpdated{Update: update})
+	if err := a.control.Run(ctx); err != nil {
+		a.log.WithField("error", err).Error("mesh_failed")
 	}
-	node.NewFollower(a.reader, post, a.log).Run(ctx)
 }
 
 func (a *Agent) accept(ctx context.Context, listener *quic.Listener) {
@@ -148,7 +176,14 @@
 }
 
 // drain lets what is in service end.
-func (a *Agent) drain(within time.Duration) {
-	a.flows.drain(within)
-	a.engine.Post(DrainDone{})
+func (a *Agent) drain(effect DrainStarted) {
+	a.flows.drain(effect.Within)
+	a.engine.Post(DrainDone{Drain: effect.Drain})
+}
+
+// announce tells entries of the host's state at once.
+func (a *Agent) announce() {
+	if reporter := a.reporter.Load(); reporter != nil {
+		reporter.announce(time.Now())
+	}
 }
--- a/dissemination/role.go
+++ b/dissemination/role.go
@@ -1,7 +1,6 @@
 package dissemination
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +13,18 @@
 	if order == nil {
 		return 0, false
 	}
-	return order.Rank(r.config.Self)
+	if r.place.order != order {
+		r.place.order = order
+		r.place.rank, r.place.listed = order.Rank(r.config.Self)
+	}
+	return r.place.rank, r.place.listed
+}
+
+// ownPlace is the node's place in an order.
+type ownPlace struct {
+	order  *Order
+	rank   int
+	listed bool
 }
 
 // Watching reports whether the node follows the platform for its zone: it is
@@ -54,7 +64,7 @@
 	if order == nil || order.Len() == 0 {
 		return r.seeds()
 	}
-	rank, listed := order.Rank(r.config.Self)
+	rank, listed := r.rank()
 	if listed && rank < r.config.Watchers+r.config.Spares && r.Watching(now) {
 		return r.watcherPeers(now, order, rank)
 	}
@@ -83,9 +93,12 @@
 func (r *Replica) pick(now time.Time, order *Order, ranks []int, count int) []fleet.VM {
 	var picked []fleet.VM
 	for _, rank := range ranks {
+		if len(picked) == count {
+			break
+		}
 		vm := order.At(rank)
-		if len(picked) < count && vm.ID != r.config.Self.ID && !r.avoided(now, vm.ID) {
-			picked = append(picked, vm)
+		if vm.ID != r.config.Self.ID && !r.avoided(now, vm.ID) {
+			picked = append(picked, *vm)
 		}
 	}
 	return picked
@@ -124,16 +137,22 @@
 	return ranks
 }
 
-// zones returns the names of the zones that are declared or listed.
+// zones returns the names of the zones that are declared, and the node's own.
 func (r *Replica) zones() []string {
-	names := make(map[string]bool)
-	names[r.config.Self.Zone] = true
-	if held := r.holder.Config(); held != nil {
+	held := r.holder.Config()
+	if r.zoneNames != nil && r.zonesOf == held {
+		return r.zoneNames
+	}
+	r.zonesOf = held
+	r.zoneNames = []string{r.config.Self.Zone}
+	if held != nil {
 		for _, zone := range held.Manifest.Zones {
-			names[zone.Name] = true
+			r.zoneNames = append(r.zoneNames, zone.Name)
 		}
 	}
-	return slices.Sorted(maps.Keys(names))
+	slices.Sort(r.zoneNames)
+	r.zoneNames = slices.Compact(r.zoneNames)
+	return r.zoneNames
 }
 
 // listedZones returns the zones whose lists the node needs.
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	loaded.Entry.Mesh.TLS = b.mesh
 	e := entry.New(loaded.Entry, b.ring, platform.NewHTTPReader(loaded.Platform), b.log, b.trail)
 	signalled, stop := untilSignal(ctx)
 	defer stop()
--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -42,6 +42,12 @@
 	return n.ops
 }
 
+// Listen returns the addresses on which an entry receives callers' packets,
+// in the order of the services.
+func (n *Node) Listen() []netip.AddrPort {
+	return append([]netip.AddrPort(nil), n.listen...)
+}
+
 // Begun returns the number of requests that arrived at the backend server.
 func (n *Node) Begun() int {
 	return n.server.observer.count()
@@ -215,7 +221,7 @@
 func (n *Node) commonSettings() string {
 	return fmt.Sprintf(
 		"[node]\nid = %s\nzone = %s\naddress = %s\n\n[platform]\nurl = %s\n\n[keys]\nfile = %s\n\n[log]\nlevel = %s\n\n[ops]\naddress = %s\n\n"+
-			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\n",
+			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\nfleet_limit = 200\n",
 		n.vm.ID, n.vm.Zone, n.vm.Addr, n.world.gatekeeper.url(n.vm.ID), n.world.path("keys.ini"), n.world.config.LogLevel, n.ops,
 		n.vm.Mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"))
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -19,10 +19,14 @@
 
 const path = "/mesh"
 
+// CompressionThreshold is the size in bytes from which messages are
+// compressed: whole lists and parts are, heartbeats are not.
+const CompressionThreshold = 4096
+
 // Mesh holds the links of one process. It is safe for concurrent use.
 type Mesh struct {
 	config Config
-	post   func(dissemination.Event)
+	post   func(context.Context, dissemination.Event)
 	client *http.Client
 	counts *counters
 
@@ -32,8 +36,9 @@
 	nextLink dissemination.LinkID
 }
 
-// New returns a mesh that hands what happens to post, which must not block.
-func New(config Config, post func(dissemination.Event)) *Mesh {
+// New returns a mesh that hands what happens to post. A link waits for post,
+// so its peer is slowed down and no event is lost.
+func New(config Config, post func(context.Context, dissemination.Event)) *Mesh {
 	transport := &http.Transport{
 		TLSClientConfig:     clientTLS(config.TLS),
 		TLSHandshakeTimeout: config.OpenTimeout,
@@ -83,13 +88,30 @@
 // Open opens a link to the peer in the background. LinkOpened or LinkClosed
 // tells of the outcome.
 func (m *Mesh) Open(dial dissemination.Dial) {
+	go m.dial(m.context(), dial)
+}
+
+// Do carries out an action of a replica. It ignores those that are not about
+// links.
+func (m *Mesh) Do(action dissemination.Action) {
+	switch action := action.(type) {
+	case dissemination.Dial:
+		m.Open(action)
+	case dissemination.Send:
+		m.Send(action.Link, action.Message)
+	case dissemination.Close:
+		m.Close(action.Link)
+	}
+}
+
+// context returns the context of Run, or one that does not end before it.
+func (m *Mesh) context() context.Context {
 	m.mu.Lock()
-	ctx := m.ctx
-	m.mu.Unlock()
-	if ctx == nil {
-		ctx = context.Background()
+	defer m.mu.Unlock()
+	if m.ctx == nil {
+		return context.Background()
 	}
-	go m.dial(ctx, dial)
+	return m.ctx
 }
 
 // Send queues a message. A link whose queue is full is closed: its peer does
@@ -111,10 +133,10 @@
 	}
 }
 
-// Close closes a link.
+// Close closes a link on purpose: the other side's LinkClosed is graceful.
 func (m *Mesh) Close(id dissemination.LinkID) {
 	if l := m.link(id); l != nil {
-		l.close()
+		go func() { _ = l.conn.Close(websocket.StatusNormalClosure, "") }()
 	}
 }
 
@@ -141,7 +163,7 @@
 			cause = causeRefused
 		}
 		m.counts.add(cause)
-		m.post(dissemination.LinkClosed{Link: dial.Link, Refused: refused})
+		m.post(ctx, dissemination.LinkClosed{Link: dial.Link, Refused: refused})
 		return
 	}
 	m.run(ctx, dial.Link, conn, dissemination.LinkOpened{Link: dial.Link, Hello: hello})
@@ -150,7 +172,11 @@
 func (m *Mesh) open(ctx context.Context, addr netip.AddrPort, hello dissemination.Hello) (*websocket.Conn, dissemination.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.OpenTimeout)
 	defer cancel()
-	options := &websocket.DialOptions{HTTPClient: m.client, CompressionMode: websocket.CompressionDisabled}
+	options := &websocket.DialOptions{
+		HTTPClient:           m.client,
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: CompressionThreshold,
+	}
 	conn, _, err := websocket.Dial(ctx, "wss://"+addr.String()+path, options)
 	if err != nil {
 		return nil, dissemination.Hello{}, &LinkError{Cause: causeDial, Err: err}
@@ -192,7 +218,10 @@
 }
 
 func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: CompressionThreshold,
+	})
 	if err != nil {
 		m.counts.add(causeUpgrade)
 		return
@@ -210,7 +239,7 @@
 	id := m.nextLink
 	m.nextLink += 2
 	m.mu.Unlock()
-	m.run(context.WithoutCancel(r.Context()), id, conn, dissemination.LinkOpened{Link: id, Hello: hello, Inbound: true})
+	m.run(m.context(), id, conn, dissemination.LinkOpened{Link: id, Hello: hello, Inbound: true})
 }
 
 // causeOf returns the cause that an error of a message is counted under.
@@ -224,7 +253,7 @@
 
 // run serves a link until it ends.
 func (m *Mesh) run(ctx context.Context, id dissemination.LinkID, conn *websocket.Conn, opened dissemination.LinkOpened) {
-	ctx, cancel := context.WithCancel(ctx)
+	linkCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := &link{
 		id:     id,
@@ -240,14 +269,14 @@
 	m.links[id] = l
 	m.mu.Unlock()
 	m.counts.opened(1)
-	m.post(opened)
-	go l.write(ctx, m.config.WriteTimeout)
-	l.read(ctx)
+	m.post(ctx, opened)
+	go l.write(linkCtx, m.config.WriteTimeout)
+	graceful := l.read(linkCtx)
 	m.mu.Lock()
 	delete(m.links, id)
 	m.mu.Unlock()
 	m.counts.opened(-1)
-	m.post(dissemination.LinkClosed{Link: id})
+	m.post(ctx, dissemination.LinkClosed{Link: id, Graceful: graceful})
 }
 
 // link is one WebSocket connection.
@@ -269,27 +298,27 @@
 	}
 }
 
-// read hands messages on until the link ends. A message that is not valid
-// ends it.
-func (l *link) read(ctx context.Context) {
+// read hands messages on until the link ends and reports whether the other
+// side ended it on purpose. A message that is not valid ends it.
+func (l *link) read(ctx context.Context) bool {
 	defer l.cancel()
 	defer func() { _ = l.conn.CloseNow() }()
 	for {
 		kind, data, err := l.conn.Read(ctx)
 		if err != nil {
-			return
+			return websocket.CloseStatus(err) == websocket.StatusNormalClosure
 		}
 		l.mesh.counts.message(true, len(data))
 		if kind != websocket.MessageBinary {
 			l.mesh.counts.add(causeText)
-			return
+			return false
 		}
 		message, err := dissemination.Decode(data)
 		if err != nil {
 			l.mesh.counts.add(causeOf(err))
-			return
+			return false
 		}
-		l.mesh.post(dissemination.Received{Link: l.id, Message: message})
+		l.mesh.post(ctx, dissemination.Received{Link: l.id, Message: message})
 	}
 }
 
