--- a/agent/status.go
+++ b/agent/status.go
@@ -8,10 +8,12 @@
 
 // Status is what operators see of an agent.
 type Status struct {
-	ID          string `json:"id"`
-	Service     string `json:"service"`
-	Zone        string `json:"zone"`
-	Incarnation uint16 `json:"incarnation"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	// ZoneDeclared tells whether the configuration in force declares Zone.
+	ZoneDeclared bool   `json:"zone_declared"`
+	Incarnation  uint16 `json:"incarnation"`
 	// State is the host's state, and Since when it last changed.
 	State string    `json:"state"`
 	Since time.Time `json:"since"`
@@ -51,6 +53,7 @@
 	status.State = view.State.String()
 	status.Since = view.Since
 	status.Revision = view.Revision
+	status.ZoneDeclared = view.Zone != 0
 	status.ConfirmationAge = now.Sub(view.ConfirmedAt).Milliseconds()
 	status.Connections = view.Service.Connections
 	status.Slots = view.Service.Slots
--- a/entry/status.go
+++ b/entry/status.go
@@ -27,6 +27,8 @@
 	Revision uint64 `json:"revision"`
 	// ConfirmationAgeMS is how long ago the revision was last confirmed.
 	ConfirmationAgeMS int64 `json:"confirmation_age_ms"`
+	// ZoneDeclared tells whether the configuration in force declares Zone.
+	ZoneDeclared bool `json:"zone_declared"`
 	// Current tells whether packets are forwarded by these facts.
 	Current bool `json:"current"`
 	// ZonesOut names the zones into which no packet goes.
@@ -93,6 +95,7 @@
 		return status
 	}
 	status.Revision = config.Revision()
+	_, status.ZoneDeclared = config.Zone(board.Config.Self.Zone)
 	status.ConfirmationAgeMS = board.Node.Holder.Age(now).Milliseconds()
 	for _, zone := range config.Manifest.Zones {
 		if board.closed[zone.Number] {
--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -72,7 +72,7 @@
 	signalled, stop := untilSignal(ctx)
 	defer stop()
 	context.AfterFunc(signalled, a.Stop)
-	return b.run(ctx, a, a.Ready, func() ops.Status { return agentStatus(a.Status()) })
+	return b.run(ctx, a, func() ops.Status { return agentStatus(a.Status()) })
 }
 
 func agentStatus(s agent.Status) ops.Status {
@@ -84,6 +84,7 @@
 		Role:              string(fleet.RoleAgent),
 		ID:                s.ID,
 		Zone:              s.Zone,
+		ZoneDeclared:      s.ZoneDeclared,
 		Service:           s.Service,
 		Revision:          s.Revision,
 		ConfirmationAgeMS: s.ConfirmationAge,
--- a/internal/cli/base.go
+++ b/internal/cli/base.go
@@ -94,11 +94,19 @@
 // role is a process of the system.
 type role interface {
 	metrics.Source
+	Ready() error
 	Run(ctx context.Context) error
 }
 
 // run serves the role with its endpoint for operators until the role ends.
-func (b *base) run(ctx context.Context, r role, ready func() error, status func() ops.Status) error {
+func (b *base) run(ctx context.Context, r role, status func() ops.Status) error {
+	b.loop.Watch(&zoneWatcher{log: b.log, status: status})
+	ready := func() error {
+		if err := r.Ready(); err != nil {
+			return err
+		}
+		return checkZone(status())
+	}
 	server, err := ops.Listen(
 		ops.Config{Address: b.common.Ops.Address, Remote: b.common.Ops.Remote},
 		ops.Process{
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -60,7 +60,7 @@
 	signalled, stop := untilSignal(ctx)
 	defer stop()
 	context.AfterFunc(signalled, e.Stop)
-	return b.run(ctx, e, e.Ready, func() ops.Status { return entryStatus(e.Status()) })
+	return b.run(ctx, e, func() ops.Status { return entryStatus(e.Status()) })
 }
 
 func entryStatus(s entry.Status) ops.Status {
@@ -68,6 +68,7 @@
 		Role:              string(fleet.RoleEntry),
 		ID:                s.ID,
 		Zone:              s.Zone,
+		ZoneDeclared:      s.ZoneDeclared,
 		Revision:          s.Revision,
 		ConfirmationAgeMS: s.ConfirmationAgeMS,
 		ZonesOut:          s.ZonesOut,
--- /dev/null
+++ b/internal/cli/zone.go
@@ -0,0 +1,48 @@
+package cli
+
+import (
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericrock/turmericrock/internal/ops"
+)
+
+// ZoneError reports a process whose availability zone the configuration in
+// force does not declare.
+type ZoneError struct {
+	Zone     string
+	Revision uint64
+}
+
+// Error implements error.
+func (e *ZoneError) Error() string {
+	return fmt.Sprintf("[node] zone = %q is not declared in revision %d; allowed is a zone of zones.ini", e.Zone, e.Revision)
+}
+
+// checkZone returns a *ZoneError when the status tells of one.
+func checkZone(s ops.Status) error {
+	if s.Revision == 0 || s.ZoneDeclared {
+		return nil
+	}
+	return &ZoneError{Zone: s.Zone, Revision: s.Revision}
+}
+
+// zoneWatcher logs an error for each revision that does not declare the
+// process's zone.
+type zoneWatcher struct {
+	log    *logrus.Logger
+	status func() ops.Status
+	logged uint64
+}
+
+// Check implements reload.Watcher.
+func (w *zoneWatcher) Check() {
+	status := w.status()
+	err := checkZone(status)
+	if err == nil || status.Revision == w.logged {
+		return
+	}
+	w.logged = status.Revision
+	w.log.WithField("error", err).Error("zone_not_declared")
+}
--- a/internal/declare/validate.go
+++ b/internal/declare/validate.go
@@ -1,6 +1,7 @@
 package declare
 
 import (
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +35,7 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &service):
-		return d.invalid(serviceKey(service.Service), service.Field, service.Reason)
+		return d.invalid(serviceKey(service.Service), service.Field, d.allowed(service))
 	case errors.As(err, &zone):
 		return d.invalid(zoneKey(zone.Zone), "number", zone.Reason)
 	case errors.As(err, &clash):
@@ -45,6 +46,22 @@
 	}
 }
 
+// allowed tells what the field of a service may be.
+func (d *Declarations) allowed(err *fleet.ServiceError) string {
+	if err.Field != "zones" {
+		return err.Reason
+	}
+	return "names in " + ZonesFile + ": " + d.zoneNames()
+}
+
+func (d *Declarations) zoneNames() string {
+	names := make([]string, 0, len(d.Zones))
+	for _, zone := range d.Zones {
+		names = append(names, zone.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
 func (d *Declarations) invalid(key, setting, allowed string) error {
 	o := d.origins[key]
 	return &inifile.Error{
--- a/internal/ops/status.go
+++ b/internal/ops/status.go
@@ -11,11 +11,13 @@
 
 // Status is a process's state at a glance.
 type Status struct {
-	Role    string `json:"role"`
-	ID      string `json:"id"`
-	Zone    string `json:"zone"`
-	Service string `json:"service,omitempty"`
-	Version string `json:"version"`
+	Role string `json:"role"`
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// ZoneDeclared tells whether the configuration in force declares Zone.
+	ZoneDeclared bool   `json:"zone_declared"`
+	Service      string `json:"service,omitempty"`
+	Version      string `json:"version"`
 	// UptimeMS is the time since the process started in milliseconds.
 	UptimeMS int64 `json:"uptime_ms"`
 	Ready    bool  `json:"ready"`
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -53,6 +53,8 @@
 	}
 	read("queue_wait", &config.QueueWait, 0, maxTimeout)
 	read("request_timeout", &config.RequestTimeout, time.Second, maxTimeout)
+	read("stall_timeout", &config.StallTimeout, time.Second, maxTimeout)
+	read("first_request", &config.FirstRequest, time.Second, maxTimeout)
 	read("report_interval", &config.ReportInterval, minInterval, maxInterval)
 	read("idle_timeout", &config.IdleTimeout, time.Second, maxTimeout)
 	read("health_interval", &config.HealthInterval, minInterval, maxInterval)
