--- /dev/null
+++ b/internal/certs/certs_test.go
@@ -0,0 +1,69 @@
+package certs_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/internal/certs"
+	"github.com/turmericrock/turmericrock/internal/standin/pki"
+)
+
+func TestPairIsReplacedWhole(t *testing.T) {
+	authority, err := pki.NewAuthority()
+	must.NoError(t, err)
+	folder := t.TempDir()
+	must.NoError(t, authority.IssueFiles(folder, "a", "a.test"))
+	certificate, key := filepath.Join(folder, "a.crt"), filepath.Join(folder, "a.key")
+	pair, err := certs.LoadPair(certificate, key)
+	must.NoError(t, err)
+	changes, failures := 0, 0
+	pair.OnChange(func(from, to string) {
+		must.NotEq(t, from, to)
+		changes++
+	}, func(error) { failures++ })
+	first, err := pair.Get(nil)
+	must.NoError(t, err)
+	pair.Check()
+	must.Eq(t, 0, changes+failures)
+
+	// The new certificate comes before its key.
+	newCertificate, newKey, err := authority.Issue("b.test")
+	must.NoError(t, err)
+	must.NoError(t, os.WriteFile(certificate, newCertificate, 0o600))
+	pair.Check()
+	pair.Check()
+	must.Eq(t, 1, failures)
+	kept, _ := pair.Get(nil)
+	must.True(t, first == kept)
+
+	must.NoError(t, os.WriteFile(key, newKey, 0o600))
+	pair.Check()
+	must.Eq(t, 1, changes)
+	second, _ := pair.GetClient(nil)
+	must.Eq(t, []string{"b.test"}, second.Leaf.DNSNames)
+
+	must.NoError(t, os.Remove(key))
+	pair.Check()
+	must.Eq(t, 2, failures)
+	kept, _ = pair.Get(nil)
+	must.True(t, second == kept)
+}
+
+func TestUnusableFiles(t *testing.T) {
+	folder := t.TempDir()
+	empty := filepath.Join(folder, "empty")
+	must.NoError(t, os.WriteFile(empty, nil, 0o600))
+	var file *certs.FileError
+	_, err := certs.LoadPair(empty, empty)
+	must.True(t, errors.As(err, &file))
+	_, err = certs.LoadPair(filepath.Join(folder, "none"), empty)
+	must.True(t, errors.As(err, &file))
+	_, err = certs.LoadAuthority(empty)
+	must.True(t, errors.As(err, &file))
+	_, err = certs.LoadAuthority(filepath.Join(folder, "none"))
+	must.True(t, errors.As(err, &file))
+}
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,154 @@
+package ops_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericrock/turmericrock/internal/audit"
+	"github.com/turmericrock/turmericrock/internal/metrics"
+	"github.com/turmericrock/turmericrock/internal/ops"
+)
+
+var errStarting = errors.New("no configuration")
+
+// counted is a source with samples that change.
+type counted struct {
+	packets atomic.Int64
+}
+
+func (c *counted) Collect(emit func(metrics.Sample)) {
+	n := c.packets.Load()
+	emit(metrics.Sample{Name: "packets", Cause: "forwarded", Value: n})
+	emit(metrics.Sample{Name: "packets", Cause: "forged", Value: 2})
+	emit(metrics.Sample{Name: "hosts", Value: 7, Gauge: true})
+	if n > 5 {
+		emit(metrics.Sample{Name: "late", Value: 1})
+	}
+}
+
+// endpoint is a running server over a process that the test changes.
+type endpoint struct {
+	*ops.Server
+	source   counted
+	notReady atomic.Bool
+	trail    *audit.Trail
+}
+
+func start(t *testing.T, remote bool) *endpoint {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := &endpoint{trail: audit.NewTrail(log, 10)}
+	server, err := ops.Listen(
+		ops.Config{Address: netip.MustParseAddrPort("127.0.0.1:0"), Remote: remote},
+		ops.Process{
+			Status: func() ops.Status {
+				return ops.Status{Role: "entry", Revision: 9, ConfirmationAgeMS: 1500, Hosts: map[string]int{"serving": 3}}
+			},
+			Ready: func() error {
+				if e.notReady.Load() {
+					return errStarting
+				}
+				return nil
+			},
+			Metrics: []metrics.Source{&e.source},
+			Trail:   e.trail,
+		})
+	must.NoError(t, err)
+	e.Server = server
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-ended)
+	})
+	return e
+}
+
+// get returns status and body of an answer. The host is as in the address
+// unless given.
+func (e *endpoint) get(t *testing.T, path, host string) (int, string) {
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+e.Addr().String()+path, nil)
+	must.NoError(t, err)
+	request.Host = host
+	response, err := http.DefaultClient.Do(request)
+	must.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	return response.StatusCode, string(body)
+}
+
+func TestHealthAndReadiness(t *testing.T) {
+	e := start(t, false)
+	e.notReady.Store(true)
+	status, body := e.get(t, ops.PathReady, "")
+	must.Eq(t, http.StatusServiceUnavailable, status)
+	must.Eq(t, "no configuration\n", body)
+	status, _ = e.get(t, ops.PathHealth, "")
+	must.Eq(t, http.StatusOK, status)
+	e.notReady.Store(false)
+	status, _ = e.get(t, ops.PathReady, "")
+	must.Eq(t, http.StatusOK, status)
+}
+
+func TestMetrics(t *testing.T) {
+	e := start(t, false)
+	for _, n := range []int64{5, 8} {
+		e.source.packets.Store(n)
+		_, body := e.get(t, ops.PathMetrics, "")
+		must.StrContains(t, body, `turmericrock_packets_total{cause="forwarded"} `+string(rune('0'+n)))
+		must.StrContains(t, body, `turmericrock_packets_total{cause="forged"} 2`)
+		must.StrContains(t, body, "turmericrock_hosts 7")
+		must.StrContains(t, body, "process_cpu_seconds_total")
+	}
+	_, body := e.get(t, ops.PathMetrics, "")
+	must.StrContains(t, body, "turmericrock_late_total 1")
+}
+
+func TestForeignCallersAreRefused(t *testing.T) {
+	e := start(t, false)
+	for _, host := range []string{"evil.example", "evil.example:80"} {
+		status, _ := e.get(t, ops.PathStatus, host)
+		must.Eq(t, http.StatusForbidden, status)
+	}
+	for _, host := range []string{"localhost", "127.0.0.1:7480", "[::1]:7480"} {
+		status, _ := e.get(t, ops.PathStatus, host)
+		must.Eq(t, http.StatusOK, status)
+	}
+	status, _ := start(t, true).get(t, ops.PathStatus, "node.example")
+	must.Eq(t, http.StatusOK, status)
+}
+
+func TestClient(t *testing.T) {
+	e := start(t, false)
+	e.trail.Add(audit.Record{At: time.Now(), What: audit.Zone.Of("mid-1"), To: "out"})
+	e.trail.Add(audit.Record{At: time.Now(), What: string(audit.Keys), To: "active=2"})
+	client := ops.NewClient(e.Addr())
+	status, err := client.Status(t.Context())
+	must.NoError(t, err)
+	must.True(t, status.Ready)
+	var text bytes.Buffer
+	must.NoError(t, status.WriteText(&text))
+	must.StrContains(t, text.String(), "revision   9, confirmed 1.5s ago\n")
+	must.StrContains(t, text.String(), "hosts      serving=3\n")
+
+	var lines bytes.Buffer
+	must.NoError(t, client.Audit(t.Context(), &lines, "zone", "1h"))
+	must.StrContains(t, lines.String(), `"to":"out"`)
+	must.StrNotContains(t, lines.String(), "active")
+	err = client.Audit(t.Context(), &lines, "", "yesterday")
+	var answer *ops.AnswerError
+	must.True(t, errors.As(err, &answer))
+	must.Eq(t, http.StatusBadRequest, answer.Status)
+}
