Let the fabric notice a stopping entry late and name the senders of stray packets

Cause: worlds named no mesh seeds, so a process that started under an absent platform knew nobody; an entry was withdrawn before it was told to stop, which no fabric does; a stray packet's sender was not told.

--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -44,8 +44,8 @@
 		t.replaceHost,
 		t.coldStart,
 		t.zoneOutAndBack,
-		t.platformOutage,
 		t.stopEntry,
+		t.platformOutage,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -242,14 +242,17 @@
 	return nil
 }
 
-// stopEntry stops an entry gracefully, once the fabric has been told.
+// stopEntry stops an entry gracefully. The fabric notices after a lag.
 func (t *trial) stopEntry(ctx context.Context) error {
-	defer t.event(eventEntryStopped)()
+	done := t.event(eventEntryStopped)
 	entry := t.world.Node("entry-2")
 	entry.Withdraw()
-	if !entry.Stop(stopMargin) {
-		t.note(func(f *facts) { f.notInTime++ })
-	}
+	t.group.Go(func() {
+		defer done()
+		if !entry.Stop(drainWish + stopMargin) {
+			t.note(func(f *facts) { f.notInTime++ })
+		}
+	})
 	world.Pause(ctx, shortSettle)
 	return nil
 }
--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/turmericrock/turmericrock/internal/standin/callers"
 	"github.com/turmericrock/turmericrock/internal/standin/world"
@@ -83,7 +84,7 @@
 		return s.measureLoad(measure, load)
 	}
 	if sink := s.sinks[name]; sink != nil && measure == "packets" {
-		return int(sink.Packets()), "", nil
+		return int(sink.Packets()), s.explainArrivals(sink), nil
 	}
 	if m, found := s.marks[name]; found && measure == "begun" {
 		return begun(m.nodes) - m.begun, "", nil
@@ -139,6 +140,21 @@
 	return out.String()
 }
 
+// explainArrivals names the nodes that sent the packets.
+func (s *stage) explainArrivals(sink *world.Sink) string {
+	var out strings.Builder
+	for _, arrival := range sink.Arrivals() {
+		from := arrival.From.String()
+		for _, node := range s.world.Nodes() {
+			if node.VM().Addr.Addr() == arrival.From.Addr() {
+				from = node.VM().ID
+			}
+		}
+		_, _ = fmt.Fprintf(&out, "\npacket at=%s from=%s size=%d", arrival.At.UTC().Format(time.RFC3339Nano), from, arrival.Size)
+	}
+	return out.String()
+}
+
 const maxExplained = 5
 
 // tally sums up all loads.
--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -155,12 +155,13 @@
 	return n.server.start()
 }
 
-// Withdraw takes an entry out of the fabric's spray at once.
+// Withdraw takes an entry out of the fabric's spray, which notices after a
+// lag.
 func (n *Node) Withdraw() {
 	n.world.mu.Lock()
 	n.sprayed = false
 	n.world.mu.Unlock()
-	n.world.spray(0)
+	n.world.spray(n.world.config.SprayLag)
 }
 
 // List changes how the platform lists the node: live, leaving or, with an
@@ -219,11 +220,29 @@
 }
 
 func (n *Node) commonSettings() string {
-	return fmt.Sprintf(
+	settings := fmt.Sprintf(
 		"[node]\nid = %s\nzone = %s\naddress = %s\n\n[platform]\nurl = %s\n\n[keys]\nfile = %s\n\n[log]\nlevel = %s\n\n[ops]\naddress = %s\n\n"+
 			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\nfleet_limit = 200\n",
 		n.vm.ID, n.vm.Zone, n.vm.Addr, n.world.gatekeeper.url(n.vm.ID), n.world.path("keys.ini"), n.world.config.LogLevel, n.ops,
 		n.vm.Mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"))
+	if seeds := n.world.seeds(); seeds != "" {
+		settings += "seeds = " + seeds + "\n"
+	}
+	return settings
+}
+
+// maxSeeds is the number of peers that settings name.
+const maxSeeds = 3
+
+// seeds returns the mesh addresses of the first entries.
+func (w *World) seeds() string {
+	var seeds []string
+	for _, n := range w.Nodes() {
+		if n.vm.Role == fleet.RoleEntry && len(seeds) < maxSeeds {
+			seeds = append(seeds, n.vm.Mesh.String())
+		}
+	}
+	return strings.Join(seeds, ", ")
 }
 
 // stopWait bounds the wait for a process that was killed.
--- a/internal/standin/world/sink.go
+++ b/internal/standin/world/sink.go
@@ -2,15 +2,27 @@
 
 import (
 	"net"
-	"sync/atomic"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
 // Sink counts the packets that arrive at the address of a VM that is gone.
 type Sink struct {
-	conn    *net.UDPConn
-	packets atomic.Uint64
+	conn *net.UDPConn
+
+	mu      sync.Mutex
+	sources []Arrival
+}
+
+// Arrival is one packet that arrived at a sink.
+type Arrival struct {
+	At   time.Time
+	From netip.AddrPort
+	Size int
 }
 
 // Sink takes the tunnel address of a node whose process has ended.
@@ -26,7 +38,14 @@
 
 // Packets returns the number of packets so far.
 func (s *Sink) Packets() uint64 {
-	return s.packets.Load()
+	return uint64(len(s.Arrivals()))
+}
+
+// Arrivals returns the packets so far.
+func (s *Sink) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.sources)
 }
 
 // Close gives the address up.
@@ -37,14 +56,20 @@
 func (s *Sink) run() {
 	buf := make([]byte, sinkBuffer)
 	for {
-		_, _, err := s.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err == nil {
-			s.packets.Add(1)
+			s.add(Arrival{At: time.Now(), From: from, Size: n})
 		}
 	}
 }
 
+func (s *Sink) add(arrival Arrival) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sources = append(s.sources, arrival)
+}
+
 const sinkBuffer = 2048 // bytes
