Measure how flows spread and catch packets that a deaf host's callers send

Cause: the demo gave no imbalance; taking the entries' check of zones out of service away was caught by no scenario, since agents close their flows first, and neither was a zone that goes out without closing them.

--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -38,6 +38,7 @@
 // later events go on.
 func (t *trial) play(ctx context.Context) error {
 	world.Pause(ctx, warmupWish+shortSettle)
+	t.measureBalance(ctx, "steady")
 	steps := []func(context.Context) error{
 		t.killEntry,
 		t.addEntry,
@@ -173,7 +174,8 @@
 		})
 	}
 	t.awaitInForce(ctx)
-	world.Pause(ctx, warmupWish)
+	world.Pause(ctx, warmupWish+shortSettle)
+	t.measureBalance(ctx, "after_zone_back")
 	return nil
 }
 
--- a/internal/demo/figures.go
+++ b/internal/demo/figures.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -21,11 +22,33 @@
 	for _, took := range t.facts.inForce {
 		t.figure("demo_change_in_force_everywhere", took.Seconds(), "s")
 	}
+	for _, b := range t.facts.balances {
+		t.figure("demo_press_imbalance_"+b.name, b.imbalance, "ratio")
+		t.figure("demo_press_flows_not_opened_"+b.name, float64(b.failed), "flows")
+	}
 	for _, name := range []string{eventEntryKilled, eventZoneOut, eventZoneBack, eventPlatformDown} {
 		t.printQuality(name)
 	}
 }
 
+// flowsPerHost is the number of flows opened for each host to measure the
+// imbalance.
+const flowsPerHost = 100
+
+// measureBalance opens flows to Teifi's press and notes how they spread.
+func (t *trial) measureBalance(ctx context.Context, name string) {
+	hosts := 0
+	for _, node := range t.world.Nodes() {
+		if node.VM().Service == press && node.Running() {
+			hosts++
+		}
+	}
+	b := callers.OpenFlows(ctx, t.world, press, hosts*flowsPerHost)
+	t.note(func(f *facts) {
+		f.balances = append(f.balances, balance{name: name, imbalance: b.Imbalance(hosts), failed: b.Failed})
+	})
+}
+
 // answeredInTime is the time in which a submission counts as answered well.
 const answeredInTime = time.Second
 
--- a/internal/demo/trial.go
+++ b/internal/demo/trial.go
@@ -60,6 +60,7 @@
 	zoneLate  int
 	notInTime int
 	inForce   []time.Duration
+	balances  []balance
 }
 
 // window is the time of one event.
@@ -68,6 +69,13 @@
 	from, to time.Time
 }
 
+// balance is how many flows hosts were given at a moment.
+type balance struct {
+	name      string
+	imbalance float64
+	failed    int
+}
+
 // coldServer is a backend server that has started while the fleet served.
 type coldServer struct {
 	node *world.Node
--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -110,16 +110,16 @@
 func (s *stage) measureLoad(measure string, load *callers.Load) (int, string, error) {
 	t := callers.Count(s.world, load.Outcomes(), s.excuses)
 	measures := map[string]int{
-		"requests":       t.Requests,
-		"answered":       t.Answered,
-		"broken":         len(t.Broken),
-		"givenup":        t.ZoneBroken + t.KillBroken,
-		"notwhole":       t.NotWhole,
-		"refused":        t.Refused,
-		"falserefusals":  t.FalseRefusals,
-		"doubled":        t.Doubled,
-		"crossed":        t.Crossed,
-		"answeredbroken": t.Answered + len(t.Broken),
+		"requests":      t.Requests,
+		"answered":      t.Answered,
+		"broken":        len(t.Broken),
+		"givenup":       t.ZoneBroken + t.KillBroken,
+		"timedout":      t.TimedOut,
+		"notwhole":      t.NotWhole,
+		"refused":       t.Refused,
+		"falserefusals": t.FalseRefusals,
+		"doubled":       t.Doubled,
+		"crossed":       t.Crossed,
 	}
 	got, known := measures[measure]
 	if !known {
--- a/internal/standin/callers/tally.go
+++ b/internal/standin/callers/tally.go
@@ -1,9 +1,12 @@
 package callers
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/turmericrock/turmericrock/internal/standin/world"
 )
 
@@ -32,6 +35,8 @@
 	// ZoneBroken and KillBroken count those that were given up.
 	ZoneBroken int
 	KillBroken int
+	// TimedOut counts requests of any kind that met their deadline.
+	TimedOut int
 	// NotWhole counts answers that differ from the one expected.
 	NotWhole int
 	Refused  int
@@ -48,6 +53,9 @@
 	t := Tally{Doubled: w.Ledger.Doubled(), Crossed: w.Journal.Crossed()}
 	for _, o := range outcomes {
 		t.Requests++
+		if errors.Is(o.Err, context.DeadlineExceeded) {
+			t.TimedOut++
+		}
 		switch {
 		case o.Err == nil:
 			t.addAnswer(o)
