Count the time to a rise of the limit from its proof, and await a count

Change: the interval counts from the first success at the limit in force.

TestRefusedPeersAreCountedByCause read the server's counter before the server had counted, once in a run under load.

--- a/admission/evidence.go
+++ b/admission/evidence.go
@@ -71,10 +71,20 @@
 	case latencyHigh:
 		l.cut(now, errorFactor)
 	default:
-		l.proven = true
+		l.prove(now)
 	}
 }
 
+// prove notes that the limit in force was borne. The time to the next rise
+// counts from the first proof, so that a long idle time raises nothing.
+func (l *Limiter) prove(now time.Time) {
+	if l.proven {
+		return
+	}
+	l.proven = true
+	l.raisedAt = later(l.raisedAt, now)
+}
+
 // shed cuts the limit for the first shed and takes a second one soon after,
 // of a request begun since, for a restart.
 func (l *Limiter) shed(now time.Time, r Result) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/coder/websocket"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
@@ -124,6 +125,12 @@
 		client := start(t, "client", c.config)
 		client.Open(dissemination.Dial{Link: 1, Peer: server.vm, Hello: client.hello()})
 		must.False(t, next[dissemination.LinkClosed](t, client).Refused)
+		// The server counts after it has closed, which the client may see first.
+		must.Wait(t, wait.InitialSuccess(
+			wait.BoolFunc(func() bool { return server.refused(c.cause) > 0 }),
+			wait.Timeout(10*time.Second),
+			wait.Gap(time.Millisecond),
+		), must.Sprint(c.cause))
 		must.Eq(t, 1, server.refused(c.cause), must.Sprint(c.cause))
 	}
 }
@@ -190,6 +197,12 @@
 		for err = nil; err == nil; {
 			_, _, err = conn.Read(ctx)
 		}
+		// The server counts after it has closed, which the client may see first.
+		must.Wait(t, wait.InitialSuccess(
+			wait.BoolFunc(func() bool { return server.refused(c.cause) > 0 }),
+			wait.Timeout(10*time.Second),
+			wait.Gap(time.Millisecond),
+		), must.Sprint(c.cause))
 		must.Eq(t, 1, server.refused(c.cause), must.Sprint(c.cause))
 	}
 }
