--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -157,12 +157,13 @@
 	return n.server.start()
 }
 
-// Withdraw takes an entry out of the fabric's spray at once.
+// Withdraw takes an entry out of the fabric's spray, which notices after a
+// lag.
 func (n *Node) Withdraw() {
 	n.world.mu.Lock()
 	n.sprayed = false
 	n.world.mu.Unlock()
-	n.world.spray(0)
+	n.world.spray(n.world.config.SprayLag)
 }
 
 // List changes how the platform lists the node: live, leaving or, with an
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -6,12 +6,12 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"testing"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/turmericrock/turmericrock/dissemination"
 	"github.com/turmericrock/turmericrock/fleet"
@@ -87,14 +87,6 @@
 	return total
 }
 
-// awaitRefused returns once a refusal with the cause is counted. A client may
-// hear of its refusal before the server counts it.
-func (p *peer) awaitRefused(cause string) {
-	for p.refused(cause) == 0 {
-		runtime.Gosched()
-	}
-}
-
 func TestMessagesPassBothWays(t *testing.T) {
 	authority := newAuthority(t)
 	a := start(t, "a", tlsOf(t, authority, authority, mesh.ServerName))
@@ -133,7 +125,13 @@
 		client := start(t, "client", c.config)
 		client.Open(dissemination.Dial{Link: 1, Peer: server.vm, Hello: client.hello()})
 		must.False(t, next[dissemination.LinkClosed](t, client).Refused)
-		server.awaitRefused(c.cause)
+		// The server counts after it has closed, which the client may see first.
+		must.Wait(t, wait.InitialSuccess(
+			wait.BoolFunc(func() bool { return server.refused(c.cause) > 0 }),
+			wait.Timeout(10*time.Second),
+			wait.Gap(time.Millisecond),
+		), must.Sprint(c.cause))
+		must.Eq(t, 1, server.refused(c.cause), must.Sprint(c.cause))
 	}
 }
 
@@ -199,6 +197,12 @@
 		for err = nil; err == nil; {
 			_, _, err = conn.Read(ctx)
 		}
-		server.awaitRefused(c.cause)
+		// The server counts after it has closed, which the client may see first.
+		must.Wait(t, wait.InitialSuccess(
+			wait.BoolFunc(func() bool { return server.refused(c.cause) > 0 }),
+			wait.Timeout(10*time.Second),
+			wait.Gap(time.Millisecond),
+		), must.Sprint(c.cause))
+		must.Eq(t, 1, server.refused(c.cause), must.Sprint(c.cause))
 	}
 }
