Catch confirmations dated by receipt and a start on a stale platform's word

Two mutations passed before: confirming as of the receipt of an answer, and acting at once on what the platform alone told. Now TestAnswersHeldUpByAPauseConfirmNothing and TestStalePlatformBringsNothingBack fail with them.

--- a/dissemination/failure_test.go
+++ b/dissemination/failure_test.go
@@ -85,14 +85,15 @@
 			restarted[n] = true
 		}
 	}
-	for range 150 {
-		f.Advance(100 * time.Millisecond)
+	for range 6000 {
+		f.Advance(time.Millisecond)
 		for n := range restarted {
 			if n.Alive() && n.Replica.Current(f.Now()) {
 				must.Eq(t, 2, n.Holder.Revision(), must.Sprintf("%s acts on a stale configuration", n.VM.ID))
 			}
 		}
 	}
+	f.Advance(10 * time.Second)
 	f.allAt(2)
 	stale := uint64(0)
 	for _, n := range f.Nodes() {
@@ -153,6 +154,32 @@
 	}
 }
 
+func TestAnswersHeldUpByAPauseConfirmNothing(t *testing.T) {
+	f := newFixture(t, 24, smallSize(), 150*time.Millisecond, 50*time.Millisecond)
+	f.Fleet.Start(time.Second)
+	f.Advance(30 * time.Second)
+	f.allAt(1)
+	// With this delay about every third of the nodes waits for an answer.
+	var paused []*controlnet.Node
+	for i, n := range f.Nodes() {
+		if i%2 == 0 {
+			n.Pause()
+			paused = append(paused, n)
+		}
+	}
+	f.Advance(time.Second)
+	must.NoError(t, f.SetZoneOut(1, true))
+	replaced := f.Now()
+	f.Advance(10 * time.Second)
+	for _, n := range paused {
+		n.Resume()
+		old := n.Holder.Revision() == 1
+		must.False(t, old && n.Holder.ConfirmedAt().After(replaced), must.Sprintf("%s", n.VM.ID))
+		acts := n.Replica.Current(f.Now()) && n.Replica.ZoneOpen(f.Now(), f.Zones()[1].Name)
+		must.False(t, acts, must.Sprintf("%s", n.VM.ID))
+	}
+}
+
 func TestWokenNodeThatReachesNobodyActsAfterTheFallback(t *testing.T) {
 	f := started(t, 18)
 	lone := entryOf(f.zone(f.Zones()[0].Name))
--- a/dissemination/fleet_test.go
+++ b/dissemination/fleet_test.go
@@ -17,13 +17,16 @@
 	return fleetgen.Size{Regions: 2, Zones: 3, Entries: 6, Hosts: 36, Services: 12, Parts: 4}
 }
 
+// nearDelay is the one-way delay between zones of a region.
+const nearDelay = 500 * time.Microsecond
+
 type fixture struct {
 	t *testing.T
 	*controlnet.Network
 	*controlnet.Fleet
 }
 
-func newFixture(t *testing.T, seed uint64, size fleetgen.Size, step time.Duration) *fixture {
+func newFixture(t *testing.T, seed uint64, size fleetgen.Size, delay, step time.Duration) *fixture {
 	t.Helper()
 	failOnViolation(t)
 	control := dissemination.DefaultConfig()
@@ -31,7 +34,7 @@
 	control.OwnReads = size.Nodes()
 	net := controlnet.New(controlnet.Config{
 		Seed:      seed,
-		Delay:     500 * time.Microsecond,
+		Delay:     delay,
 		StepEvery: step,
 		Control:   control,
 		Builder:   dissemination.DefaultBuilder{},
@@ -51,7 +54,7 @@
 // started returns a fleet in which every node is up and current.
 func started(t *testing.T, seed uint64) *fixture {
 	t.Helper()
-	f := newFixture(t, seed, smallSize(), 50*time.Millisecond)
+	f := newFixture(t, seed, smallSize(), nearDelay, 50*time.Millisecond)
 	f.Fleet.Start(time.Second)
 	f.Advance(20 * time.Second)
 	f.allAt(1)
--- a/dissemination/machine_test.go
+++ b/dissemination/machine_test.go
@@ -26,7 +26,7 @@
 
 func newMachine(t *testing.T, rt *rapid.T) *machine {
 	size := fleetgen.Size{Regions: 2, Zones: 3, Entries: 6, Hosts: 18, Services: 6, Parts: 2}
-	f := newFixture(t, rapid.Uint64().Draw(rt, "seed"), size, 100*time.Millisecond)
+	f := newFixture(t, rapid.Uint64().Draw(rt, "seed"), size, nearDelay, 100*time.Millisecond)
 	f.Fleet.Start(time.Second)
 	f.Advance(15 * time.Second)
 	f.allAt(1)
