--- /dev/null
+++ b/internal/standin/world/mesh_test.go
@@ -0,0 +1,64 @@
+package world_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/standin/backend"
+	"github.com/turmericrock/turmericrock/internal/standin/world"
+)
+
+// TestPublishesReachProcessesThatDoNotReadThePlatform publishes to a fleet of
+// which most processes poll parents, and counts the reads.
+func TestPublishesReachProcessesThatDoNotReadThePlatform(t *testing.T) {
+	folder := t.TempDir()
+	binary, err := world.Build(folder)
+	must.NoError(t, err)
+	id := fleet.ServiceID{Customer: "teifi", Name: "proofs"}
+	w, err := world.New(world.Config{
+		Binary:   binary,
+		Folder:   folder,
+		Zones:    []fleet.Zone{{Name: "maes-1", Region: "wales", Number: 1}},
+		Services: []fleet.Service{{ID: id, Slots: 2, Connections: 10, Zones: []string{"maes-1"}}},
+	})
+	must.NoError(t, err)
+	defer w.Close()
+	_, err = w.StartEntry("entry-1", "maes-1")
+	must.NoError(t, err)
+	for i := range 9 {
+		_, err := w.StartAgent(fmt.Sprint("host-", i), "maes-1", id, backend.Config{Slots: 2})
+		must.NoError(t, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	awaitAll(ctx, t, w)
+	begin, before := time.Now(), w.Platform.Reads()
+	const publishes = 20
+	for range publishes {
+		must.NoError(t, w.Publish())
+		awaitAll(ctx, t, w)
+	}
+	seconds := uint64(time.Since(begin).Seconds()) + 1
+	// Three watchers watch two keys for at least 0.75 s each time, and see
+	// each publish at once.
+	const watchers = 3
+	must.LessEq(t, watchers*(3*seconds+2*publishes), w.Platform.Reads()-before)
+}
+
+// awaitAll waits until the latest revision is in force in every process.
+func awaitAll(ctx context.Context, t *testing.T, w *world.World) {
+	t.Helper()
+	must.NoError(t, world.Await(ctx, func() bool {
+		for _, n := range w.Nodes() {
+			if !n.InForce(w.Revision()) {
+				return false
+			}
+		}
+		return true
+	}))
+}
