Do not settle on the word of a peer that has itself just started

Half of a fleet restarted on a stale platform could confirm each other's old revision before a node that was not restarted was heard; the window is a few milliseconds and no run of the tests hit it for certain. State now tells whether its sender has asked its own peers.

--- a/dissemination/codec_test.go
+++ b/dissemination/codec_test.go
@@ -25,7 +25,7 @@
 	return []dissemination.Message{
 		{Hello: &dissemination.Hello{Protocol: dissemination.Protocol, ID: "entry-1", Zone: "maes-1", All: true}},
 		{State: &dissemination.State{
-			Probe: 5, Echo: 4, Revision: 3, Digest: digest, Age: 120,
+			Probe: 5, Echo: 4, Revision: 3, Digest: digest, Age: 120, Settled: true,
 			Zones: []dissemination.ZoneState{{Zone: "maes-1", Version: 9, Age: 80, Heard: 0}},
 		}},
 		{Want: &dissemination.Want{
--- a/dissemination/evidence.go
+++ b/dissemination/evidence.go
@@ -58,7 +58,8 @@
 
 // joined reports whether a node that has just started knows that the peers
 // that it polls have no newer configuration, or has waited JoinWait for their
-// answer. What the platform alone tells may be stale.
+// answer. What the platform alone tells may be stale, and so may what peers
+// tell that have themselves just started.
 func (r *Replica) joined(now time.Time) bool {
 	if r.adoptedAt.IsZero() {
 		return true
--- a/dissemination/failure_test.go
+++ b/dissemination/failure_test.go
@@ -290,7 +290,13 @@
 	other.ID = "replacement"
 	replaced.Kill()
 	f.Add(other, 0)
-	f.Advance(12 * time.Second)
+	f.Advance(5 * time.Second)
+	given := uint64(0)
+	for _, n := range f.zone(zone) {
+		given += n.Replica.Counts().Silent
+	}
+	must.Positive(t, given)
+	f.Advance(7 * time.Second)
 	seen := make(map[string]map[dissemination.Status]bool)
 	for _, n := range f.zone(zone) {
 		for _, p := range n.Replica.Peers() {
--- a/dissemination/message.go
+++ b/dissemination/message.go
@@ -47,6 +47,9 @@
 	// Age is the time since the revision was known to be current, in
 	// milliseconds.
 	Age uint32
+	// Settled tells that the sender has itself asked its peers since it
+	// started.
+	Settled bool
 	// Zones tells what the sender knows of availability zones.
 	Zones []ZoneState
 }
--- a/dissemination/state.go
+++ b/dissemination/state.go
@@ -49,6 +49,7 @@
 		Revision: r.holder.Revision(),
 		Digest:   r.digest(),
 		Age:      ageOf(now, r.holder.ConfirmedAt()),
+		Settled:  r.joined(now),
 	}
 	// While the configuration is not confirmed, every node needs to know which
 	// zones are heard.
@@ -145,7 +146,7 @@
 		r.answered(r.peer(l.vm))
 	}
 	r.noteHeard(l.hello.Zone, asked)
-	if state.Revision != 0 && state.Revision <= r.holder.Revision() {
+	if state.Settled && state.Revision != 0 && state.Revision <= r.holder.Revision() {
 		r.peersAsked = true
 	}
 	if state.Revision == r.holder.Revision() && bytes.Equal(state.Digest, r.digest()) {
