Work the capacity page out from measured slopes

The page gives state, messages, processor time and memory of each role at 930 entries and 5,000 hosts, each event's peak, and the limit met first at three times the size; a test holds page and slopes file together.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 # Measures how each cost grows and writes docs/slopes.json.
 slopes: build
-	$(GO) run ./internal/slopes/cmd -out docs/slopes.json
+	$(GO) run ./internal/slopes/cmd -binary $(BIN)/turmericrock -out docs/slopes.json
 
 # Writes docs/CAPACITY.md from docs/slopes.json.
 capacity:
--- a/internal/slopes/line.go
+++ b/internal/slopes/line.go
@@ -21,6 +21,9 @@
 	// Scale divides the sum of the terms into Unit.
 	Scale float64
 	Terms []Term
+	// Growth holds, for each term, the part that grows with the fleet. It is
+	// empty for a figure of which nothing grows.
+	Growth []float64
 	// Limit is the users' limit in Unit, or 0.
 	Limit float64
 	// Mechanism names the file and type that carry the figure.
@@ -36,6 +39,15 @@
 	return sum / l.Scale
 }
 
+// Larger returns the figure at times the size.
+func (l Line) Larger(times float64) float64 {
+	value := l.Value()
+	for _, growth := range l.Growth {
+		value += (times - 1) * growth / l.Scale
+	}
+	return value
+}
+
 // Over reports whether the figure is over its limit.
 func (l Line) Over() bool {
 	return l.Limit > 0 && l.Value() > l.Limit
--- /dev/null
+++ b/internal/slopes/slopes_test.go
@@ -0,0 +1,54 @@
+package slopes
+
+import (
+	"os"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestPageAgreesWithSlopes(t *testing.T) {
+	file, err := Load("../../docs/slopes.json")
+	must.NoError(t, err)
+	want, err := Page(file)
+	must.NoError(t, err)
+	got, err := os.ReadFile("../../docs/CAPACITY.md")
+	must.NoError(t, err)
+	must.Eq(t, want, string(got), must.Sprint("run make capacity"))
+}
+
+func TestFitLine(t *testing.T) {
+	fit := FitLine([]Point{{X: 1, Y: 5}, {X: 2, Y: 7}, {X: 4, Y: 11}})
+	must.InDelta(t, 2, fit.Slope, 1e-9)
+	must.InDelta(t, 3, fit.Intercept, 1e-9)
+	must.InDelta(t, 0, fit.Error, 1e-9)
+	must.InDelta(t, 23, fit.At(10), 1e-9)
+}
+
+func TestFitLineTellsItsError(t *testing.T) {
+	fit := FitLine([]Point{{X: 0, Y: 0}, {X: 1, Y: 2}, {X: 2, Y: 0}, {X: 3, Y: 2}})
+	must.Greater(t, 0.5, fit.Error)
+}
+
+func TestLineAddsTermsAndTellsItsLimits(t *testing.T) {
+	line := Line{
+		Unit:   "KB/s",
+		Scale:  1000,
+		Limit:  24,
+		Terms:  []Term{{"reports", 75, 120, "constant"}, {"probes", 50, 100, "constant"}},
+		Growth: []float64{9000, 0},
+	}
+	must.InDelta(t, 14, line.Value(), 1e-9)
+	must.False(t, line.Over())
+	must.True(t, line.OverAim())
+	must.InDelta(t, 32, line.Larger(3), 1e-9)
+	must.Eq(t, "reports: 75 x 120 (`constant`); probes: 50 x 100 (`constant`)", line.Arithmetic())
+}
+
+func TestPageTellsAMissingSeries(t *testing.T) {
+	_, err := Page(&File{})
+	var missing *MissingError
+	must.True(t, errors.As(err, &missing))
+}
