Ask for destinations only on sockets bound to any IP

Cause: each received packet carried a control message with its destination, also where the socket has one. Change: a worker whose listener has an IP takes it as the destination. The forwarding measure runs seven rounds.

--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -20,9 +20,12 @@
 	out         *ipv4.PacketConn
 	entryAddr   netip.AddrPort
 	servicePort uint16
-	views       *atomic.Pointer[View]
-	deadline    *deadline
-	counters    *Counters
+	// local is the service address of all packets, where the socket is bound
+	// to one IP, and else invalid.
+	local    netip.AddrPort
+	views    *atomic.Pointer[View]
+	deadline *deadline
+	counters *Counters
 
 	placer  Placer
 	codec   *tunnel.Codec
@@ -51,15 +54,17 @@
 		buffers:     make([][]byte, size),
 		dests:       make([]net.UDPAddr, size),
 	}
-	if err := w.conn.SetControlMessage(ipv4.FlagDst, true); err != nil {
-		return nil, errors.WithStack(err)
+	if err := w.learnDestination(listener); err != nil {
+		return nil, err
 	}
 	for i := range w.received {
 		// One byte more than a payload may have tells an oversized packet.
 		w.buffers[i] = make([]byte, tunnel.MaxDatagram+1)
 		payload := w.buffers[i][tunnel.HeaderSize : tunnel.HeaderSize+tunnel.MaxPayload+1]
 		w.received[i].Buffers = [][]byte{payload}
-		w.received[i].OOB = ipv4.NewControlMessage(ipv4.FlagDst)
+		if !w.local.IsValid() {
+			w.received[i].OOB = ipv4.NewControlMessage(ipv4.FlagDst)
+		}
 		w.dests[i].IP = make(net.IP, net.IPv4len)
 		w.sending[i].Buffers = make([][]byte, 1)
 		w.sending[i].Addr = &w.dests[i]
@@ -67,6 +72,16 @@
 	return w, nil
 }
 
+// learnDestination makes the kernel tell each packet's destination, unless the
+// socket is bound to one IP.
+func (w *worker) learnDestination(listener Listener) error {
+	if !listener.Addr.Addr().IsUnspecified() {
+		w.local = netip.AddrPortFrom(listener.Addr.Addr(), listener.ServicePort)
+		return nil
+	}
+	return errors.WithStack(w.conn.SetControlMessage(ipv4.FlagDst, true))
+}
+
 // run forwards packets until the socket is closed.
 func (w *worker) run() {
 	for {
@@ -157,13 +172,13 @@
 	if !ok {
 		return src, dst, false
 	}
-	ip, ok := destination(message.OOB[:message.NN])
-	if !ok {
-		return src, dst, false
-	}
 	src = udp.AddrPort()
 	src = netip.AddrPortFrom(src.Addr().Unmap(), src.Port())
-	return src, netip.AddrPortFrom(ip, w.servicePort), true
+	if w.local.IsValid() {
+		return src, w.local, true
+	}
+	ip, ok := destination(message.OOB[:message.NN])
+	return src, netip.AddrPortFrom(ip, w.servicePort), ok
 }
 
 // destinationAt is the offset of the destination in a struct in_pktinfo.
--- a/entry/traffic_test.go
+++ b/entry/traffic_test.go
@@ -26,6 +26,11 @@
 }
 
 func newLane(t *testing.T) *lane {
+	return newLaneOn(t, "0.0.0.0")
+}
+
+// newLaneOn returns a lane whose listener is bound to the IP.
+func newLaneOn(t *testing.T, ip string) *lane {
 	t.Helper()
 	b := placingBed(t)
 	config := b.board.Config
@@ -38,7 +43,8 @@
 		return conn
 	}
 	conn, agent := bind(), bind()
-	w, err := newWorker(e, Listener{ServicePort: testAddr.Port()}, conn, bind())
+	listener := Listener{Addr: netip.AddrPortFrom(netip.MustParseAddr(ip), 0), ServicePort: testAddr.Port()}
+	w, err := newWorker(e, listener, conn, bind())
 	must.NoError(t, err)
 	caller, err := net.Dial("udp4", conn.LocalAddr().String())
 	must.NoError(t, err)
@@ -89,7 +95,12 @@
 }
 
 func TestWorkerForwardsWhole(t *testing.T) {
-	l := newLane(t)
+	for _, ip := range []string{"0.0.0.0", "127.0.0.1"} {
+		testForwardsWhole(t, newLaneOn(t, ip))
+	}
+}
+
+func testForwardsWhole(t *testing.T, l *lane) {
 	packet := shortPacket(t, testKeys, l.owner())
 	l.carry(packet, []byte("garbage that belongs to no flow"), packet)
 	for range 2 {
--- a/internal/bench/forward.go
+++ b/internal/bench/forward.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	forwardRounds = 5
+	forwardRounds = 7
 	forwardSpan   = 2 * time.Second
 	settleSpan    = 500 * time.Millisecond
 	// pourRate is below what either forwards at most, in packets a second.
