Doubt a list that drops most of a zone and take a returned zone's hosts as cold

Cause: an empty or truncated VM list took every host of a zone out of the eligible set at once. A zone that came back found its hosts gone, since they had owed a report all the while, or at full weight by a report from before. Change: hosts that answer are kept when one list change drops more than half of their zone; hosts of a zone that is out are forgotten but for their sequence, and take a cold share until they report. Mutations: believing such a list, keeping every dropped host, never dropping kept ones, dropping them with the next list fail TestListThatDropsMostOfAZoneIsDoubted; keeping the earlier report or weight fails TestHostsAreColdWhenTheirZoneIsBack. Test changed: TestUnlistedHostIsForgotten drops one of three hosts instead of two, since two of three are now doubted.

--- a/entry/host.go
+++ b/entry/host.go
@@ -48,8 +48,12 @@
 	usable bool
 	// weight is the share of new flows relative to other hosts.
 	weight float64
-	// added tells that the host was listed after the entry's first list.
+	// added tells that the host was listed after the entry's first list, or
+	// that its zone was out, so that it may be cold.
 	added bool
+	// unlisted tells that the list dropped the host together with most of its
+	// zone while it answered.
+	unlisted bool
 
 	report     tunnel.Report
 	reportedAt time.Time
@@ -75,9 +79,9 @@
 		return ReportWrongService
 	case h.isRetired(report.Incarnation):
 		return ReportOldIncarnation
-	case h.reported() && report.Incarnation != h.report.Incarnation:
+	case report.Incarnation != h.report.Incarnation:
 		h.retire()
-	case h.reported() && report.Sequence <= h.report.Sequence:
+	case report.Sequence <= h.report.Sequence:
 		return ReportReplayed
 	}
 	h.report = report
@@ -87,14 +91,19 @@
 	return ReportAccepted
 }
 
-// retire forgets the report and refuses later ones of its incarnation.
+// retire forgets the host and refuses later reports of its incarnation.
 func (h *host) retire() {
-	if !h.reported() {
-		return
+	if h.report.Incarnation != 0 {
+		copy(h.retired[1:], h.retired[:])
+		h.retired[0] = h.report.Incarnation
 	}
-	copy(h.retired[1:], h.retired[:])
-	h.retired[0] = h.report.Incarnation
 	h.report = tunnel.Report{}
+	h.forget()
+}
+
+// forget makes the host one that has not reported yet. Older reports of its
+// incarnation are still refused.
+func (h *host) forget() {
 	h.reportedAt = time.Time{}
 	h.waitingSince = time.Time{}
 	h.cell.load.Store(uint32(tunnel.UnknownLoad))
--- a/entry/hoststate.go
+++ b/entry/hoststate.go
@@ -24,8 +24,11 @@
 // paused host that answers again is live by its first report. A host that
 // restarted, or was replaced on its address, shows another incarnation or VM
 // ID: what was known of the earlier one is forgotten and its late reports are
-// refused. A host that is no longer listed is forgotten whole; its flows are
-// still forwarded, since the list lags and their connection IDs name it.
+// refused. A host whose zone was out counts as not reported when the zone is
+// back, since it is cold then. A host that is no longer listed is forgotten
+// whole; its flows are still forwarded, since the list lags and their
+// connection IDs name it. Only when a list drops most of a zone at once are
+// the hosts kept that answer, until they do not.
 //
 // Silence is believed while enough hosts of a service answer. When fewer than
 // a quarter (trustShare) of those that have not themselves refused are
--- a/entry/listing.go
+++ b/entry/listing.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,14 +22,29 @@
 	return changed
 }
 
-// sync makes the hosts those of the lists.
+const (
+	// massShare is the share of the hosts of a zone above which a list that
+	// drops them at once is doubted, and massHosts the least number.
+	massShare = 0.5
+	massHosts = 2
+)
+
+// sync makes the hosts those of the lists. Hosts that a list drops together
+// with most of their zone are kept while they answer: the list may be wrong,
+// and hosts that are gone fall silent.
 func (m *Membership) sync(board *Board) {
 	listed := listedAgents(board.Node.Lists)
+	doubted := doubtedZones(board, listed)
 	for addr, h := range board.hosts {
-		if _, found := listed[addr]; !found {
-			m.note(h, h.state.String(), "unlisted", "not listed")
-			delete(board.hosts, addr)
+		if _, found := listed[addr]; found || h.unlisted {
+			continue
 		}
+		if doubted[h.vm.Zone] && h.state == HostLive {
+			m.note(h, h.state.String(), h.state.String(), "dropped with its zone by a list, kept while it answers")
+			h.unlisted = true
+			continue
+		}
+		m.drop(board, addr, h)
 	}
 	for addr, vm := range listed {
 		m.apply(board, addr, vm)
@@ -39,6 +53,45 @@
 	index(board)
 }
 
+func (m *Membership) drop(board *Board, addr netip.AddrPort, h *host) {
+	m.note(h, h.state.String(), "unlisted", "not listed")
+	delete(board.hosts, addr)
+}
+
+// doubtedZones returns the zones of which the lists drop most hosts at once.
+func doubtedZones(board *Board, listed map[netip.AddrPort]fleet.VM) map[string]bool {
+	held, dropped := make(map[string]int), make(map[string]int)
+	for addr, h := range board.hosts {
+		if h.unlisted {
+			continue
+		}
+		held[h.vm.Zone]++
+		if _, found := listed[addr]; !found {
+			dropped[h.vm.Zone]++
+		}
+	}
+	doubted := make(map[string]bool)
+	for zone, count := range dropped {
+		doubted[zone] = count >= massHosts && float64(count) > massShare*float64(held[zone])
+	}
+	return doubted
+}
+
+// dropUnlisted forgets the hosts that no list names and that no longer answer
+// and accept.
+func (m *Membership) dropUnlisted(board *Board) {
+	changed := false
+	for _, h := range board.order {
+		if h.unlisted && h.state != HostLive {
+			m.drop(board, h.vm.Addr, h)
+			changed = true
+		}
+	}
+	if changed {
+		index(board)
+	}
+}
+
 // apply takes the list's word on one address.
 func (m *Membership) apply(board *Board, addr netip.AddrPort, vm fleet.VM) {
 	h := board.hosts[addr]
@@ -50,11 +103,11 @@
 	case h.vm.ID != vm.ID:
 		m.note(h, h.state.String(), HostUnreported.String(), "replaced")
 		h.retire()
-		h.waitingSince = time.Time{}
 		h.added, h.weight = true, coldWeight
 		h.state = HostUnreported
 	}
 	h.vm = vm
+	h.unlisted = false
 	h.usable = usableAddr(board.Config.AgentNetworks, addr)
 }
 
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -65,6 +65,7 @@
 		h.word = peersWord(now, board, h, silentZones[h.vm.Zone])
 		m.decide(now, board, h, openZones[h.vm.Zone])
 	}
+	m.dropUnlisted(board)
 	weigh(now, board, config)
 	m.changes.flush(now, board.Node)
 	if !board.Node.Current(now) {
@@ -136,6 +137,11 @@
 	m.note(h, h.state.String(), next.String(), cause)
 	h.state = next
 	board.dirty[h.vm.Service] = struct{}{}
+	if next == HostZoneOut {
+		// When the zone is back its hosts are cold, whatever they last said.
+		h.forget()
+		h.added = true
+	}
 }
 
 // next returns the state by the evidence, in the order of HostState's table.
