Write a host's shared cell only when its load changes

Cause: each scan stored the unknown load of every host with an old report again, into the cache line in which traffic goroutines count placed packets.

--- a/entry/host.go
+++ b/entry/host.go
@@ -121,7 +121,7 @@
 // observe notes whether new flows were placed on the host since the last
 // call.
 func (h *host) observe(now time.Time) {
-	if h.reported() && now.Sub(h.reportedAt) > LoadMaxAge {
+	if h.loadKnown() && now.Sub(h.reportedAt) > LoadMaxAge {
 		h.cell.load.Store(uint32(tunnel.UnknownLoad))
 	}
 	placed := h.cell.placed.Load()
@@ -135,6 +135,10 @@
 	h.await(now)
 }
 
+func (h *host) loadKnown() bool {
+	return h.cell.load.Load() != uint32(tunnel.UnknownLoad)
+}
+
 // await notes that a report is due.
 func (h *host) await(now time.Time) {
 	if h.waitingSince.IsZero() {
@@ -170,8 +174,8 @@
 func meanLoad(hosts []*host) float64 {
 	total, known := 0.0, 0.0
 	for _, h := range hosts {
-		if load := h.cell.load.Load(); h.state == HostLive && load != uint32(tunnel.UnknownLoad) {
-			total += float64(load)
+		if h.state == HostLive && h.loadKnown() {
+			total += float64(h.cell.load.Load())
 			known++
 		}
 	}
@@ -180,8 +184,7 @@
 
 // warm reports whether the host is known to admit its declared slots.
 func (h *host) warm() bool {
-	known := h.cell.load.Load() != uint32(tunnel.UnknownLoad)
-	return known && h.state == HostLive && h.report.State == tunnel.HostServing && h.report.Capacity >= fullCapacity
+	return h.loadKnown() && h.state == HostLive && h.report.State == tunnel.HostServing && h.report.Capacity >= fullCapacity
 }
 
 // share returns the host's share of new flows by its capacity.
