--- /dev/null
+++ b/agent/harness_test.go
@@ -0,0 +1,160 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/standin/pki"
+	"github.com/turmericrock/turmericrock/keyring"
+	"github.com/turmericrock/turmericrock/tunnel"
+)
+
+const serverName = "proofs.quillhaven.test"
+
+var testID = fleet.ServiceID{Customer: "quillhaven", Name: "proofs"}
+
+// servedAgent is an agent's front over plain UDP, without entries.
+type servedAgent struct {
+	agent *Agent
+	addr  net.Addr
+	roots *tls.Config
+}
+
+func testView() *View {
+	now := time.Now()
+	return &View{
+		Revision: 1,
+		Service: fleet.Service{
+			ID:          testID,
+			Slots:       4,
+			Connections: 100,
+			Streams:     []string{"/feed"},
+		},
+		Tag:        testID.Tag(),
+		State:      tunnel.HostServing,
+		Since:      now,
+		ValidUntil: now.Add(time.Hour),
+		Keys:       &keyring.Keys{Active: 1, Keys: []keyring.Key{{Generation: 1}}},
+	}
+}
+
+func testAgent(t *testing.T, backend string, change func(*Config)) (*Agent, *tls.Config) {
+	t.Helper()
+	authority, err := pki.NewAuthority()
+	must.NoError(t, err)
+	certificate, err := authority.TLS(serverName)
+	must.NoError(t, err)
+	config := DefaultConfig()
+	config.Self = fleet.VM{ID: "host-1", Zone: "zone-1", Role: fleet.RoleAgent, Service: testID}
+	config.Backend = backend
+	config.TLS = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13}
+	if change != nil {
+		change(&config)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ring, err := keyring.NewRing(*testView().Keys)
+	must.NoError(t, err)
+	a, err := New(config, ring, nil, log, nil)
+	must.NoError(t, err)
+	a.views.Store(testView())
+	return a, &tls.Config{RootCAs: authority.Pool(), ServerName: serverName, MinVersion: tls.VersionTLS13}
+}
+
+func serveAgent(t *testing.T, backend string, change func(*Config)) *servedAgent {
+	t.Helper()
+	a, roots := testAgent(t, backend, change)
+	config := a.quicConfig()
+	config.GetConfigForClient = nil
+	listener, err := quic.ListenAddr("127.0.0.1:0", http3.ConfigureTLSConfig(a.config.TLS), config)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go a.accept(ctx, listener)
+	t.Cleanup(func() {
+		cancel()
+		a.flows.closeAll()
+		must.NoError(t, listener.Close())
+	})
+	return &servedAgent{agent: a, addr: listener.Addr(), roots: roots}
+}
+
+// setView publishes a changed view.
+func (s *servedAgent) setView(change func(*View)) {
+	view := *s.agent.views.Load()
+	change(&view)
+	s.agent.views.Store(&view)
+}
+
+// dial opens a flow.
+func (s *servedAgent) dial(t *testing.T) (*quic.Conn, *http3.ClientConn) {
+	t.Helper()
+	conn := s.dialBare(t)
+	return conn, (&http3.Transport{DisableCompression: true}).NewClientConn(conn)
+}
+
+// dialBare opens a flow on which the caller never speaks HTTP/3.
+func (s *servedAgent) dialBare(t *testing.T) *quic.Conn {
+	t.Helper()
+	conn, err := quic.DialAddr(t.Context(), s.addr.String(), http3.ConfigureTLSConfig(s.roots.Clone()), &quic.Config{})
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
+	return conn
+}
+
+// begun reports whether a request of the only flow is being handled.
+func (s *servedAgent) begun() bool {
+	s.agent.flows.mu.Lock()
+	defer s.agent.flows.mu.Unlock()
+	flows := s.agent.flows.list()
+	return len(flows) == 1 && flows[0].begun.Load()
+}
+
+func newRequest(ctx context.Context, method, path string, body io.Reader) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, method, "https://"+serverName+path, body)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// rejectedAsNotRun reports whether the error is the standard word for it.
+func rejectedAsNotRun(err error) bool {
+	var h3 *http3.Error
+	return err != nil && asError(err, &h3) && h3.Remote && h3.ErrorCode == http3.ErrCodeRequestRejected
+}
+
+// brokenBody sends some bytes and, once ready, fails.
+type brokenBody struct {
+	size  int
+	ready func() bool
+	sent  atomic.Int64
+}
+
+func (b *brokenBody) Read(p []byte) (int, error) {
+	if b.sent.Load() >= int64(b.size) {
+		for b.ready != nil && !b.ready() {
+			runtime.Gosched()
+		}
+		return 0, io.ErrClosedPipe
+	}
+	n := min(len(p), b.size-int(b.sent.Load()))
+	copy(p, bytes.Repeat([]byte("v"), n))
+	b.sent.Add(int64(n))
+	return n, nil
+}
+
+func (b *brokenBody) Close() error { return nil }
