--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -158,3 +158,12 @@
 }
 
 func (b *brokenBody) Close() error { return nil }
+
+// dialThrough opens a flow whose certificate is not checked.
+func dialThrough(t *testing.T, transport *quic.Transport, addr net.Addr) *quic.Conn {
+	t.Helper()
+	config := &tls.Config{ServerName: serverName, InsecureSkipVerify: true, MinVersion: tls.VersionTLS13}
+	conn, err := transport.Dial(t.Context(), addr, http3.ConfigureTLSConfig(config), &quic.Config{InitialPacketSize: quicPacketSize})
+	must.NoError(t, err)
+	return conn
+}
