Prove the subcommands by scripts and on processes

scenarios/cli_*.txtar run check, bundle, help and the exit codes of wrong flags; TestCommandsOnProcesses runs status, audit and call against an entry and an agent, and against an entry whose zone is not declared.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,9 +110,9 @@
 func readSelf(f *inifile.File, role fleet.Role) fleet.VM {
 	return fleet.VM{
 		ID:    f.Required("node", "id", "the VM's name as the platform lists it"),
+		Zone:  readName(f, "node", "zone"),
 		Addr:  readPeer(f, "node", "address"),
 		Mesh:  readPeer(f, "mesh", "address"),
-		Zone:  readName(f, "node", "zone"),
 		Role:  role,
 		State: fleet.VMLive,
 	}
--- /dev/null
+++ b/scenarios/cli_test.go
@@ -0,0 +1,151 @@
+package scenarios_test
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/fleet"
+	"github.com/turmericrock/turmericrock/internal/standin/backend"
+	"github.com/turmericrock/turmericrock/internal/standin/world"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+// TestCommands runs the scripts of subcommands that need no other process.
+func TestCommands(t *testing.T) {
+	folder := t.TempDir()
+	_, err := world.Build(folder)
+	must.NoError(t, err)
+	files, err := filepath.Glob("cli_*.txtar")
+	must.NoError(t, err)
+	examples, err := filepath.Abs("../examples")
+	must.NoError(t, err)
+	testscript.Run(t, testscript.Params{
+		Files: files,
+		Cmds:  map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", folder+string(os.PathListSeparator)+env.Getenv("PATH"))
+			env.Setenv("EXAMPLES", examples)
+			return nil
+		},
+	})
+}
+
+// exits runs a command that ends with the code: exits CODE COMMAND ARGS...
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// live runs subcommands against processes.
+type live struct {
+	t      *testing.T
+	binary string
+}
+
+// run returns the exit code and the output of both kinds.
+func (l *live) run(args ...string) (int, string) {
+	out, err := exec.Command(l.binary, args...).CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode(), string(out)
+	}
+	must.NoError(l.t, err)
+	return 0, string(out)
+}
+
+func TestCommandsOnProcesses(t *testing.T) {
+	folder := t.TempDir()
+	binary, err := world.Build(folder)
+	must.NoError(t, err)
+	id := fleet.ServiceID{Customer: "teifi", Name: "press"}
+	w, err := world.New(world.Config{
+		Binary: binary,
+		Folder: folder,
+		Zones:  []fleet.Zone{{Name: "maes-1", Region: "wales", Number: 1}},
+		Services: []fleet.Service{{
+			ID: id, Slots: 2, Connections: 100, Zones: []string{"maes-1"}, Drain: time.Second,
+		}},
+	})
+	must.NoError(t, err)
+	defer w.Close()
+	entry, err := w.StartEntry("entry-1", "maes-1")
+	must.NoError(t, err)
+	agent, err := w.StartAgent("host-1", "maes-1", id, backend.Config{Slots: 2, Work: time.Millisecond})
+	must.NoError(t, err)
+	list, err := fleet.Encode(fleet.VMList{Zone: "maes-9"})
+	must.NoError(t, err)
+	w.Platform.Put(platform.KeyVMs("maes-9"), list)
+	lost, err := w.StartEntry("entry-2", "maes-9")
+	must.NoError(t, err)
+	must.NoError(t, w.Ready(t.Context(), id))
+	l := &live{t: t, binary: binary}
+	l.status(entry, agent, lost)
+	l.audit(entry)
+	l.call(w, id, filepath.Join(folder, "authority.crt"))
+}
+
+func (l *live) status(entry, agent, lost *world.Node) {
+	code, out := l.run("status", "-address", agent.Ops().String())
+	must.Eq(l.t, 0, code)
+	must.RegexMatch(l.t, line(`ready +yes`), out)
+	must.RegexMatch(l.t, line(`service +teifi/press`), out)
+	code, out = l.run("status", "-address", entry.Ops().String(), "-json")
+	must.Eq(l.t, 0, code)
+	must.StrContains(l.t, out, `"role":"entry"`)
+	undeclared := line(`ready +no: \[node\] zone = "maes-9" is not declared in revision 1.*`)
+	ctx, cancel := context.WithTimeout(l.t.Context(), time.Minute)
+	defer cancel()
+	must.NoError(l.t, world.Await(ctx, func() bool {
+		code, out = l.run("status", "-address", lost.Ops().String())
+		return undeclared.MatchString(out)
+	}))
+	must.Eq(l.t, 1, code)
+	lost.Kill()
+	code, _ = l.run("status", "-address", lost.Ops().String())
+	must.Eq(l.t, 1, code)
+}
+
+func (l *live) audit(entry *world.Node) {
+	code, out := l.run("audit", "-address", entry.Ops().String(), "-what", "zone", "-since", "1h")
+	must.Eq(l.t, 0, code)
+	must.StrContains(l.t, out, `"what":"zone/maes-1"`)
+	must.StrNotContains(l.t, out, `"what":"configuration"`)
+}
+
+func (l *live) call(w *world.World, id fleet.ServiceID, authority string) {
+	address := w.Fabric(id).Addr().String()
+	name := world.ServerName(id)
+	code, out := l.run("call", "-address", address, "-name", name, "-ca", authority,
+		"-method", "POST", "-body", "lot 7", "-repeat", "3", "/lookup")
+	must.Eq(l.t, 0, code)
+	must.StrContains(l.t, out, "200 OK attempts=1")
+	must.StrContains(l.t, out, "teifi/press /lookup")
+	code, _ = l.run("call", "-address", address, "-name", "other.test", "-ca", authority, "-deadline", "1s", "/")
+	must.Eq(l.t, 3, code)
+}
+
+// line matches a whole line.
+func line(pattern string) *regexp.Regexp {
+	return regexp.MustCompile(`(?m)^` + pattern + `$`)
+}
