Export control's metrics and tell refusals apart in an entry's status

The endpoint left out what control and the mesh count, since the roles did not pass it on (one line in each of entry and agent), and an entry's refusals counted forwarded packets. The test of the size limit did not notice when parts were not split further; it does now.

--- a/agent/status.go
+++ b/agent/status.go
@@ -80,7 +80,9 @@
 // Collect implements metrics.Source.
 func (a *Agent) Collect(emit func(metrics.Sample)) {
 	a.counters.collect(emit)
+	a.control.Collect(emit)
 	status := a.Status()
+	emit(metrics.Sample{Name: "agent_revision", Value: int64(status.Revision), Gauge: true})
 	emit(metrics.Sample{Name: "agent_flows", Value: int64(status.Flows), Gauge: true})
 	emit(metrics.Sample{Name: "agent_in_service", Value: int64(status.InService), Gauge: true})
 	emit(metrics.Sample{Name: "agent_queued", Value: int64(status.Queued), Gauge: true})
--- a/entry/status.go
+++ b/entry/status.go
@@ -180,6 +180,7 @@
 // Collect implements metrics.Source.
 func (e *Entry) Collect(emit func(metrics.Sample)) {
 	e.counters.Collect(emit)
+	e.control.Collect(emit)
 	published := e.status.Load()
 	if published == nil {
 		return
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -15,13 +15,16 @@
 
 // Subjects.
 const (
-	Configuration Subject = "configuration"
-	VMList        Subject = "vm_list"
-	Zone          Subject = "zone"
-	HostState     Subject = "host_state"
-	Limit         Subject = "limit"
-	Keys          Subject = "keys"
-	Certificate   Subject = "certificate"
+	Configuration       Subject = "configuration"
+	Zone                Subject = "zone"
+	VMList              Subject = "vm_list"
+	Host                Subject = "host"
+	HostState           Subject = "host_state"
+	Peer                Subject = "peer"
+	Process             Subject = "process"
+	InvariantViolations Subject = "invariant_violations"
+	Keys                Subject = "keys"
+	Certificate         Subject = "certificate"
 )
 
 // Of returns the What for one thing of the kind.
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -12,7 +12,8 @@
 const auditHelp = `Prints a process's audit trail, one JSON object a line, oldest first: what changed,
 from and to, the revision in force, the cause and who confirmed it. The process
 keeps the latest records in memory and logs all of them. Subjects: configuration,
-zone/NAME, vm_list/ZONE, host_state, limit, keys, certificate.
+zone/NAME, vm_list/ZONE, host/ADDRESS, host_state, peer/ID, process, keys,
+certificate, invariant_violations.
 
 Examples:
   turmericrock audit -address 127.0.0.1:7480
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"io"
+	"maps"
 
 	"github.com/turmericrock/turmericrock/entry"
 	"github.com/turmericrock/turmericrock/fleet"
@@ -73,9 +74,10 @@
 		ConfirmationAgeMS: s.ConfirmationAgeMS,
 		ZonesOut:          s.ZonesOut,
 		Hosts:             s.Hosts,
-		Refusals:          s.Packets,
+		Refusals:          maps.Clone(s.Packets),
 		Detail:            s,
 	}
+	delete(status.Refusals, entry.VerdictForward.String())
 	for _, service := range s.Services {
 		status.Flows += int64(service.Flows)
 	}
--- a/internal/declare/bundle_test.go
+++ b/internal/declare/bundle_test.go
@@ -112,15 +112,16 @@
 	d, err := declare.Load(fullFolder(t, 120))
 	must.NoError(t, err)
 	for i := range d.Services {
-		d.Services[i].Streams = []string{"/" + strings.Repeat("x", 200<<10)}
+		d.Services[i].Streams = []string{"/" + strings.Repeat("x", 300<<10)}
 	}
 	b := bundleOf(t, d, 1)
 	must.LessEq(t, platform.MaxValue, b.Largest())
 	must.LessEq(t, platform.MaxValue, len(b.Root))
-	must.NotEq(t, fleet.PartName(d.Services[0].ID, fleet.PartCount), b.Manifest.Parts[0].Name)
-	_, found := b.Manifest.PartFor(d.Services[0].ID)
+	ref, found := b.Manifest.PartFor(d.Services[0].ID)
 	must.True(t, found)
+	must.NotEq(t, fleet.PartName(d.Services[0].ID, fleet.PartCount), ref.Name)
 
+	d.Services = d.Services[:1]
 	d.Services[0].Streams = []string{"/" + strings.Repeat("x", platform.MaxValue)}
 	_, err = declare.NewBundle(d, 1)
 	must.ErrorContains(t, err, "allowed are 1048576")
--- a/scenarios/cli_test.go
+++ b/scenarios/cli_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -113,6 +115,9 @@
 	code, out = l.run("status", "-address", entry.Ops().String(), "-json")
 	must.Eq(l.t, 0, code)
 	must.StrContains(l.t, out, `"role":"entry"`)
+	must.StrNotContains(l.t, out, `"refusals":{"forward`)
+	must.StrContains(l.t, l.metrics(entry), "turmericrock_control_confirmation_age_ms")
+	must.StrContains(l.t, l.metrics(agent), "turmericrock_agent_revision 1")
 	undeclared := line(`ready +no: \[node\] zone = "maes-9" is not declared in revision 1.*`)
 	ctx, cancel := context.WithTimeout(l.t.Context(), time.Minute)
 	defer cancel()
@@ -126,6 +131,15 @@
 	must.Eq(l.t, 1, code)
 }
 
+func (l *live) metrics(n *world.Node) string {
+	response, err := http.Get("http://" + n.Ops().String() + "/metrics")
+	must.NoError(l.t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	must.NoError(l.t, err)
+	return string(body)
+}
+
 func (l *live) audit(entry *world.Node) {
 	code, out := l.run("audit", "-address", entry.Ops().String(), "-what", "zone", "-since", "1h")
 	must.Eq(l.t, 0, code)
