Lose packets that cannot be sent instead of the flow, and prove call's codes

An error from a socket, as when there is no route for a moment, ended the caller's flow, since the QUIC library takes it as final. Such packets are now lost as on the network. A silent flow that finds no new local address is replaced as well.

--- a/caller/path.go
+++ b/caller/path.go
@@ -113,13 +113,7 @@
 		if len(candidates) < maxCandidates {
 			candidates = f.propose(candidates)
 		}
-		if len(candidates) == 0 {
-			return
-		}
-		chosen := candidates[round%len(candidates)]
-		if f.check(chosen, timeout) {
-			f.park(chosen.link)
-			f.migrated()
+		if f.move(candidates, round, timeout) {
 			return
 		}
 		if f.quic.ConnectionStats().PacketsReceived != before {
@@ -133,6 +127,24 @@
 	}
 }
 
+// move checks one of the candidates and moves the flow there. Where there is
+// none, it waits for the time of a check.
+func (f *flow) move(candidates []candidate, round int, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(f.quic.Context(), timeout)
+	defer cancel()
+	if len(candidates) == 0 {
+		<-ctx.Done()
+		return false
+	}
+	chosen := candidates[round%len(candidates)]
+	if chosen.path.Probe(ctx) != nil || chosen.path.Switch() != nil {
+		return false
+	}
+	f.park(chosen.link)
+	f.migrated()
+	return true
+}
+
 // propose adds a path from a new local address.
 func (f *flow) propose(candidates []candidate) []candidate {
 	l, err := f.config.newLink()
@@ -148,16 +160,6 @@
 	return append(candidates, candidate{link: l, path: path})
 }
 
-// check reports whether the path answers, and moves the flow there if so.
-func (f *flow) check(c candidate, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(f.quic.Context(), timeout)
-	defer cancel()
-	if err := c.path.Probe(ctx); err != nil {
-		return false
-	}
-	return c.path.Switch() == nil
-}
-
 func (f *flow) abandon(candidates []candidate) {
 	for _, c := range candidates {
 		_ = c.path.Close()
--- a/caller/path_test.go
+++ b/caller/path_test.go
@@ -125,6 +125,28 @@
 	must.Eq(t, 1, other.runs.Load())
 }
 
+// An error from a socket would end the flow.
+func TestPacketsThatCannotBeSentAreLost(t *testing.T) {
+	s, err := newSocket("udp4")
+	must.NoError(t, err)
+	nowhere := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 0}
+	_, err = s.udp.WriteTo([]byte("packet"), nowhere)
+	must.Error(t, err)
+	n, err := s.WriteTo([]byte("packet"), nowhere)
+	must.NoError(t, err)
+	must.Eq(t, len("packet"), n)
+	s.park()
+	_, err = s.WriteTo([]byte("packet"), nowhere)
+	must.NoError(t, err)
+	_ = s.Close()
+
+	s, err = newSocket("udp4")
+	must.NoError(t, err)
+	must.NoError(t, s.Close())
+	_, err = s.WriteTo([]byte("packet"), nowhere)
+	must.ErrorIs(t, err, net.ErrClosed)
+}
+
 func TestSilenceCountsTicks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var s silence
--- a/caller/socket.go
+++ b/caller/socket.go
@@ -52,13 +52,15 @@
 	return n, addr, err
 }
 
-// WriteTo implements net.PacketConn. What is sent on a parked socket is lost.
+// WriteTo implements net.PacketConn. What cannot be sent, as when there is no
+// route or the socket is parked, is lost as on the network. An error would
+// end the flow, which may be well again in a moment.
 func (s *socket) WriteTo(p []byte, addr net.Addr) (int, error) {
 	n, err := s.udp.WriteTo(p, addr)
-	if err != nil && s.isParked() {
-		return len(p), nil
+	if err == nil || errors.Is(err, net.ErrClosed) && !s.isParked() {
+		return n, err
 	}
-	return n, err
+	return len(p), nil
 }
 
 // Close implements net.PacketConn.
--- a/scenarios/cli_test.go
+++ b/scenarios/cli_test.go
@@ -155,6 +155,14 @@
 	must.Eq(l.t, 0, code)
 	must.StrContains(l.t, out, "200 OK attempts=1")
 	must.StrContains(l.t, out, "teifi/press /lookup")
+	code, out = l.run("call", "-address", address, "-name", name, "-ca", authority,
+		"-stream", "/feed?n=3&ms=1")
+	must.Eq(l.t, 0, code)
+	must.StrContains(l.t, out, "teifi/press 2\n")
+	code, out = l.run("call", "-address", address, "-name", name, "-ca", authority,
+		"-stream", "-deadline", "1s", "/feed?n=1000&ms=100")
+	must.Eq(l.t, 4, code)
+	must.StrContains(l.t, out, "outcome unknown")
 	code, _ = l.run("call", "-address", address, "-name", "other.test", "-ca", authority, "-deadline", "1s", "/")
 	must.Eq(l.t, 3, code)
 }
