Split the mesh between nodes and see dropped packets of a reused address

Change: a relay stands before each node's mesh address and cuts links between parts of the fleet, told apart by the IPs that they dial from; the mesh dials from the process's own IP (small change in package mesh). The list lags in replaced_address, and the dropped packets are asked for.

--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -97,6 +97,14 @@
 		count, err := node.Audited(what)
 		return count, "", err
 	}
+	if cause, found := strings.CutPrefix(measure, "metric:"); found {
+		node, err := s.node(name)
+		if err != nil {
+			return 0, "", err
+		}
+		count, err := node.Metric(cause)
+		return count, "", err
+	}
 	if measure == "fallen" {
 		node, err := s.node(name)
 		if err != nil {
--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -70,6 +70,8 @@
 		"await":        {1, (*stage).await},
 		"expect":       {3, (*stage).expect},
 		"rotate":       {1, (*stage).rotate},
+		"split":        {1, (*stage).split},
+		"mend":         {0, (*stage).mend},
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string), len(verbs))
 	for name, v := range verbs {
@@ -414,6 +416,31 @@
 	return nil
 }
 
+// split cuts nodes off from the platform and from all other nodes: split
+// NODE...
+func (s *stage) split(args []string) error {
+	var nodes []*world.Node
+	for _, name := range args {
+		node, err := s.node(name)
+		if err != nil {
+			return err
+		}
+		node.Cut(true)
+		nodes = append(nodes, node)
+	}
+	s.world.Split(nodes)
+	return nil
+}
+
+// mend ends every cut.
+func (s *stage) mend([]string) error {
+	for _, node := range s.world.Nodes() {
+		node.Cut(false)
+	}
+	s.world.Mend()
+	return nil
+}
+
 // rotate changes the fleet's keys: rotate add|use|drop N.
 func (s *stage) rotate(args []string) error {
 	generation, err := strconv.ParseUint(args[len(args)-1], 10, 8)
--- a/internal/standin/world/gatekeeper.go
+++ b/internal/standin/world/gatekeeper.go
@@ -86,11 +86,11 @@
 	case <-off:
 		panic(http.ErrAbortHandler)
 	case <-done:
-		relay(w, answer)
+		copyAnswer(w, answer)
 	}
 }
 
-func relay(w http.ResponseWriter, answer *httptest.ResponseRecorder) {
+func copyAnswer(w http.ResponseWriter, answer *httptest.ResponseRecorder) {
 	for name, values := range answer.Header() {
 		w.Header()[name] = values
 	}
--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -17,9 +17,13 @@
 type Node struct {
 	process
 
-	world  *World
-	vm     fleet.VM
-	ops    netip.AddrPort
+	world *World
+	vm    fleet.VM
+	ops   netip.AddrPort
+	// mesh is where the process accepts links. The platform lists the relay
+	// before it.
+	mesh   netip.AddrPort
+	relay  *relay
 	listen []netip.AddrPort
 	// listed and sprayed tell what the platform and the fabric know.
 	listed  bool
@@ -85,16 +89,13 @@
 }
 
 // ReplaceAgent starts a VM of another service on the address of a VM that is
-// gone, and lists it in its place.
+// gone. Both are listed until the old one is unlisted.
 func (w *World) ReplaceAgent(old *Node, id string, service fleet.ServiceID, config backend.Config) (*Node, error) {
 	n, err := w.newNode(id, old.vm.Zone, fleet.RoleAgent)
 	if err != nil {
 		return nil, err
 	}
 	n.vm.Addr = old.vm.Addr
-	w.mu.Lock()
-	old.listed = false
-	w.mu.Unlock()
 	return n, w.startAgent(n, service, config)
 }
 
@@ -181,6 +182,20 @@
 	n.world.gatekeeper.cut(n.vm.ID, cut)
 }
 
+// Split cuts the mesh links between the nodes given and all others.
+func (w *World) Split(nodes []*Node) {
+	part := make(map[netip.Addr]int, len(nodes))
+	for _, n := range nodes {
+		part[n.mesh.Addr()] = 1
+	}
+	w.links.split(part)
+}
+
+// Mend ends a split.
+func (w *World) Mend() {
+	w.links.split(nil)
+}
+
 // Client returns a caller of the service.
 func (w *World) Client(id fleet.ServiceID) *caller.Client {
 	return caller.New(w.ClientConfig(id))
@@ -211,10 +226,16 @@
 	if err != nil {
 		return nil, err
 	}
+	before, err := startRelay(w.links, mesh)
+	if err != nil {
+		return nil, err
+	}
 	return &Node{
 		world:  w,
-		vm:     fleet.VM{ID: id, Addr: addr, Mesh: mesh, Zone: zone, Role: role, State: fleet.VMLive},
+		vm:     fleet.VM{ID: id, Addr: addr, Mesh: before.addr(), Zone: zone, Role: role, State: fleet.VMLive},
 		ops:    ops,
+		mesh:   mesh,
+		relay:  before,
 		listed: true,
 	}, nil
 }
@@ -224,7 +245,7 @@
 		"[node]\nid = %s\nzone = %s\naddress = %s\n\n[platform]\nurl = %s\n\n[keys]\nfile = %s\n\n[log]\nlevel = %s\n\n[ops]\naddress = %s\n\n"+
 			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\nfleet_limit = 200\n",
 		n.vm.ID, n.vm.Zone, n.vm.Addr, n.world.gatekeeper.url(n.vm.ID), n.world.path("keys.ini"), n.world.config.LogLevel, n.ops,
-		n.vm.Mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"))
+		n.mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"))
 	if seeds := n.world.seeds(); seeds != "" {
 		settings += "seeds = " + seeds + "\n"
 	}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -48,6 +48,7 @@
 	gatekeeper *gatekeeper
 	network    *network
 	secrets    *secrets
+	links      *links
 
 	mu       sync.Mutex
 	revision uint64
@@ -78,6 +79,7 @@
 		Journal:   newJournal(),
 		network:   network,
 		secrets:   newSecrets(),
+		links:     newLinks(),
 		zones:     slices.Clone(config.Zones),
 		fabrics:   make(map[fleet.ServiceID]*fabric.Fabric),
 		nodes:     make(map[string]*Node),
@@ -116,6 +118,9 @@
 		group.Go(n.Kill)
 	}
 	group.Wait()
+	for _, n := range nodes {
+		n.relay.close()
+	}
 	for _, f := range w.fabrics {
 		f.Close()
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -43,6 +43,7 @@
 		TLSClientConfig:     clientTLS(config.TLS),
 		TLSHandshakeTimeout: config.OpenTimeout,
 		DisableKeepAlives:   true,
+		DialContext:         dialer(config.Address.Addr()).DialContext,
 	}
 	return &Mesh{
 		config:   config,
@@ -54,6 +55,15 @@
 	}
 }
 
+// dialer returns a dialer from the process's own IP, by which peers and
+// packet filters know it.
+func dialer(own netip.Addr) *net.Dialer {
+	if !own.IsValid() || own.IsUnspecified() {
+		return &net.Dialer{}
+	}
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: own.AsSlice()}}
+}
+
 // Run accepts links until ctx ends, and then closes every link.
 func (m *Mesh) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", m.config.Address.String())
