--- a/internal/standin/world/node.go
+++ b/internal/standin/world/node.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -241,30 +243,32 @@
 }
 
 func (n *Node) commonSettings() string {
-	settings := fmt.Sprintf(
+	return fmt.Sprintf(
 		"[node]\nid = %s\nzone = %s\naddress = %s\n\n[platform]\nurl = %s\n\n[keys]\nfile = %s\n\n[log]\nlevel = %s\n\n[ops]\naddress = %s\n\n"+
-			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\nfleet_limit = 200\n",
+			"[mesh]\naddress = %s\ncertificate = %s\nkey = %s\nauthority = %s\nfleet_limit = 200\n%s",
 		n.vm.ID, n.vm.Zone, n.vm.Addr, n.world.gatekeeper.url(n.vm.ID), n.world.path("keys.ini"), n.world.config.LogLevel, n.ops,
-		n.mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"))
-	if seeds := n.world.seeds(); seeds != "" {
-		settings += "seeds = " + seeds + "\n"
-	}
-	return settings
+		n.mesh, n.world.path("mesh.crt"), n.world.path("mesh.key"), n.world.path("authority.crt"), n.seeds())
 }
 
-// maxSeeds is the number of peers that settings name.
-const maxSeeds = 3
+// stopWait bounds the wait for a process that was killed.
+const stopWait = 10 * time.Second
 
-// seeds returns the mesh addresses of the first entries.
-func (w *World) seeds() string {
-	var seeds []string
-	for _, n := range w.Nodes() {
-		if n.vm.Role == fleet.RoleEntry && len(seeds) < maxSeeds {
-			seeds = append(seeds, n.vm.Mesh.String())
+// maxSeeds is the number of other nodes that a node is told to ask while it
+// knows no list.
+const maxSeeds = 4
+
+// seeds returns the setting that names nodes started earlier.
+func (n *Node) seeds() string {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	var addrs []string
+	for _, id := range slices.Sorted(maps.Keys(n.world.nodes)) {
+		if other := n.world.nodes[id]; other != n && len(addrs) < maxSeeds {
+			addrs = append(addrs, other.vm.Mesh.String())
 		}
 	}
-	return strings.Join(seeds, ", ")
+	if len(addrs) == 0 {
+		return ""
+	}
+	return "seeds = " + strings.Join(addrs, ", ") + "\n"
 }
-
-// stopWait bounds the wait for a process that was killed.
-const stopWait = 10 * time.Second
