--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -123,6 +123,7 @@
 		"broken":        len(t.Broken),
 		"givenup":       t.ZoneBroken + t.KillBroken,
 		"timedout":      t.TimedOut,
+		"stalls":        t.Stalls,
 		"notwhole":      t.NotWhole,
 		"refused":       t.Refused,
 		"falserefusals": t.FalseRefusals,
--- a/internal/standin/callers/tally.go
+++ b/internal/standin/callers/tally.go
@@ -37,6 +37,8 @@
 	KillBroken int
 	// TimedOut counts requests of any kind that met their deadline.
 	TimedOut int
+	// Stalls counts waits of more than StallTime between pieces of feeds.
+	Stalls int
 	// NotWhole counts answers that differ from the one expected.
 	NotWhole int
 	Refused  int
@@ -53,6 +55,7 @@
 	t := Tally{Doubled: w.Ledger.Doubled(), Crossed: w.Journal.Crossed()}
 	for _, o := range outcomes {
 		t.Requests++
+		t.Stalls += stalls(o)
 		if errors.Is(o.Err, context.DeadlineExceeded) {
 			t.TimedOut++
 		}
@@ -68,6 +71,19 @@
 	return t
 }
 
+// StallTime is the wait from which a feed counts as stalled.
+const StallTime = 2 * time.Second
+
+func stalls(o *Outcome) int {
+	count := 0
+	for _, gap := range o.Gaps {
+		if gap.Length > StallTime {
+			count++
+		}
+	}
+	return count
+}
+
 func (t *Tally) addAnswer(o *Outcome) {
 	t.Answered++
 	if o.Foreign {
