Let the platform go back to an older revision in a script

Cause: taking the rule that revisions only rise out of the product was caught by no script, since no node ever held more than the platform told.

--- a/internal/scenario/verbs.go
+++ b/internal/scenario/verbs.go
@@ -331,15 +331,17 @@
 	return s.world.Publish()
 }
 
-// platform changes the platform: platform down|up|stale|fresh.
+// platform changes the platform: platform down|up|remember|stale|fresh.
 func (s *stage) platform(args []string) error {
 	switch args[0] {
 	case "down", "up":
 		s.world.Platform.SetDown(args[0] == "down")
+	case "remember":
+		s.world.Platform.Remember()
 	case "stale", "fresh":
 		s.world.Platform.SetStale(args[0] == "stale")
 	default:
-		return &UsageError{Verb: "platform", Argument: args[0], Allowed: "down, up, stale or fresh"}
+		return &UsageError{Verb: "platform", Argument: args[0], Allowed: "down, up, remember, stale or fresh"}
 	}
 	return nil
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,12 +17,14 @@
 
 // Platform holds values in memory. It is safe for concurrent use.
 type Platform struct {
-	mu      sync.Mutex
-	values  map[string]api.Value
-	stale   map[string]api.Value
-	down    bool
-	changed chan struct{}
-	reads   uint64
+	mu     sync.Mutex
+	values map[string]api.Value
+	stale  map[string]api.Value
+	// remembered are the values that a stale platform returns, if any.
+	remembered map[string]api.Value
+	down       bool
+	changed    chan struct{}
+	reads      uint64
 }
 
 // New returns a platform without values.
@@ -45,20 +48,29 @@
 	p.wake()
 }
 
-// SetStale makes reads return the values of this moment, or ends that.
+// SetStale makes reads return the values remembered, or those of this moment
+// when none are, or ends that.
 func (p *Platform) SetStale(stale bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stale = nil
-	if stale {
-		p.stale = make(map[string]api.Value, len(p.values))
-		for key, value := range p.values {
-			p.stale[key] = value
-		}
+	switch {
+	case !stale:
+		p.stale = nil
+	case p.remembered != nil:
+		p.stale = p.remembered
+	default:
+		p.stale = maps.Clone(p.values)
 	}
 	p.wake()
 }
 
+// Remember keeps the values of this moment for SetStale.
+func (p *Platform) Remember() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remembered = maps.Clone(p.values)
+}
+
 // Reads returns the number of reads so far, a watch counted as one.
 func (p *Platform) Reads() uint64 {
 	p.mu.Lock()
