--- a/entry/prober.go
+++ b/entry/prober.go
@@ -12,8 +12,12 @@
 const (
 	// probeRate bounds the probes of one entry, per second, whatever the
 	// number of hosts.
-	probeRate  = 50
+	probeRate  = 20
 	probeBurst = 10
+	// owingShare and silentShare are the shares of the rate for hosts that
+	// owe a report and for those that only a report brings back.
+	owingShare  = 0.25
+	silentShare = 0.25
 	// probeInterval is the least time between two probes of a host, and the
 	// age at which a report is renewed.
 	probeInterval = 500 * time.Millisecond
@@ -29,40 +33,65 @@
 }
 
 // prober asks hosts for reports: those that owe one first, so that silence is
-// told from loss, then all in turn.
+// told from loss; then those that only a report brings back; then the others
+// in turn, whose loads it renews.
 type prober struct {
+	owing  sweep
+	silent sweep
+	renew  sweep
+}
+
+// sweep goes round the hosts at a rate of its own, so that a lost zone does
+// not keep the rest from being probed.
+type sweep struct {
 	limiter *rate.Limiter
-	urgent  int
-	turn    int
+	// cursor is where it goes on.
+	cursor int
+}
+
+func newSweep(share float64) sweep {
+	return sweep{limiter: rate.NewLimiter(rate.Limit(share*probeRate), max(1, int(share*probeBurst)))}
 }
 
 func newProber() *prober {
-	return &prober{limiter: rate.NewLimiter(probeRate, probeBurst)}
+	return &prober{
+		owing:  newSweep(owingShare),
+		silent: newSweep(silentShare),
+		renew:  newSweep(1 - owingShare - silentShare),
+	}
 }
 
 func (p *prober) step(now time.Time, board *Board) []blackboard.Effect {
 	var effects []blackboard.Effect
-	effects = p.sweep(now, board, &p.urgent, effects, func(h *host) bool {
+	effects = p.owing.run(now, board, effects, func(h *host) bool {
 		owes := !h.waitingSince.IsZero() && !h.state.silent()
 		return owes && now.Sub(h.probedAt) >= probeInterval
 	})
-	return p.sweep(now, board, &p.turn, effects, func(h *host) bool {
-		return now.Sub(h.probedAt) >= h.probeAge() && now.Sub(h.reportedAt) >= probeInterval
+	effects = p.silent.run(now, board, effects, func(h *host) bool {
+		return (h.state.silent() || !h.reported()) && h.probeDue(now)
+	})
+	return p.renew.run(now, board, effects, func(h *host) bool {
+		return h.probeDue(now)
 	})
 }
 
-// sweep probes the hosts that are due, from the cursor on, while the rate
+// probeDue reports whether neither a probe nor a report is recent.
+func (h *host) probeDue(now time.Time) bool {
+	return now.Sub(h.probedAt) >= h.probeAge() && now.Sub(h.reportedAt) >= probeInterval
+}
+
+// run probes the hosts that are due, from the cursor on, while the rate
 // allows.
-func (p *prober) sweep(now time.Time, board *Board, cursor *int, effects []blackboard.Effect, due func(*host) bool) []blackboard.Effect {
+func (s *sweep) run(now time.Time, board *Board, effects []blackboard.Effect, due func(*host) bool) []blackboard.Effect {
 	count := len(board.order)
 	for i := range count {
-		at := (*cursor + i) % count
+		at := (s.cursor + i) % count
 		h := board.order[at]
 		if h.state == HostZoneOut || h.state == HostUnusable || !due(h) {
 			continue
 		}
-		if !p.limiter.AllowN(now, 1) {
-			*cursor = at
+		if !s.limiter.AllowN(now, 1) {
+			s.cursor = at
 			return effects
 		}
 		h.probedAt = now
--- a/internal/slopes/roles.go
+++ b/internal/slopes/roles.go
@@ -23,7 +23,7 @@
 	stepsASecond = 20
 	scansASecond = 5
 	// probesASecond is the bound of one entry's probes.
-	probesASecond = 50
+	probesASecond = 20
 	// datagramHead is the size of the IPv4 and UDP headers in bytes.
 	datagramHead = 28
 )
