--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -97,6 +97,14 @@
 		count, err := node.Audited(what)
 		return count, "", err
 	}
+	if cause, found := strings.CutPrefix(measure, "metric:"); found {
+		node, err := s.node(name)
+		if err != nil {
+			return 0, "", err
+		}
+		count, err := node.Metric(cause)
+		return count, "", err
+	}
 	if measure == "fallen" {
 		node, err := s.node(name)
 		if err != nil {
@@ -115,6 +123,7 @@
 		"broken":        len(t.Broken),
 		"givenup":       t.ZoneBroken + t.KillBroken,
 		"timedout":      t.TimedOut,
+		"stalls":        t.Stalls,
 		"notwhole":      t.NotWhole,
 		"refused":       t.Refused,
 		"falserefusals": t.FalseRefusals,
