--- /dev/null
+++ b/dissemination/ownreads.go
@@ -0,0 +1,88 @@
+package dissemination
+
+import (
+	"time"
+
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+// ownReads times the reads of a node that does not watch.
+type ownReads struct {
+	needed bool
+	next   time.Time
+	last   time.Time
+}
+
+// readPeriod is the mean time between two own reads of a node. With it, the
+// sum over a fleet of FleetLimit nodes stays at OwnReads, whatever the lists
+// say.
+func (r *Replica) readPeriod() time.Duration {
+	return time.Duration(r.config.FleetLimit) * time.Second / time.Duration(max(1, r.config.OwnReads))
+}
+
+// readForSelf reads one value in each period while something is needed. The
+// first read comes at a random time in the period, so that nodes that need
+// something at the same time do not read at the same time.
+func (r *Replica) readForSelf(now time.Time) {
+	key := r.neededKey(now)
+	if key == "" {
+		r.own.needed = false
+		return
+	}
+	period := r.readPeriod()
+	if !r.own.needed {
+		r.own.needed = true
+		r.own.next = maxTime(now.Add(r.within(period)), r.own.last.Add(period*3/4))
+	}
+	state := r.readState(key)
+	if now.Before(r.own.next) || state.inFlight {
+		return
+	}
+	r.own.last = now
+	r.own.next = now.Add(r.jitter(period))
+	r.sendRead(key, state, 0)
+}
+
+// neededKey returns the key of the value that the node needs most and that
+// the mesh does not bring, or nothing.
+func (r *Replica) neededKey(now time.Time) string {
+	own := r.config.Self.Zone
+	list := r.lists[own]
+	if list == nil || list.order == nil {
+		return platform.KeyVMs(own)
+	}
+	if p := r.pending; p != nil && p.manifest != nil && (p.link == 0 || p.stalled(now)) {
+		for _, digest := range r.missing(p.manifest) {
+			p.asked[digest] = true
+			return platform.KeyPart(digest)
+		}
+	}
+	if r.holder.Config() == nil || r.holder.Age(now) > r.config.OwnReadAfter {
+		if r.unlisted() && now.Sub(list.confirmed) > newListAge {
+			return platform.KeyVMs(own)
+		}
+		return platform.KeyManifest
+	}
+	if now.Sub(list.confirmed) > r.listAgeLimit() {
+		return platform.KeyVMs(own)
+	}
+	for _, zone := range r.listedZones() {
+		if other := r.lists[zone]; other == nil || other.order == nil {
+			return platform.KeyVMs(zone)
+		}
+	}
+	return ""
+}
+
+// unlisted reports whether no list names the node and it polls nobody.
+func (r *Replica) unlisted() bool {
+	_, listed := r.rank()
+	return !listed && !r.polling()
+}
+
+func (r *Replica) listAgeLimit() time.Duration {
+	if r.unlisted() {
+		return newListAge
+	}
+	return ownListAge
+}
