Report an entry that knows of no host as not ready

Cause: an entry was ready as soon as it had a configuration. Until the VM lists came, or while it was cut off from all zones, it dropped new flows that another entry would have placed. Mutation: leaving the check out fails TestEntryWithoutHostsIsNotReady.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -44,9 +44,11 @@
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	e := New(config, b.board.Keys, absentPlatform{}, log, audit.NewTrail(log, 10))
+	b.list("a", 1)
 	e.engine.Post(NodeUpdated{Update: node.ConfigOffered{
 		Config: b.board.Node.Holder.Config(), AsOf: time.Now(), Source: "test",
 	}})
+	e.engine.Post(NodeUpdated{Update: node.ListOffered{List: b.lists["a"], Source: "test"}})
 	return e
 }
 
@@ -94,6 +96,18 @@
 	must.NoError(t, <-ended)
 }
 
+func TestEntryWithoutHostsIsNotReady(t *testing.T) {
+	b := newBed(t, "a")
+	e := New(b.board.Config, b.board.Keys, absentPlatform{}, nil, nil)
+	e.deadline.extend(time.Now().Add(time.Hour))
+	e.views.Store(b.view)
+	must.Eq(t, "no_hosts", cause(e.Ready()))
+	b.list("a", 1)
+	b.run(scanInterval)
+	e.views.Store(b.view)
+	must.NoError(t, e.Ready())
+}
+
 func TestStatusAndMetricsShowEveryCause(t *testing.T) {
 	e := newTestEntry(t, time.Hour)
 	e.engine.Step(time.Now())
--- a/entry/status.go
+++ b/entry/status.go
@@ -163,13 +163,17 @@
 
 // Ready returns nil while the entry forwards packets, and else a
 // *NotReadyError. A stopping entry forwards and is not ready, so that the
-// fabric stops choosing it.
+// fabric stops choosing it; nor is one that knows of no host yet, or that is
+// cut off from all zones.
 func (e *Entry) Ready() error {
+	view := e.views.Load()
 	switch {
 	case e.stopping():
 		return &NotReadyError{Cause: "stopping"}
-	case e.views.Load() == nil:
+	case view == nil:
 		return &NotReadyError{Cause: "no_configuration"}
+	case !view.anyHost():
+		return &NotReadyError{Cause: "no_hosts"}
 	case e.deadline.passed(time.Now()):
 		return &NotReadyError{Cause: VerdictStaleView.String()}
 	default:
--- a/entry/view.go
+++ b/entry/view.go
@@ -43,3 +43,13 @@
 
 	cell *hostCell
 }
+
+// anyHost reports whether a service has a host that takes new flows.
+func (v *View) anyHost() bool {
+	for _, service := range v.Services {
+		if len(service.Hosts) > 0 {
+			return true
+		}
+	}
+	return false
+}
