--- a/agent/flows_test.go
+++ b/agent/flows_test.go
@@ -16,6 +16,7 @@
 	"github.com/quic-go/quic-go/http3"
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericrock/turmericrock/admission"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -298,6 +299,7 @@
 	s.setView(func(v *View) { v.State = tunnel.HostLeaving })
 	s.agent.flows.mu.Lock()
 	for _, f := range s.agent.flows.list() {
+		must.Eq(t, admission.Begun, f.priority())
 		f.goAway.Store(true)
 	}
 	s.agent.flows.mu.Unlock()
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-func testAgent(t *testing.T, backend string, change func(*Config)) (*Agent, *tls.Config) {
+func testAgent(t testing.TB, backend string, change func(*Config)) (*Agent, *tls.Config) {
 	t.Helper()
 	authority, err := pki.NewAuthority()
 	must.NoError(t, err)
@@ -75,7 +75,7 @@
 	return a, &tls.Config{RootCAs: authority.Pool(), ServerName: serverName, MinVersion: tls.VersionTLS13}
 }
 
-func serveAgent(t *testing.T, backend string, change func(*Config)) *servedAgent {
+func serveAgent(t testing.TB, backend string, change func(*Config)) *servedAgent {
 	t.Helper()
 	a, roots := testAgent(t, backend, change)
 	config := a.quicConfig()
@@ -100,14 +100,14 @@
 }
 
 // dial opens a flow.
-func (s *servedAgent) dial(t *testing.T) (*quic.Conn, *http3.ClientConn) {
+func (s *servedAgent) dial(t testing.TB) (*quic.Conn, *http3.ClientConn) {
 	t.Helper()
 	conn := s.dialBare(t)
 	return conn, (&http3.Transport{DisableCompression: true}).NewClientConn(conn)
 }
 
 // dialBare opens a flow on which the caller never speaks HTTP/3.
-func (s *servedAgent) dialBare(t *testing.T) *quic.Conn {
+func (s *servedAgent) dialBare(t testing.TB) *quic.Conn {
 	t.Helper()
 	conn, err := quic.DialAddr(t.Context(), s.addr.String(), http3.ConfigureTLSConfig(s.roots.Clone()), &quic.Config{})
 	must.NoError(t, err)
--- a/agent/packetconn_test.go
+++ b/agent/packetconn_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/turmericrock/turmericrock/connid"
 	"github.com/turmericrock/turmericrock/internal/quicwire"
+	"github.com/turmericrock/turmericrock/keyring"
 	"github.com/turmericrock/turmericrock/tunnel"
 )
 
@@ -274,6 +275,63 @@
 	_, _ = s.conn.WriteToUDPAddrPort(datagram, dest)
 }
 
+// dial opens a flow through the splitter.
+func (s *splitter) dial(t *testing.T) *quic.Conn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	must.NoError(t, err)
+	s.conn = conn
+	t.Cleanup(func() { _ = conn.Close() })
+	go s.run(t, testID.Tag())
+	client, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	must.NoError(t, err)
+	transport := &quic.Transport{Conn: client}
+	t.Cleanup(func() { _ = transport.Close() })
+	return dialThrough(t, transport, conn.LocalAddr())
+}
+
+// startTransport returns an agent whose QUIC transport stands on its sockets.
+func startTransport(t *testing.T, backend string, change func(*quic.Transport)) (*Agent, *quic.Transport) {
+	t.Helper()
+	a, c := openConn(t, backend)
+	a.config.Self.Addr = tunnelAddr(c)
+	transport, err := a.transport(c)
+	must.NoError(t, err)
+	if change != nil {
+		change(transport)
+	}
+	listener, err := transport.Listen(http3.ConfigureTLSConfig(a.config.TLS), a.quicConfig())
+	must.NoError(t, err)
+	go a.accept(t.Context(), listener)
+	t.Cleanup(func() { _ = transport.Close() })
+	return a, transport
+}
+
+// TestRetryReachesTheSameAgent demands a validated address of every flow, and
+// changes the keys while the flow lives.
+func TestRetryReachesTheSameAgent(t *testing.T) {
+	backend := startRaw(t, answering(whole))
+	a, transport := startTransport(t, backend.url(), func(transport *quic.Transport) {
+		transport.VerifySourceAddress = func(net.Addr) bool { return true }
+	})
+	split := &splitter{agents: []netip.AddrPort{a.config.Self.Addr}}
+	flow := (&http3.Transport{}).NewClientConn(split.dial(t))
+	view := testView()
+	view.Keys = &keyring.Keys{Active: 2, Keys: append(view.Keys.Keys, keyring.Key{Generation: 2, Secret: [keyring.SecretSize]byte{1}})}
+	a.views.Store(view)
+	response, err := flow.RoundTrip(newRequest(t.Context(), http.MethodGet, "/proof", nil))
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	id, err := transport.ConnectionIDGenerator.GenerateConnectionID()
+	must.NoError(t, err)
+	must.Eq(t, 2, id.Bytes()[0]>>5)
+	ids, err := connid.NewCodec(view.Keys)
+	must.NoError(t, err)
+	owner, found := ids.Decode(id.Bytes(), testID.Tag())
+	must.True(t, found)
+	must.Eq(t, a.config.Self.Addr, owner.Addr)
+}
+
 // TestHalvesOfAHandshakeAtTwoAgents spreads the first packets of one flow
 // over two agents. One flow comes of it and one request runs.
 func TestHalvesOfAHandshakeAtTwoAgents(t *testing.T) {
@@ -281,27 +339,11 @@
 	split := &splitter{}
 	var agents []*Agent
 	for range 2 {
-		a, c := openConn(t, backend.url())
-		a.config.Self.Addr = tunnelAddr(c)
-		transport, err := a.transport(c)
-		must.NoError(t, err)
-		listener, err := transport.Listen(http3.ConfigureTLSConfig(a.config.TLS), a.quicConfig())
-		must.NoError(t, err)
-		go a.accept(t.Context(), listener)
-		t.Cleanup(func() { _ = transport.Close() })
+		a, _ := startTransport(t, backend.url(), nil)
 		split.agents = append(split.agents, a.config.Self.Addr)
 		agents = append(agents, a)
 	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
-	must.NoError(t, err)
-	split.conn = conn
-	t.Cleanup(func() { _ = conn.Close() })
-	go split.run(t, testID.Tag())
-	client, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
-	must.NoError(t, err)
-	transport := &quic.Transport{Conn: client}
-	t.Cleanup(func() { _ = transport.Close() })
-	flow := dialThrough(t, transport, conn.LocalAddr())
+	flow := split.dial(t)
 	response, err := (&http3.Transport{}).NewClientConn(flow).RoundTrip(newRequest(t.Context(), http.MethodGet, "/proof", nil))
 	must.NoError(t, err)
 	must.Eq(t, http.StatusOK, response.StatusCode)
