Leave a withdrawn service, and bound what a slow caller holds

Cause: an agent whose service is no longer declared kept its last view and never ended on SIGTERM. The time that a slow caller may hold a slot had no test, nor was the word not run checked in the shipped code.

Change: a withdrawn service is left as a leaving host is, with the drain wish last declared. A refusal as not run asserts that the request was not written. A test reads nothing of an 8 MB answer.

Mutations tried and the tests that failed: the withdrawal ignored (TestWithdrawnServiceIsLeft); no bound on a write (TestSlowCallerLosesItsSlot, hangs); giving up after a byte (TestCutsAtEveryPosition).

--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/turmericrock/turmericrock/admission"
+	"github.com/turmericrock/turmericrock/internal/invariant"
 )
 
 // Headers between callers, agents and backend servers.
@@ -83,7 +84,11 @@
 
 func (s *sending) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		WroteRequest:         func(httptrace.WroteRequestInfo) { s.wroteAt.Store(time.Now().UnixNano()) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				s.wroteAt.Store(time.Now().UnixNano())
+			}
+		},
 		GotFirstResponseByte: func() { s.answeredAt.Store(time.Now().UnixNano()) },
 	}
 }
@@ -119,6 +124,7 @@
 // failure tells a request that was not run from one whose outcome is unknown.
 func failure(ctx context.Context, s *sending, err error, result *admission.Result) error {
 	notRun := s.claim.giveUp()
+	invariant.Check("not_run_was_not_sent", !notRun || s.wroteAt.Load() == 0)
 	switch {
 	case notRun && ctx.Err() != nil:
 		return &NotRunError{Cause: CauseDeadline, Err: err}
--- a/agent/exchange_test.go
+++ b/agent/exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericrock/turmericrock/admission"
+	"github.com/turmericrock/turmericrock/internal/invariant"
 )
 
 const whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nlines"
@@ -39,6 +40,8 @@
 }
 
 func TestCutsAtEveryPosition(t *testing.T) {
+	invariant.SetHandler(func(name string) { t.Error("violated: " + name) })
+	t.Cleanup(func() { invariant.SetHandler(nil) })
 	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	tests := []struct {
 		name    string
--- a/agent/flows_test.go
+++ b/agent/flows_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -330,6 +331,26 @@
 	must.NoError(t, back.Context().Err())
 }
 
+// TestSlowCallerLosesItsSlot reads nothing of an answer larger than any
+// window.
+func TestSlowCallerLosesItsSlot(t *testing.T) {
+	const size = 8 << 20
+	backend := startRaw(t, func(conn net.Conn) {
+		_, _, _ = readRequest(conn)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(size)+"\r\n\r\n")
+		_, _ = conn.Write(make([]byte, size))
+	})
+	s := serveAgent(t, backend.url(), func(c *Config) { c.StallTimeout = 50 * time.Millisecond })
+	_, flow := s.dial(t)
+	response, err := flow.RoundTrip(newRequest(t.Context(), http.MethodGet, "/proof", nil))
+	must.NoError(t, err)
+	for s.agent.counters.Count(CauseCallerGone) == 0 || s.agent.Status().InService > 0 {
+		runtime.Gosched()
+	}
+	_, err = io.ReadAll(response.Body)
+	must.Error(t, err)
+}
+
 func TestSilentFlowIsClosed(t *testing.T) {
 	s := serveAgent(t, "http://127.0.0.1:9", func(c *Config) { c.FirstRequest = 50 * time.Millisecond })
 	conn := s.dialBare(t)
--- a/agent/lifecycle.go
+++ b/agent/lifecycle.go
@@ -44,14 +44,16 @@
 //	cold     -> serving   the warm-up is over
 //	serving  -> cold      the traffic shows that the backend server restarted
 //	any      -> down      the backend server does not answer
-//	any      -> leaving   the VM leaves, the backend server drains, or the
-//	                      process is told to end; there is no way back but
-//	                      for a drain that the backend server ends
+//	any      -> leaving   the VM leaves, the backend server drains, the
+//	                      service is withdrawn, or the process is told to
+//	                      end; the way back goes through cold
 //	any      -> zone out  operators have taken the zone out
 //	zone out -> cold      operators have brought the zone back
 type Lifecycle struct {
 	draining   bool
 	drain      uint64
+	// service is as last declared. A service that is withdrawn is left.
+	service    *fleet.Service
 	validUntil time.Time
 }
 
@@ -67,10 +69,14 @@
 		return append(effects, endIdle(board)...)
 	}
 	service, found := config.Service(board.Config.Self.Service)
+	if !found && l.service == nil {
+		return append(effects, endIdle(board)...)
+	}
 	if !found {
-		return effects
+		service = *l.service
 	}
-	next := l.next(now, board, config, service)
+	l.service = &service
+	next := l.next(now, board, config, service, !found)
 	entered := l.enter(now, board, next)
 	left := l.leave(now, board, service)
 	if board.Node.Current(now) {
@@ -94,10 +100,12 @@
 	return append(effects, left...)
 }
 
-func (l *Lifecycle) next(now time.Time, board *Board, config *fleet.Config, service fleet.Service) tunnel.HostState {
+func (l *Lifecycle) next(now time.Time, board *Board, config *fleet.Config, service fleet.Service, withdrawn bool) tunnel.HostState {
 	switch {
 	case config.ZoneOut(board.Config.Self.Zone):
 		return tunnel.HostZoneOut
+	case withdrawn:
+		return tunnel.HostLeaving
 	case board.StopRequested || board.Health == HealthDraining || listedLeaving(board):
 		return tunnel.HostLeaving
 	case board.Health != HealthGood:
--- a/agent/lifecycle_test.go
+++ b/agent/lifecycle_test.go
@@ -20,6 +20,7 @@
 	board      *Board
 	controller *Lifecycle
 	zoneOut    bool
+	withdrawn  bool
 	revision   uint64
 	view       *View
 	effects    []blackboard.Effect
@@ -40,10 +41,14 @@
 func (b *lifecycleBench) publish(t must.T) {
 	t.Helper()
 	b.revision++
-	part, err := fleet.Encode(fleet.Part{Services: []fleet.Service{{
+	service := fleet.Service{
 		ID: testID, Addr: netip.MustParseAddrPort("127.0.0.2:443"), Slots: 5, Connections: 10,
 		Zones: []string{"zone-1"}, Drain: time.Minute, Warmup: 10 * time.Second,
-	}}})
+	}
+	if b.withdrawn {
+		service.ID.Name = "orders"
+	}
+	part, err := fleet.Encode(fleet.Part{Services: []fleet.Service{service}})
 	must.NoError(t, err)
 	digest := fleet.Digest(part)
 	config, err := fleet.Assemble(fleet.Manifest{
@@ -140,6 +145,22 @@
 	must.True(t, effect[ProcessEnded](b))
 }
 
+func TestWithdrawnServiceIsLeft(t *testing.T) {
+	b := newLifecycleBench(t)
+	b.step(HealthSeen{Health: HealthGood})
+	b.withdrawn = true
+	b.publish(t)
+	b.step()
+	must.Eq(t, tunnel.HostLeaving, b.view.State)
+	must.Eq(t, testID, b.view.Service.ID)
+	b.step(StopRequested{})
+	b.wait(b.board.Config.LeaveGrace)
+	b.step()
+	must.True(t, effect[DrainStarted](b))
+	b.step(DrainDone{Drain: 1})
+	must.True(t, effect[ProcessEnded](b))
+}
+
 // TestLifecycleInvariants drives the controller at random and checks at each
 // step what must always hold.
 func TestLifecycleInvariants(t *testing.T) {
