--- a/agent/lifecycle.go
+++ b/agent/lifecycle.go
@@ -50,8 +50,8 @@
 //	any      -> zone out  operators have taken the zone out
 //	zone out -> cold      operators have brought the zone back
 type Lifecycle struct {
-	draining   bool
-	drain      uint64
+	draining bool
+	drain    uint64
 	// service is as last declared. A service that is withdrawn is left.
 	service    *fleet.Service
 	validUntil time.Time
