--- a/internal/inifile/errors.go
+++ b/internal/inifile/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode"
 )
 
 // Problem tells what is wrong with a place in a file.
@@ -48,7 +49,7 @@
 	if e.Allowed != "" {
 		b.WriteString("; allowed is " + e.Allowed)
 	}
-	return b.String()
+	return oneLine(b.String())
 }
 
 func (e *Error) problem() string {
@@ -60,7 +61,7 @@
 	case Repeated:
 		return e.value() + " is there more than once"
 	case Unreadable:
-		return fmt.Sprintf(" cannot be read: %s", oneLine(e.Err))
+		return fmt.Sprintf(" cannot be read: %s", cause(e.Err))
 	default:
 		return e.value() + " is not valid"
 	}
@@ -78,9 +79,20 @@
 	return e.Err
 }
 
-func oneLine(err error) string {
+func cause(err error) string {
 	if err == nil {
 		return "unknown cause"
 	}
-	return strings.Join(strings.Fields(err.Error()), " ")
+	return strings.TrimSpace(err.Error())
+}
+
+// oneLine replaces control characters, which names of sections and keys and
+// the text of a cause may hold.
+func oneLine(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, text)
 }
