--- a/entry/host.go
+++ b/entry/host.go
@@ -48,8 +48,12 @@
 	usable bool
 	// weight is the share of new flows relative to other hosts.
 	weight float64
-	// added tells that the host was listed after the entry's first list.
+	// added tells that the host was listed after the entry's first list, or
+	// that its zone was out, so that it may be cold.
 	added bool
+	// unlisted tells that the list dropped the host together with most of its
+	// zone while it answered.
+	unlisted bool
 
 	report     tunnel.Report
 	reportedAt time.Time
@@ -75,9 +79,9 @@
 		return ReportWrongService
 	case h.isRetired(report.Incarnation):
 		return ReportOldIncarnation
-	case h.reported() && report.Incarnation != h.report.Incarnation:
+	case report.Incarnation != h.report.Incarnation:
 		h.retire()
-	case h.reported() && report.Sequence <= h.report.Sequence:
+	case report.Sequence <= h.report.Sequence:
 		return ReportReplayed
 	}
 	h.report = report
@@ -87,14 +91,19 @@
 	return ReportAccepted
 }
 
-// retire forgets the report and refuses later ones of its incarnation.
+// retire forgets the host and refuses later reports of its incarnation.
 func (h *host) retire() {
-	if !h.reported() {
-		return
+	if h.report.Incarnation != 0 {
+		copy(h.retired[1:], h.retired[:])
+		h.retired[0] = h.report.Incarnation
 	}
-	copy(h.retired[1:], h.retired[:])
-	h.retired[0] = h.report.Incarnation
 	h.report = tunnel.Report{}
+	h.forget()
+}
+
+// forget makes the host one that has not reported yet. Older reports of its
+// incarnation are still refused.
+func (h *host) forget() {
 	h.reportedAt = time.Time{}
 	h.waitingSince = time.Time{}
 	h.cell.load.Store(uint32(tunnel.UnknownLoad))
@@ -112,7 +121,7 @@
 // observe notes whether new flows were placed on the host since the last
 // call.
 func (h *host) observe(now time.Time) {
-	if h.reported() && now.Sub(h.reportedAt) > LoadMaxAge {
+	if h.loadKnown() && now.Sub(h.reportedAt) > LoadMaxAge {
 		h.cell.load.Store(uint32(tunnel.UnknownLoad))
 	}
 	placed := h.cell.placed.Load()
@@ -126,6 +135,10 @@
 	h.await(now)
 }
 
+func (h *host) loadKnown() bool {
+	return h.cell.load.Load() != uint32(tunnel.UnknownLoad)
+}
+
 // await notes that a report is due.
 func (h *host) await(now time.Time) {
 	if h.waitingSince.IsZero() {
@@ -161,8 +174,8 @@
 func meanLoad(hosts []*host) float64 {
 	total, known := 0.0, 0.0
 	for _, h := range hosts {
-		if load := h.cell.load.Load(); h.state == HostLive && load != uint32(tunnel.UnknownLoad) {
-			total += float64(load)
+		if h.state == HostLive && h.loadKnown() {
+			total += float64(h.cell.load.Load())
 			known++
 		}
 	}
@@ -171,8 +184,7 @@
 
 // warm reports whether the host is known to admit its declared slots.
 func (h *host) warm() bool {
-	known := h.cell.load.Load() != uint32(tunnel.UnknownLoad)
-	return known && h.state == HostLive && h.report.State == tunnel.HostServing && h.report.Capacity >= fullCapacity
+	return h.loadKnown() && h.state == HostLive && h.report.State == tunnel.HostServing && h.report.Capacity >= fullCapacity
 }
 
 // share returns the host's share of new flows by its capacity.
