Prove refused handshakes and measure moves of silent flows

A refused handshake is one attempt: TestRefusedHandshakeIsRepeated fails when a failed dial is tried twice within it.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -31,6 +31,26 @@
 	must.Eq(t, "psalm 23", await(t, "body", bodies))
 }
 
+// CONNECTION_REFUSED in the handshake tells that nothing was run.
+func TestRefusedHandshakeIsRepeated(t *testing.T) {
+	s := newService(t, func(int64, http.ResponseWriter, *http.Request) {})
+	s.refuseNext(2)
+	c := s.client(s.config())
+	response, err := c.Do(testContext(t), Request{Method: http.MethodPost, Path: "/"})
+	must.NoError(t, err)
+	must.Eq(t, 3, response.Attempts)
+	must.Eq(t, 1, s.runs.Load())
+
+	c = s.client(s.config())
+	before := s.refuseNext(1000)
+	_, err = c.Do(testContext(t), Request{Method: http.MethodPost, Path: "/"})
+	mustBe[*NotRunError](t, err)
+	mustBe[*DialError](t, err)
+	// One handshake for each attempt, and no more.
+	must.Eq(t, c.config.Attempts, s.refuseNext(0)-before)
+	must.Eq(t, 1, s.runs.Load())
+}
+
 func TestUnknownOutcomeIsRepeatedOnlyWhenIdempotent(t *testing.T) {
 	s := newService(t, func(run int64, w http.ResponseWriter, _ *http.Request) {
 		if run == 1 {
--- a/caller/path_test.go
+++ b/caller/path_test.go
@@ -12,7 +12,7 @@
 )
 
 // feed is a service that answers with the pieces of a channel.
-func feed(t *testing.T, pieces <-chan string) *service {
+func feed(t testing.TB, pieces <-chan string) *service {
 	return newService(t, func(_ int64, w http.ResponseWriter, r *http.Request) {
 		for piece := range pieces {
 			_, _ = io.WriteString(w, piece)
@@ -194,3 +194,25 @@
 		must.Between(t, config.Backoff/2, wait, config.MaxBackoff*3/2)
 	}
 }
+
+// BenchmarkSilentPath measures the time from a path's silence to the next
+// piece of a feed in service.
+func BenchmarkSilentPath(b *testing.B) {
+	pieces := make(chan string)
+	s := feed(b, pieces)
+	c := s.client(s.config())
+	received := make(chan struct{})
+	go func() {
+		_, _ = c.Stream(b.Context(), Request{Method: http.MethodGet, Path: "/feed"}, func([]byte) {
+			received <- struct{}{}
+		})
+	}()
+	pieces <- "piece"
+	<-received
+	for b.Loop() {
+		s.relay.Silence()
+		pieces <- "piece"
+		<-received
+	}
+	close(pieces)
+}
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -28,7 +28,7 @@
 
 // service is a small HTTP/3 service behind a relay.
 type service struct {
-	t       *testing.T
+	t       testing.TB
 	relay   *fabric.Fabric
 	pki     *pki.Authority
 	tls     *tls.Config
@@ -37,6 +37,10 @@
 	handler http.Handler
 	// runs counts the requests that the handler began.
 	runs atomic.Int64
+	// refuse is the number of handshakes that are refused, told apart by the
+	// caller's address.
+	refuse  int
+	refused map[string]bool
 	// conns receives each accepted connection.
 	conns chan *quic.Conn
 
@@ -47,7 +51,7 @@
 
 // newService starts a service whose handler is told how many requests it has
 // begun.
-func newService(t *testing.T, handler func(run int64, w http.ResponseWriter, r *http.Request)) *service {
+func newService(t testing.TB, handler func(run int64, w http.ResponseWriter, r *http.Request)) *service {
 	authority, err := pki.NewAuthority()
 	must.NoError(t, err)
 	certificate, err := authority.TLS(testName)
@@ -62,6 +66,8 @@
 		tls:   &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13},
 		addr:  netip.MustParseAddrPort("127.0.0.1:0"),
 		conns: make(chan *quic.Conn, 64),
+
+		refused: make(map[string]bool),
 	}
 	_, err = rand.Read(s.key[:])
 	must.NoError(t, err)
@@ -80,7 +86,9 @@
 	must.NoError(s.t, err)
 	s.addr = socket.LocalAddr().(*net.UDPAddr).AddrPort()
 	transport := &quic.Transport{Conn: socket, StatelessResetKey: &s.key}
-	listener, err := transport.Listen(http3.ConfigureTLSConfig(s.tls), &quic.Config{})
+	listener, err := transport.Listen(http3.ConfigureTLSConfig(s.tls), &quic.Config{
+		GetConfigForClient: s.admit,
+	})
 	must.NoError(s.t, err)
 	s.mu.Lock()
 	s.transport = transport
@@ -89,6 +97,28 @@
 	go s.accept(listener)
 }
 
+// admit refuses all packets of the first handshakes.
+func (s *service) admit(info *quic.ClientInfo) (*quic.Config, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := info.RemoteAddr.String()
+	if !s.refused[from] && len(s.refused) >= s.refuse {
+		return &quic.Config{}, nil
+	}
+	s.refused[from] = true
+	return nil, http.ErrServerClosed
+}
+
+// refuseNext makes the service refuse the next handshakes and returns how
+// many it has refused so far.
+func (s *service) refuseNext(count int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := len(s.refused)
+	s.refuse = before + count
+	return before
+}
+
 func (s *service) accept(listener *quic.Listener) {
 	for {
 		conn, err := listener.Accept(context.Background())
@@ -137,14 +167,14 @@
 	return c
 }
 
-func testContext(t *testing.T) context.Context {
+func testContext(t testing.TB) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
 	return ctx
 }
 
 // await receives from the channel within the test's time.
-func await[T any](t *testing.T, what string, c <-chan T) T {
+func await[T any](t testing.TB, what string, c <-chan T) T {
 	t.Helper()
 	select {
 	case value := <-c:
@@ -171,7 +201,7 @@
 }
 
 // mustBe fails unless an error of the type is in the chain.
-func mustBe[E error](t *testing.T, err error) {
+func mustBe[E error](t testing.TB, err error) {
 	t.Helper()
 	var target E
 	if !errors.As(err, &target) {
