--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -90,6 +90,7 @@
 		ConfirmationAgeMS: s.ConfirmationAge,
 		Hosts:             map[string]int{s.State: 1},
 		Flows:             int64(s.Flows),
+		Requests:          &ops.Requests{InService: s.InService, Queued: s.Queued, Limit: s.Limit, Slots: s.Slots},
 		Refusals:          refusals,
 		Detail:            s,
 	}
--- a/internal/ops/status.go
+++ b/internal/ops/status.go
@@ -35,8 +35,20 @@
 	// Flows counts established flows: its own at an agent, and those that
 	// hosts have reported at an entry.
 	Flows int64 `json:"flows"`
+	// Requests is an agent's load. It is nil at an entry.
+	Requests *Requests `json:"requests,omitempty"`
 	// Refusals counts what was refused or dropped by cause.
 	Refusals map[string]uint64 `json:"refusals"`
 	// Detail is what only this role tells.
 	Detail any `json:"detail,omitempty"`
 }
+
+// Requests is the load of a host.
+type Requests struct {
+	InService int `json:"in_service"`
+	// Queued is the number of requests that wait for a slot.
+	Queued int `json:"queued"`
+	// Limit is the number of requests admitted at a time, of Slots.
+	Limit int `json:"limit"`
+	Slots int `json:"slots"`
+}
--- a/internal/ops/text.go
+++ b/internal/ops/text.go
@@ -30,6 +30,9 @@
 	line("zones out", cmp.Or(strings.Join(s.ZonesOut, " "), "none"))
 	line("hosts", counts(s.Hosts))
 	line("flows", fmt.Sprint(s.Flows))
+	if r := s.Requests; r != nil {
+		line("requests", fmt.Sprintf("%d in service, %d queued, limit %d of %d", r.InService, r.Queued, r.Limit, r.Slots))
+	}
 	line("refusals", counts(s.Refusals))
 	return table.Flush()
 }
--- a/scenarios/cli_test.go
+++ b/scenarios/cli_test.go
@@ -132,6 +132,7 @@
 	must.Eq(l.t, 0, code)
 	must.RegexMatch(l.t, line(`ready +yes`), out)
 	must.RegexMatch(l.t, line(`service +teifi/press`), out)
+	must.RegexMatch(l.t, line(`requests +0 in service, 0 queued, limit \d of 2`), out)
 	code, out = l.run("status", "-address", entry.Ops().String(), "-json")
 	must.Eq(l.t, 0, code)
 	must.StrContains(l.t, out, `"role":"entry"`)
