--- a/internal/scenario/expect.go
+++ b/internal/scenario/expect.go
@@ -66,7 +66,7 @@
 func (s *stage) measureWorld(measure string) (int, string, error) {
 	switch measure {
 	case "doubled":
-		return s.world.Ledger.Doubled(), "", nil
+		return s.world.Ledger.Doubled(), s.explainDoubled(), nil
 	case "crossed":
 		return s.tally().Crossed, "", nil
 	case "behind":
@@ -149,6 +149,25 @@
 	return out.String()
 }
 
+// explainDoubled names the requests that ran twice and their hosts.
+func (s *stage) explainDoubled() string {
+	var out strings.Builder
+	for id, hosts := range s.world.Journal.Repeated() {
+		if s.world.Ledger.Runs(id) < 2 {
+			continue
+		}
+		_, _ = fmt.Fprintf(&out, "\ndoubled id=%s hosts=%v", id, hosts)
+		for _, load := range s.loads {
+			for _, o := range load.Outcomes() {
+				if o.ID == id {
+					_, _ = fmt.Fprintf(&out, " began=%s after=%s error=%v", o.Began.UTC().Format(time.RFC3339Nano), o.Ended.Sub(o.Began), o.Err)
+				}
+			}
+		}
+	}
+	return out.String()
+}
+
 // explainArrivals names the nodes that sent the packets.
 func (s *stage) explainArrivals(sink *world.Sink) string {
 	var out strings.Builder
--- a/internal/standin/world/journal.go
+++ b/internal/standin/world/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 
@@ -30,6 +31,20 @@
 	return append([]string(nil), j.hosts[id]...)
 }
 
+// Repeated returns the hosts of requests that arrived more than once, by
+// request ID.
+func (j *Journal) Repeated() map[string][]string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	repeated := make(map[string][]string)
+	for id, hosts := range j.hosts {
+		if len(hosts) > 1 {
+			repeated[id] = slices.Clone(hosts)
+		}
+	}
+	return repeated
+}
+
 // Crossed returns the number of requests that arrived at a backend server of
 // another service than the caller meant.
 func (j *Journal) Crossed() int {
