--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test check bench slopes soak capacity clean
+.PHONY: all build demo scenarios test check bench slopes soak capacity clean
 
 all: build
 
@@ -14,6 +14,10 @@
 demo: build
 	$(GO) run ./internal/demo/cmd -binary $(BIN)/turmericrock
 
+# Runs the scripts of scenarios/ over real processes.
+scenarios:
+	$(GO) test -race -count=1 ./scenarios/
+
 # Runs every test with the race detector.
 test: build
 	./scripts/test
--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -22,11 +22,13 @@
 	eventPlatformDown  = "platform_down"
 	eventPlatformBack  = "platform_back"
 	eventPublished     = "published"
+	eventSilentPaths   = "silent_paths"
 	outZone            = "ceredigion-2"
 	graceTime          = 3 * time.Second
 	settle             = 3 * time.Second
 	shortSettle        = 1500 * time.Millisecond
 	outLength          = 3 * time.Second
+	silentLength       = 4 * time.Second
 	platformDownLength = 4 * time.Second
 	stopMargin         = 5 * time.Second
 	inForceWait        = 20 * time.Second
@@ -44,6 +46,7 @@
 		t.addEntry,
 		t.replaceHost,
 		t.coldStart,
+		t.silencePaths,
 		t.zoneOutAndBack,
 		t.stopEntry,
 		t.platformOutage,
@@ -140,6 +143,15 @@
 	return nil
 }
 
+// silencePaths drops the packets of all open press flows for good. They go on
+// from new addresses.
+func (t *trial) silencePaths(ctx context.Context) error {
+	defer t.event(eventSilentPaths)()
+	t.world.Fabric(press).Silence()
+	world.Pause(ctx, silentLength)
+	return nil
+}
+
 // busiest returns the running host of the service with the most requests in
 // service.
 func (t *trial) busiest(id fleet.ServiceID) *world.Node {
--- a/internal/demo/figures.go
+++ b/internal/demo/figures.go
@@ -26,7 +26,7 @@
 		t.figure("demo_press_imbalance_"+b.name, b.imbalance, "ratio")
 		t.figure("demo_press_flows_not_opened_"+b.name, float64(b.failed), "flows")
 	}
-	for _, name := range []string{eventEntryKilled, eventZoneOut, eventZoneBack, eventPlatformDown} {
+	for _, name := range []string{eventEntryKilled, eventSilentPaths, eventZoneOut, eventZoneBack, eventPlatformDown} {
 		t.printQuality(name)
 	}
 }
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -60,6 +60,16 @@
 	caller netip.AddrPort
 	back   *net.UDPConn
 	silent atomic.Bool
+	// usedAt is when the caller last sent, as Unix time in nanoseconds.
+	usedAt atomic.Int64
+}
+
+// pathMemory is how long the fabric keeps track of a caller that sends
+// nothing.
+const pathMemory = 5 * time.Second
+
+func (p *path) forgotten(now time.Time) bool {
+	return now.UnixNano()-p.usedAt.Load() > int64(pathMemory)
 }
 
 // Listen starts a fabric for the service address. Return addresses are taken
@@ -125,10 +135,18 @@
 func (f *Fabric) Silence() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, p := range f.paths {
+	now := time.Now()
+	silenced := 0
+	for caller, p := range f.paths {
+		if p.forgotten(now) {
+			_ = p.back.Close()
+			delete(f.paths, caller)
+			continue
+		}
 		p.silent.Store(true)
+		silenced++
 	}
-	return len(f.paths)
+	return silenced
 }
 
 // SilenceCaller drops all packets of one caller, for good, and reports
@@ -173,6 +191,9 @@
 		}
 		f.packets.Add(1)
 		p := f.path(caller)
+		if p != nil {
+			p.usedAt.Store(time.Now().UnixNano())
+		}
 		if p == nil || p.silent.Load() || f.cutForward() {
 			continue
 		}
