--- a/internal/standin/world/journal.go
+++ b/internal/standin/world/journal.go
@@ -20,7 +20,7 @@
 	crossed int
 }
 
-func newJournal() *Journal {
+func NewJournal() *Journal {
 	return &Journal{hosts: make(map[string][]string)}
 }
 
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -76,7 +76,7 @@
 		authority: authority,
 		Platform:  standin.New(),
 		Ledger:    backend.NewLedger(),
-		Journal:   newJournal(),
+		Journal:   NewJournal(),
 		network:   network,
 		secrets:   newSecrets(),
 		links:     newLinks(),
