--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -28,21 +28,21 @@
 	events chan dissemination.Event
 }
 
-func newAuthority(t *testing.T) *pki.Authority {
+func newAuthority(t testing.TB) *pki.Authority {
 	t.Helper()
 	authority, err := pki.NewAuthority()
 	must.NoError(t, err)
 	return authority
 }
 
-func tlsOf(t *testing.T, trusted, issuer *pki.Authority, name string) *tls.Config {
+func tlsOf(t testing.TB, trusted, issuer *pki.Authority, name string) *tls.Config {
 	t.Helper()
 	pair, err := issuer.TLS(name)
 	must.NoError(t, err)
 	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: trusted.Pool(), MinVersion: tls.VersionTLS13}
 }
 
-func start(t *testing.T, id string, config *tls.Config) *peer {
+func start(t testing.TB, id string, config *tls.Config) *peer {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -70,7 +70,7 @@
 }
 
 // next returns the next event, which is of type E.
-func next[E dissemination.Event](t *testing.T, p *peer) E {
+func next[E dissemination.Event](t testing.TB, p *peer) E {
 	t.Helper()
 	event, ok := (<-p.events).(E)
 	must.True(t, ok)
