Give a node the configuration although the platform lists no VMs of its zone

Cause: neededKey asked for the zone's list before anything else; where the platform has none, the node asked for it for ever and stayed without a configuration. Change: after a failed read the list and what the configuration needs take turns. TestANodeWhoseZoneHasNoListGetsTheConfiguration failed before (revision 0 after 30 s) and passes.

--- a/dissemination/failure_test.go
+++ b/dissemination/failure_test.go
@@ -1,6 +1,7 @@
 package dissemination_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -310,3 +311,15 @@
 	must.True(t, seen[silent.VM.ID][dissemination.StatusSilent] || seen[silent.VM.ID][dissemination.StatusDead])
 	must.True(t, seen[replaced.VM.ID][dissemination.StatusReplaced])
 }
+
+func TestANodeWhoseZoneHasNoListGetsTheConfiguration(t *testing.T) {
+	f := started(t, 31)
+	vm := fleet.VM{ID: "alone", Zone: "zone-new", Role: fleet.RoleAgent, State: fleet.VMLive}
+	vm.Addr = netip.MustParseAddrPort("127.201.0.1:7300")
+	vm.Mesh = netip.MustParseAddrPort("127.201.0.1:7400")
+	n := f.Add(vm, 0)
+	n.Start(0)
+	f.Advance(30 * time.Second)
+	must.Eq(t, 1, n.Holder.Revision())
+	must.True(t, n.Replica.Current(f.Now()))
+}
--- a/dissemination/reads.go
+++ b/dissemination/reads.go
@@ -24,6 +24,8 @@
 	needed bool
 	next   time.Time
 	last   time.Time
+	// sent counts the reads.
+	sent int
 }
 
 // bucket is a token bucket for the reads of a watcher.
@@ -146,6 +148,7 @@
 	if now.Before(r.own.next) || state.inFlight {
 		return
 	}
+	r.own.sent++
 	r.own.last = now
 	r.own.next = now.Add(r.jitter(period))
 	r.sendRead(key, state, 0)
@@ -156,7 +159,8 @@
 func (r *Replica) neededKey(now time.Time) string {
 	own := r.config.Self.Zone
 	list := r.lists[own]
-	if list == nil || list.order == nil {
+	noList := list == nil || list.order == nil
+	if noList && !r.skipList(now) {
 		return platform.KeyVMs(own)
 	}
 	if p := r.pending; p != nil && p.manifest != nil && (p.link == 0 || p.stalled(now)) {
@@ -165,8 +169,8 @@
 			return platform.KeyPart(digest)
 		}
 	}
-	if r.holder.Config() == nil || r.holder.Age(now) > r.config.OwnReadAfter {
-		if r.unlisted() && now.Sub(list.confirmed) > newListAge {
+	if r.configNeeded(now) {
+		if !noList && r.unlisted() && now.Sub(list.confirmed) > newListAge {
 			return platform.KeyVMs(own)
 		}
 		return platform.KeyManifest
@@ -182,6 +186,20 @@
 	return ""
 }
 
+// skipList reports whether the node turns to the configuration although it
+// holds no list of its zone: the platform has none, or does not give it, so
+// the two take turns.
+func (r *Replica) skipList(now time.Time) bool {
+	failed := r.readState(platform.KeyVMs(r.config.Self.Zone)).failures > 0
+	return failed && r.configNeeded(now) && r.own.sent%2 == 1
+}
+
+// configNeeded reports whether the configuration is missing or was not
+// confirmed for long.
+func (r *Replica) configNeeded(now time.Time) bool {
+	return r.holder.Config() == nil || r.holder.Age(now) > r.config.OwnReadAfter
+}
+
 // unlisted reports whether no list names the node and it polls nobody.
 func (r *Replica) unlisted() bool {
 	_, listed := r.rank()
