Keep a draining flow until the end of its answer could arrive

Cause: a draining flow was closed up to 50 ms after its last request was handled. Closing a QUIC connection discards what is not acknowledged, so a lost packet at the end of an answer would have cut it.

Change: a flow is closed once it has had no request for 2 s. Callers that obey GOAWAY close earlier by themselves.

Mutations tried and the tests that failed: closed while a request is handled (TestDrain, TestFlowIsIdleOnlyAfterItsAnswerCouldArrive); the end of a request not noted (TestFlowIsIdleOnlyAfterItsAnswerCouldArrive); never closed when idle (TestDrain, hangs).

--- a/agent/flows.go
+++ b/agent/flows.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// goAwayGrace is how long a flow without requests is kept after GOAWAY,
-	// so that requests on their way are still refused by a word.
-	goAwayGrace = time.Second
+	// idleGrace is how long a flow without requests is kept after GOAWAY and
+	// after its last request, so that requests on their way are still refused
+	// by a word and the end of an answer is still delivered.
+	idleGrace = 2 * time.Second
 	// idlePoll is the time between two looks for flows without requests.
 	idlePoll = 50 * time.Millisecond
 )
@@ -29,9 +30,12 @@
 	// active is the number of requests being handled.
 	active atomic.Int64
 	// begun is set by the first request, served by the first whole answer.
-	begun    atomic.Bool
-	served   atomic.Bool
-	goAway   atomic.Bool
+	begun  atomic.Bool
+	served atomic.Bool
+	goAway atomic.Bool
+	// busyAt is when the last request ended, or GOAWAY was sent, as a Unix
+	// time in nanoseconds.
+	busyAt   atomic.Int64
 	finished chan struct{}
 }
 
@@ -47,9 +51,15 @@
 }
 
 func (f *flow) end() {
+	f.busyAt.Store(time.Now().UnixNano())
 	f.active.Add(-1)
 }
 
+// idle reports whether the flow has had no request for idleGrace.
+func (f *flow) idle(now time.Time) bool {
+	return f.active.Load() == 0 && now.UnixNano()-f.busyAt.Load() >= int64(idleGrace)
+}
+
 func (f *flow) draining() bool {
 	return f.goAway.Load()
 }
@@ -69,15 +79,9 @@
 // drain sends GOAWAY, lets the requests in service end, and closes the flow
 // once it has none or ctx ends.
 func (f *flow) drain(ctx context.Context) {
+	f.busyAt.Store(time.Now().UnixNano())
 	f.goAway.Store(true)
 	go func() { _ = f.server.Shutdown(ctx) }()
-	grace := time.NewTimer(goAwayGrace)
-	defer grace.Stop()
-	select {
-	case <-grace.C:
-	case <-ctx.Done():
-	case <-f.finished:
-	}
 	f.closeWhenIdle(ctx)
 	<-f.finished
 }
@@ -85,9 +89,13 @@
 func (f *flow) closeWhenIdle(ctx context.Context) {
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
-	for f.active.Load() > 0 {
+	for {
 		select {
-		case <-ticker.C:
+		case now := <-ticker.C:
+			if f.idle(now) {
+				f.close("drained")
+				return
+			}
 		case <-f.finished:
 			return
 		case <-ctx.Done():
@@ -95,7 +103,6 @@
 			return
 		}
 	}
-	f.close("drained")
 }
 
 // flowTable holds the established flows, so that they can be drained or
--- a/agent/flows_test.go
+++ b/agent/flows_test.go
@@ -273,6 +273,15 @@
 	<-drained
 }
 
+func TestFlowIsIdleOnlyAfterItsAnswerCouldArrive(t *testing.T) {
+	f := &flow{}
+	f.begin()
+	must.False(t, f.idle(time.Now().Add(time.Hour)))
+	f.end()
+	must.False(t, f.idle(time.Now()))
+	must.True(t, f.idle(time.Now().Add(idleGrace)))
+}
+
 // TestDrainWish ends a feed whose caller would never let go.
 func TestDrainWish(t *testing.T) {
 	began := make(chan struct{})
