Cut from the limit on errors, and not for internal errors

Cause: an error cut from what was in service, so one status 500 at low load took a host of 50 slots to a limit of 1; status 500 tells of the work and not of the load.

Change: errors and latency leave 0.7 of the limit. Only 502, 503, 504, timeouts and cut connections count as errors. A shed still cuts from what was in service, since less than that was borne.

Figures: after one error of one request in service at 50 slots the limit is 35; it was 1.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -189,9 +189,8 @@
 	}
 }
 
-// cut leaves the share of the limit, and one request at least.
-func (l *Limiter) cut(now time.Time, factor float64) {
-	base := min(l.allowed, max(1, l.inService))
+// cut leaves the share of base, and one request at least.
+func (l *Limiter) cut(now time.Time, factor float64, base int) {
 	l.allowed = min(l.config.Slots, max(1, int(factor*float64(base))))
 	l.cutAt = now
 	l.raisedAt = later(l.raisedAt, now)
--- a/admission/evidence.go
+++ b/admission/evidence.go
@@ -69,7 +69,7 @@
 	case latencyRestart:
 		l.restarted(now)
 	case latencyHigh:
-		l.cut(now, errorFactor)
+		l.cut(now, errorFactor, l.allowed)
 	default:
 		l.prove(now)
 	}
@@ -97,8 +97,8 @@
 	}
 	again := !l.shedAt.IsZero() && now.Sub(l.shedAt) <= restartWindow
 	l.shedAt = now
-	level := min(l.allowed, l.inService)
-	l.cut(now, shedFactor)
+	level := min(l.allowed, max(1, l.inService))
+	l.cut(now, shedFactor, level)
 	if again {
 		l.restarted(now)
 		return
@@ -116,7 +116,7 @@
 	if r.Began.Before(l.cutAt) {
 		return
 	}
-	l.cut(now, errorFactor)
+	l.cut(now, errorFactor, l.allowed)
 }
 
 // refuse holds the host to its cold limit: a backend server that takes no
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -129,6 +129,16 @@
 	must.Eq(t, 1, l.Limit(now.Add(9*time.Second)))
 }
 
+func TestErrorAtLowLoadCutsFromTheLimit(t *testing.T) {
+	now := time.Unix(100, 0)
+	config := warmConfig(50)
+	config.Warmup = 0
+	l := admission.NewLimiter(config, now)
+	must.True(t, l.Begin(now))
+	l.End(now, admission.Result{Outcome: admission.Failed, Began: now})
+	must.Eq(t, 35, l.Limit(now))
+}
+
 func TestLatencyCutsTheLimit(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -149,14 +149,15 @@
 	return admission.Refused
 }
 
-// judge reads an outcome from a status code.
+// judge reads an outcome from a status code. An internal error tells of a
+// fault in the work and not of the load.
 func judge(status int) admission.Outcome {
 	switch status {
-	case http.StatusNotImplemented, http.StatusHTTPVersionNotSupported:
-		return admission.Succeeded
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return admission.Failed
 	}
 	if status >= http.StatusInternalServerError {
-		return admission.Failed
+		return admission.Abandoned
 	}
 	return admission.Succeeded
 }
--- a/agent/exchange_test.go
+++ b/agent/exchange_test.go
@@ -108,6 +108,21 @@
 	}
 }
 
+func TestStatusesTellOfTheLoad(t *testing.T) {
+	want := map[int]admission.Outcome{
+		http.StatusOK:                  admission.Succeeded,
+		http.StatusNotFound:            admission.Succeeded,
+		http.StatusInternalServerError: admission.Abandoned,
+		http.StatusNotImplemented:      admission.Abandoned,
+		http.StatusBadGateway:          admission.Failed,
+		http.StatusServiceUnavailable:  admission.Failed,
+		http.StatusGatewayTimeout:      admission.Failed,
+	}
+	for status, outcome := range want {
+		must.Eq(t, outcome, judge(status))
+	}
+}
+
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	backend := startRaw(t, func(net.Conn) {})
 	must.NoError(t, backend.listener.Close())
