--- a/dissemination/failure_test.go
+++ b/dissemination/failure_test.go
@@ -1,6 +1,7 @@
 package dissemination_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -290,7 +291,13 @@
 	other.ID = "replacement"
 	replaced.Kill()
 	f.Add(other, 0)
-	f.Advance(12 * time.Second)
+	f.Advance(5 * time.Second)
+	given := uint64(0)
+	for _, n := range f.zone(zone) {
+		given += n.Replica.Counts().Silent
+	}
+	must.Positive(t, given)
+	f.Advance(7 * time.Second)
 	seen := make(map[string]map[dissemination.Status]bool)
 	for _, n := range f.zone(zone) {
 		for _, p := range n.Replica.Peers() {
@@ -304,3 +311,15 @@
 	must.True(t, seen[silent.VM.ID][dissemination.StatusSilent] || seen[silent.VM.ID][dissemination.StatusDead])
 	must.True(t, seen[replaced.VM.ID][dissemination.StatusReplaced])
 }
+
+func TestANodeWhoseZoneHasNoListGetsTheConfiguration(t *testing.T) {
+	f := started(t, 31)
+	vm := fleet.VM{ID: "alone", Zone: "zone-new", Role: fleet.RoleAgent, State: fleet.VMLive}
+	vm.Addr = netip.MustParseAddrPort("127.201.0.1:7300")
+	vm.Mesh = netip.MustParseAddrPort("127.201.0.1:7400")
+	n := f.Add(vm, 0)
+	n.Start(0)
+	f.Advance(30 * time.Second)
+	must.Eq(t, 1, n.Holder.Revision())
+	must.True(t, n.Replica.Current(f.Now()))
+}
