Show that a datagram which waited out a pause is dropped

Cause: the age of datagrams was tested, the drop was not.

Change: the bound is a field of the packet path, so that a test can take every datagram for a late one.

Mutation tried and the test that failed: late datagrams delivered (TestLateDatagramIsDropped).

--- a/agent/packetconn.go
+++ b/agent/packetconn.go
@@ -34,6 +34,8 @@
 	gate        *gate
 	counters    *Counters
 	reporter    *reporter
+	// maxAge is how long a datagram may have waited in the socket's buffer.
+	maxAge time.Duration
 
 	// The fields below belong to the goroutine that calls ReadFrom.
 	buf        []byte
@@ -59,7 +61,7 @@
 			return 0, nil, err
 		}
 		now := time.Now()
-		if datagramAge(now, c.control[:controlSize]) > maxDatagramAge {
+		if datagramAge(now, c.control[:controlSize]) > c.maxAge {
 			c.counters.add(CauseLateDatagram)
 			continue
 		}
--- a/agent/packetconn_test.go
+++ b/agent/packetconn_test.go
@@ -191,6 +191,30 @@
 	must.Eq(t, 0, datagramAge(later, nil))
 }
 
+// TestLateDatagramIsDropped takes every datagram for one that waited while the
+// process was paused.
+func TestLateDatagramIsDropped(t *testing.T) {
+	a, c := openConn(t, "http://127.0.0.1:9")
+	c.maxAge = -time.Hour
+	datagram := seal(t, c, newHeader(tunnel.KindFlow), []byte("packet"))
+	sender, err := net.Dial("udp4", tunnelAddr(c).String())
+	must.NoError(t, err)
+	defer func() { _ = sender.Close() }()
+	_, err = sender.Write(datagram)
+	must.NoError(t, err)
+	ended := make(chan error)
+	go func() {
+		_, _, err := c.ReadFrom(make([]byte, tunnel.MaxDatagram))
+		ended <- err
+	}()
+	for a.counters.Count(CauseLateDatagram)+a.counters.Delivered() == 0 {
+		runtime.Gosched()
+	}
+	must.Eq(t, 0, a.counters.Delivered())
+	must.NoError(t, c.Close())
+	must.ErrorIs(t, <-ended, net.ErrClosed)
+}
+
 // TestEntriesAreToldAtOnce announces a change to an entry that had a report
 // just before.
 func TestEntriesAreToldAtOnce(t *testing.T) {
--- a/agent/quic.go
+++ b/agent/quic.go
@@ -82,6 +82,7 @@
 		gate:        a.gate,
 		counters:    &a.counters,
 		reporter:    reporter,
+		maxAge:      maxDatagramAge,
 		buf:         make([]byte, tunnel.MaxDatagram),
 		control:     make([]byte, controlSize),
 		handshakes:  newHandshakes(time.Now()),
