--- a/internal/demo/figures.go
+++ b/internal/demo/figures.go
@@ -23,7 +23,7 @@
 		t.figure("demo_change_in_force_everywhere", took.Seconds(), "s")
 	}
 	for _, b := range t.facts.balances {
-		t.figure("demo_press_imbalance_"+b.name, b.imbalance, "ratio")
+		t.figure("demo_press_burst_imbalance_"+b.name, b.imbalance, "ratio")
 		t.figure("demo_press_flows_not_opened_"+b.name, float64(b.failed), "flows")
 	}
 	for _, name := range []string{eventEntryKilled, eventSilentPaths, eventZoneOut, eventZoneBack, eventPlatformDown} {
@@ -35,7 +35,8 @@
 // imbalance.
 const flowsPerHost = 100
 
-// measureBalance opens flows to Teifi's press and notes how they spread.
+// measureBalance opens flows to Teifi's press in one burst and notes how they
+// spread.
 func (t *trial) measureBalance(ctx context.Context, name string) {
 	hosts := 0
 	for _, node := range t.world.Nodes() {
