--- a/internal/bench/figure.go
+++ b/internal/bench/figure.go
@@ -27,6 +27,7 @@
 	return []Measure{
 		{Name: "place", Run: measurePlace},
 		{Name: "control", Run: measureControl},
+		{Name: "spread", Run: measureSpread},
 		{Name: "fairness", Run: measureFairness},
 		{Name: "forward", Run: func(show func(Figure)) error { return measureForward(binary, show) }},
 		{Name: "latency", Run: func(show func(Figure)) error { return measureLatency(binary, show) }},
--- /dev/null
+++ b/internal/bench/spread.go
@@ -0,0 +1,50 @@
+package bench
+
+import (
+	"strings"
+
+	"github.com/turmericrock/turmericrock/internal/controlscale"
+	"github.com/turmericrock/turmericrock/internal/fleetgen"
+)
+
+const spreadSeed = 1
+
+// spreadSizes are the fleets through whose events the spread is measured: both
+// customers' of today, and an eighth of the size designed for. The whole of
+// that size is in docs/CAPACITY.md.
+var spreadSizes = []struct {
+	name string
+	size fleetgen.Size
+}{
+	{"today", fleetgen.Size{Regions: 2, Zones: 7, Entries: 8, Hosts: 21, Services: 4, Parts: 4}},
+	{"eighth", fleetgen.DesignSize().Scaled(0.125)},
+}
+
+// measureSpread measures how configuration, lists and word of nodes spread:
+// time, platform reads, bytes and processor time.
+func measureSpread(show func(Figure)) error {
+	for _, s := range spreadSizes {
+		result, err := controlscale.Measure(s.size, spreadSeed)
+		if err != nil {
+			return err
+		}
+		show(Figure{Name: "spread_" + s.name + "_step_cpu", Value: float64(result.Step.Nanoseconds()) / 1000, Unit: "us"})
+		for _, phase := range result.Phases {
+			showPhase("spread_"+s.name+"_"+strings.ReplaceAll(phase.Name, " ", "_"), phase, show)
+		}
+	}
+	return nil
+}
+
+func showPhase(name string, phase controlscale.Phase, show func(Figure)) {
+	show(Figure{Name: name + "_took", Value: phase.Took.Seconds(), Unit: "s"})
+	show(Figure{Name: name + "_platform_reads_worst_second", Value: float64(phase.WorstReads), Unit: "reads/s"})
+	for _, kind := range []string{controlscale.KindAgent, controlscale.KindEntry, controlscale.KindWatcher} {
+		load, found := phase.Loads[kind]
+		if !found {
+			continue
+		}
+		show(Figure{Name: name + "_" + kind + "_mean", Value: load.MeanBytes, Unit: "B/s"})
+		show(Figure{Name: name + "_" + kind + "_max", Value: load.MaxBytes, Unit: "B/s"})
+	}
+}
