--- a/dissemination/difference.go
+++ b/dissemination/difference.go
@@ -118,5 +118,9 @@
 		}
 	}
 	merged.VMs = append(merged.VMs, value.Set...)
+	if len(merged.VMs) == 0 {
+		// As a decoded list without VMs has it.
+		merged.VMs = nil
+	}
 	return merged, nil
 }
--- a/dissemination/difference_test.go
+++ b/dissemination/difference_test.go
@@ -50,6 +50,14 @@
 	})
 }
 
+func TestListThatLosesAllMergesToAnEmptyOne(t *testing.T) {
+	from := fleet.VMList{Zone: "maes-1", Version: 1, VMs: []fleet.VM{{ID: "host-1"}}}
+	to := fleet.VMList{Zone: "maes-1", Version: 2}
+	merged, err := dissemination.Merge(from, dissemination.DiffLists(from, to))
+	must.NoError(t, err)
+	must.Eq(t, to, merged)
+}
+
 func drawManifest(t *rapid.T, revision uint64) fleet.Manifest {
 	manifest := fleet.Manifest{Revision: revision, Zones: []fleet.Zone{{Name: "maes-1", Region: "wales", Number: 1}}}
 	for i := range 6 {
