--- a/internal/controlscale/measure.go
+++ b/internal/controlscale/measure.go
@@ -156,10 +156,23 @@
 	if err != nil {
 		return err
 	}
+	b.Cut = b.betweenRegions()
+	b.run("regions split", outage, nil)
+	b.phase("regions joined", settle, func() { b.Cut = nil }, b.current)
 	b.phase("one zone lost", settle, b.loseZone, b.current)
 	return nil
 }
 
+// betweenRegions returns a cut between nodes of different regions. Each side
+// still reaches the platform.
+func (b *bench) betweenRegions() func(from, to *controlnet.Node) bool {
+	regions := make(map[string]string)
+	for _, zone := range b.Zones() {
+		regions[zone.Name] = zone.Region
+	}
+	return func(from, to *controlnet.Node) bool { return regions[from.VM.Zone] != regions[to.VM.Zone] }
+}
+
 func (b *bench) restartHalf() {
 	for i, n := range b.Nodes() {
 		if i%2 == 0 {
