Note changes of limits in the audit trail

Cause: the trail held changes of configuration, membership, zones and keys but not of limits. Change: an agent's controller notes the declared slots and connections, and the limit learned from the traffic at most once in 5 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,7 +74,7 @@
 	board := NewBoard(config, ring)
 	board.Node.Configure(config.Control, node.NewRandom())
 	a.control = node.NewControl(config.Mesh, board.Node, reader, log, a.deliver)
-	a.engine = blackboard.New(blackboard.DefaultConfig(), board, a, stepper, &Lifecycle{})
+	a.engine = blackboard.New(blackboard.DefaultConfig(), board, a, stepper, &Limits{}, &Lifecycle{})
 	return a, nil
 }
 
--- a/agent/board.go
+++ b/agent/board.go
@@ -28,6 +28,8 @@
 	Health Health
 	// FailedLooks counts failing health answers in a row.
 	FailedLooks int
+	// Limit is the number of requests that the host admits at a time.
+	Limit int
 	// State is the host's state as the lifecycle controller decided it.
 	State tunnel.HostState
 	// StateSince is when State last changed.
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -228,6 +228,14 @@
 	return report
 }
 
+// limit returns the number of requests admitted at a time.
+func (g *gate) limit() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh()
+	return g.limiter.Limit(time.Now())
+}
+
 // load returns the report's figures of the load.
 func (g *gate) load(now time.Time) tunnel.Report {
 	limit := g.limiter.Limit(now)
--- a/agent/health.go
+++ b/agent/health.go
@@ -6,13 +6,15 @@
 	"time"
 )
 
-// watchHealth looks at the backend server's health endpoint until ctx ends.
+// watchHealth looks at the backend server's health endpoint, and at the limit
+// learned from the traffic, until ctx ends.
 func (a *Agent) watchHealth(ctx context.Context) {
 	client := &http.Client{Timeout: dialTimeout}
 	ticker := time.NewTicker(a.config.HealthInterval)
 	defer ticker.Stop()
 	for {
 		a.engine.Post(HealthSeen{Health: askHealth(ctx, client, a.config.Backend)})
+		a.engine.Post(LimitSeen{Limit: a.gate.limit()})
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -23,6 +23,7 @@
 	Peer                Subject = "peer"
 	Process             Subject = "process"
 	InvariantViolations Subject = "invariant_violations"
+	Limit               Subject = "limit"
 	Keys                Subject = "keys"
 	Certificate         Subject = "certificate"
 )
