Keep the heads of answers and changes of path apart in the caller

Ruled out: the products' processes, which run without the detector, and the stand-ins. Change: from an answer's first byte to the end of its head a flow keeps its path; a change of path ends when the connection has sent on the new one. Weighed: rebinding the socket below QUIC instead of switching paths; RFC 9000, section 9.5, forbids to reuse a connection ID from another address.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -44,16 +44,7 @@
 }
 
 func (x *exchange) carry(ctx context.Context, f *flow) (*Response, error) {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { x.opened.Store(true) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { x.opened.Store(true) },
-	})
-	outgoing := x.request.WithContext(ctx)
-	if len(x.body) > 0 {
-		outgoing.Body = io.NopCloser(bytes.NewReader(x.body))
-		outgoing.ContentLength = int64(len(x.body))
-	}
-	response, err := f.http.RoundTrip(outgoing)
+	response, err := x.roundTrip(ctx, f)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -65,6 +56,31 @@
 	return &Response{Status: response.StatusCode, Header: response.Header}, nil
 }
 
+// roundTrip sends the request and waits for the head of the answer. From the
+// answer's first byte to the end of its head the flow keeps its path.
+func (x *exchange) roundTrip(ctx context.Context, f *flow) (*http.Response, error) {
+	arrived := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { x.opened.Store(true) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { x.opened.Store(true) },
+		GotFirstResponseByte: func() {
+			f.heads.RLock()
+			arrived = true
+		},
+	})
+	defer func() {
+		if arrived {
+			f.heads.RUnlock()
+		}
+	}()
+	outgoing := x.request.WithContext(ctx)
+	if len(x.body) > 0 {
+		outgoing.Body = io.NopCloser(bytes.NewReader(x.body))
+		outgoing.ContentLength = int64(len(x.body))
+	}
+	return f.http.RoundTrip(outgoing)
+}
+
 // receive hands on the body. The library fails a body that is shorter or
 // longer than the declared length.
 func (x *exchange) receive(body io.Reader) error {
--- a/caller/flow.go
+++ b/caller/flow.go
@@ -24,6 +24,11 @@
 	silent   atomic.Bool
 	migrated func()
 
+	// heads keeps the heads of answers and a change of path apart: the QUIC
+	// library reads the connection's state for the one and writes it for the
+	// other, without a lock of its own.
+	heads sync.RWMutex
+
 	mu    sync.Mutex
 	links []*link
 	// released is closed once the links are.
--- a/caller/path.go
+++ b/caller/path.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	chosen := candidates[round%len(candidates)]
-	if chosen.path.Probe(ctx) != nil || chosen.path.Switch() != nil {
+	if chosen.path.Probe(ctx) != nil || !f.switchTo(chosen) {
 		return false
 	}
 	f.park(chosen.link)
@@ -145,6 +145,34 @@
 	return true
 }
 
+// switchTo moves the connection to the path and waits until it sends there,
+// which tells that the library has changed its state.
+func (f *flow) switchTo(chosen candidate) bool {
+	f.heads.Lock()
+	defer f.heads.Unlock()
+	sent := chosen.link.socket.awaitSent()
+	if chosen.path.Switch() != nil {
+		return false
+	}
+	for range switchNudges {
+		f.nudge()
+		select {
+		case <-sent:
+			return true
+		case <-f.quic.Context().Done():
+			return false
+		case <-time.After(switchWait):
+		}
+	}
+	return true
+}
+
+const (
+	// switchNudges and switchWait bound the wait for a change of path.
+	switchNudges = 10
+	switchWait   = 25 * time.Millisecond
+)
+
 // propose adds a path from a new local address.
 func (f *flow) propose(candidates []candidate) []candidate {
 	l, err := f.config.newLink()
--- a/caller/path_test.go
+++ b/caller/path_test.go
@@ -216,3 +216,50 @@
 	}
 	close(pieces)
 }
+
+// TestPathChangesWhileAnswersArrive is judged by the race detector: the QUIC
+// library does not itself keep a change of path and the head of an answer
+// apart.
+func TestPathChangesWhileAnswersArrive(t *testing.T) {
+	s := newService(t, func(_ int64, w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})
+	c := s.client(s.config())
+	ctx := testContext(t)
+	get := Request{Method: http.MethodGet, Path: "/"}
+	_, err := c.Do(ctx, get)
+	must.NoError(t, err)
+	c.mu.Lock()
+	f := c.flow
+	c.mu.Unlock()
+
+	stop := make(chan struct{})
+	ended := make(chan error, 8)
+	for range cap(ended) {
+		go func() { ended <- repeat(stop, func() error { _, err := c.Do(ctx, get); return err }) }()
+	}
+	for range 6 {
+		candidates := f.propose(nil)
+		must.Len(t, 1, candidates)
+		must.True(t, f.move(candidates, 0, 10*time.Second))
+	}
+	close(stop)
+	for range cap(ended) {
+		must.NoError(t, await(t, "end", ended))
+	}
+	must.Eq(t, 1, c.Stats().Flows)
+}
+
+// repeat does until stop is closed, or an error.
+func repeat(stop <-chan struct{}, do func() error) error {
+	for {
+		select {
+		case <-stop:
+			return nil
+		default:
+		}
+		if err := do(); err != nil {
+			return err
+		}
+	}
+}
--- a/caller/socket.go
+++ b/caller/socket.go
@@ -18,7 +18,9 @@
 
 	mu     sync.Mutex
 	parked bool
-	once   sync.Once
+	// sent is closed by the next packet that is no probe of a path.
+	sent chan struct{}
+	once sync.Once
 }
 
 func newSocket(network string) (*socket, error) {
@@ -52,10 +54,30 @@
 	return n, addr, err
 }
 
+// awaitSent returns a channel that is closed once the connection sends on
+// this socket. Probes of the path do not count: they are padded to a full
+// packet.
+func (s *socket) awaitSent() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = make(chan struct{})
+	return s.sent
+}
+
+func (s *socket) noteSent(size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sent != nil && size < packetSize {
+		close(s.sent)
+		s.sent = nil
+	}
+}
+
 // WriteTo implements net.PacketConn. What cannot be sent, as when there is no
 // route or the socket is parked, is lost as on the network. An error would
 // end the flow, which may be well again in a moment.
 func (s *socket) WriteTo(p []byte, addr net.Addr) (int, error) {
+	s.noteSent(len(p))
 	n, err := s.udp.WriteTo(p, addr)
 	if err == nil || errors.Is(err, net.ErrClosed) && !s.isParked() {
 		return n, err
