Do not fetch unchanged values of the platform again

Cause: a watch that ended unchanged brought the whole value once a second: at the size designed for 158 KB/s at each watcher (a manifest of 7.6 KB and a list of 150 KB), which the capacity page had left out, and its decoding. Change: the reader names the version that it holds and takes 304 for an answer; a list that is held is not decoded again. The page counts the reads.

--- a/dissemination/readdone.go
+++ b/dissemination/readdone.go
@@ -109,6 +109,9 @@
 }
 
 func (r *Replica) listRead(now time.Time, event ReadDone) {
+	if r.listConfirmed(now, event) {
+		return
+	}
 	list, err := r.builder.VMList(event.Value)
 	if err != nil || event.Key != platform.KeyVMs(list.Zone) {
 		r.counts.Invalid++
@@ -120,6 +123,21 @@
 	r.adoptList(now, list, event.Started, platformSource)
 }
 
+// listConfirmed reports whether the read brought the list that is held, which
+// need not be decoded then.
+func (r *Replica) listConfirmed(now time.Time, event ReadDone) bool {
+	zone := strings.TrimPrefix(event.Key, platform.KeyVMs(""))
+	held := r.lists[zone]
+	if held == nil || held.order == nil || held.listed.Version != event.Value.Version {
+		return false
+	}
+	held.confirmed = maxTime(held.confirmed, event.Started)
+	if zone != r.config.Self.Zone {
+		r.readState(event.Key).next = now.Add(r.jitter(otherListAge / 2))
+	}
+	return true
+}
+
 func (r *Replica) partRead(now time.Time, event ReadDone) {
 	p := r.pending
 	delete(r.reads, event.Key)
--- a/internal/slopes/roles.go
+++ b/internal/slopes/roles.go
@@ -22,6 +22,8 @@
 	cpuPercent   = 1e4 // microseconds a second in a percent of a core
 	stepsASecond = 20
 	scansASecond = 5
+	// partsOfConfig is the number of parts of the configuration.
+	partsOfConfig = 64
 	// probesASecond is the bound of one entry's probes.
 	probesASecond = 20
 	// datagramHead is the size of the IPv4 and UDP headers in bytes.
@@ -89,6 +91,7 @@
 		About: "One of three entries in each zone that follow the platform for it. It has an entry's figures and these.",
 		Lines: []Line{
 			p.meshBytes("watcher"),
+			p.platformBytes(),
 			p.totalBytes("watcher"),
 			p.messages("watcher"),
 			{
@@ -237,13 +240,36 @@
 func (p *page) totalBytes(kind string) Line {
 	terms := append(p.meshTerms(kind), p.reportTerms()...)
 	terms = append(terms, Term{"probes a second", probesASecond, probeSize, "tunnel.HeaderSize"})
-	line := Line{
+	growth := []float64{p.slope(eventSeries("steady", kind+" mean")) * float64(p.size.Nodes()), 0, 0, 0, 0, 0}
+	if kind == "watcher" {
+		terms = append(terms, p.platformTerms()...)
+		growth = append(growth, 0, 0, 0)
+	}
+	return Line{
 		Name: "control on the wire, all of it", Unit: "KB/s", Scale: kilobyte, Limit: limitBytes,
-		Mechanism: "the three above", Terms: terms,
+		Mechanism: "those above", Terms: terms, Growth: growth,
+	}
+}
+
+// watchesASecond is the rate at which the manifest's watch and that of the
+// zone's list end unchanged.
+const watchesASecond = 2
+
+// platformTerms are what a watcher reads of the platform.
+func (p *page) platformTerms() []Term {
+	return []Term{
+		{"watches that end unchanged, a second", watchesASecond, p.slope("platform_watch_bytes"), "platform_watch_bytes"},
+		{"manifests, and the part that changed, a second", changesADay / float64(secondsADay), p.at("manifest_bytes", partsOfConfig) + p.at("config_bytes", p.size.Services)/partsOfConfig, "manifest_bytes, config_bytes"},
+		{"lists of its zone, a second", vmChangesADay / float64(secondsADay*p.size.Zones), p.zoneNodes() * p.slope("list_bytes"), "list_bytes"},
+	}
+}
+
+func (p *page) platformBytes() Line {
+	return Line{
+		Name: "reads of the platform", Unit: "KB/s", Scale: kilobyte,
+		Mechanism: "platform/http.go HTTPReader, dissemination/reads.go readState",
+		Terms:     p.platformTerms(),
 	}
-	name := eventSeries("steady", kind+" mean")
-	line.Growth = []float64{p.slope(name) * float64(p.size.Nodes()), 0, 0, 0, 0, 0}
-	return line
 }
 
 func (p *page) messages(kind string) Line {
--- a/internal/slopes/run.go
+++ b/internal/slopes/run.go
@@ -9,6 +9,7 @@
 // Measures returns every measure. The binary is the shipped one.
 func Measures(binary string) []Measure {
 	measures := controlMeasures()
+	measures = append(measures, watchMeasures()...)
 	measures = append(measures, spreadMeasures()...)
 	measures = append(measures, flowMeasures(binary)...)
 	return append(measures, idleMeasures(binary)...)
--- /dev/null
+++ b/internal/slopes/watch.go
@@ -0,0 +1,83 @@
+package slopes
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	standin "github.com/turmericrock/turmericrock/internal/standin/platform"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+var watchSizes = []float64{10, 20, 40, 80}
+
+// watchMeasures are the costs of reads of the platform that bring nothing
+// new.
+func watchMeasures() []Measure {
+	return []Measure{
+		{Name: "platform_watch_bytes", Unit: "B", Per: "watch", Sizes: watchSizes, Run: watchBytes},
+	}
+}
+
+// watchBytes returns the bytes, both ways and without the headers of IP and
+// TCP, of reads of a value that does not change.
+func watchBytes(reads float64) (float64, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	counted := &countingListener{Listener: listener}
+	values := standin.New()
+	values.Put(platform.KeyManifest, make([]byte, 1<<10))
+	server := &http.Server{Handler: values}
+	go func() { _ = server.Serve(counted) }()
+	defer func() { _ = server.Close() }()
+	reader := platform.NewHTTPReader("http://" + listener.Addr().String())
+	if _, err := reader.Read(context.Background(), platform.KeyManifest); err != nil {
+		return 0, err
+	}
+	before := counted.bytes.Load()
+	for range int(reads) {
+		if _, err := reader.Watch(context.Background(), platform.KeyManifest, 1, 0); err != nil {
+			return 0, err
+		}
+	}
+	return float64(counted.bytes.Load() - before), nil
+}
+
+// countingListener counts the bytes of the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -102,6 +102,10 @@
 		return
 	}
 	w.Header().Set(api.VersionHeader, strconv.FormatUint(value.Version, 10))
+	if value.Version == after {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	_, _ = w.Write(value.Data)
 }
 
