Let a node settle before its idle cost is measured

Cause: perf showed that 36% of the processor time in the window was the loading of lists and parts, which a node without peers reads one at a time. Change: 30 s to settle; one group of series can be measured alone.

--- a/internal/slopes/cmd/main.go
+++ b/internal/slopes/cmd/main.go
@@ -14,20 +14,17 @@
 	out := flag.String("out", "", "measure and write the slopes `file`")
 	from := flag.String("from", "docs/slopes.json", "the slopes `file` to work the page out from")
 	page := flag.String("page", "", "write the capacity `page`")
+	only := flag.String("only", "", "measure just the series whose names hold this `word`, and keep the others of -out")
 	flag.Parse()
-	if err := run(*binary, *out, *from, *page); err != nil {
+	if err := run(*binary, *out, *only, *from, *page); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(binary, out, from, page string) error {
+func run(binary, out, only, from, page string) error {
 	if out != "" {
-		file, err := slopes.Take(slopes.Measures(binary), show)
-		if err != nil {
-			return err
-		}
-		if err := file.Save(out); err != nil {
+		if err := measure(binary, out, only); err != nil {
 			return err
 		}
 	}
@@ -45,6 +42,22 @@
 	return os.WriteFile(page, []byte(text), 0o644)
 }
 
+func measure(binary, out, only string) error {
+	taken, err := slopes.Take(slopes.Only(slopes.Measures(binary), only), show)
+	if err != nil {
+		return err
+	}
+	if only == "" {
+		return taken.Save(out)
+	}
+	file, err := slopes.Load(out)
+	if err != nil {
+		return err
+	}
+	file.Replace(taken)
+	return file.Save(out)
+}
+
 func show(series slopes.Series) {
 	fmt.Printf("%s %.6g %s/%s\n", series.Name, series.Fit.Slope, series.Unit, series.Per)
 	fmt.Printf("%s_intercept %.6g %s\n", series.Name, series.Fit.Intercept, series.Unit)
--- a/internal/slopes/idle.go
+++ b/internal/slopes/idle.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	settleTime = 6 * time.Second
+	// settleTime lets a node read the configuration and every list by itself,
+	// at the rate that a node without peers has.
+	settleTime = 30 * time.Second
 	idleTime   = 10 * time.Second
 	// idleRevision is above every revision that a small fleet publishes.
 	idleRevision = 1000
--- a/internal/slopes/run.go
+++ b/internal/slopes/run.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 )
 
@@ -33,6 +34,23 @@
 	return file, nil
 }
 
+// Replace puts the series of taken in the place of those with their names.
+func (f *File) Replace(taken *File) {
+	for _, series := range taken.Series {
+		at := slices.IndexFunc(f.Series, func(s Series) bool { return s.Name == series.Name })
+		if at < 0 {
+			f.Series = append(f.Series, series)
+			continue
+		}
+		f.Series[at] = series
+	}
+}
+
+// Only returns the measures whose names hold the word.
+func Only(measures []Measure, word string) []Measure {
+	return slices.DeleteFunc(measures, func(m Measure) bool { return !strings.Contains(m.Name, word) })
+}
+
 func processorName() string {
 	data, err := os.ReadFile("/proc/cpuinfo")
 	if err != nil {
