--- a/agent/gate_test.go
+++ b/agent/gate_test.go
@@ -117,7 +117,7 @@
 		}
 		must.Between(t, 500, passed, 520)
 		g.end(admission.Result{})
-		// An expired view takes nothing.
+		// An expired view takes nothing. The sleep is on synctest's clock.
 		time.Sleep(2 * time.Hour)
 		must.False(t, g.openFlow())
 		must.Eq(t, flowRefused, g.decideFlow(false, tunnel.UnknownLoad))
--- a/internal/slopes/spread.go
+++ b/internal/slopes/spread.go
@@ -36,6 +36,7 @@
 	"empty lists",
 	"lists restored",
 	"one zone lost",
+	"regions split",
 }
 
 var spreadKinds = []string{controlscale.KindAgent, controlscale.KindEntry, controlscale.KindWatcher}
