Carry opaque datagram flows on the platform: the whole path, thin

The platform's requesters speak UDP datagrams with a header that only the two ends fill in, so that connection IDs are not to be had there.

The agent owns its host's flows; two keepers, chosen by rendezvous over the agents, remember the owner, so that any entry finds it.

--- /dev/null
+++ b/catalog/tracker.go
@@ -0,0 +1,129 @@
+package catalog
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Change is one decoded change of what is declared. Exactly one of Config,
+// Host and Zone is set, or none for a value that is not understood.
+type Change struct {
+	Revision int64
+	// Key is the name of the value, for logs.
+	Key    string
+	Config *Config
+	// Host is what a host says of itself.
+	Host *Host
+	// HostID names a host whose value is gone or cannot be used.
+	HostID string
+	// Zone names a zone that is taken out of service, or taken back when
+	// Removed is set.
+	Zone    string
+	Removed bool
+}
+
+// Tracker applies changes and publishes snapshots. Only one goroutine may
+// apply changes; any may read the snapshot.
+type Tracker struct {
+	revision  int64
+	config    *Config
+	hosts     map[string]*Host
+	evacuated map[string]bool
+	current   atomic.Pointer[Catalog]
+}
+
+// NewTracker returns a tracker without a snapshot.
+func NewTracker() *Tracker {
+	return &Tracker{hosts: make(map[string]*Host), evacuated: make(map[string]bool)}
+}
+
+// Current returns the snapshot, or nil before a configuration is known.
+func (t *Tracker) Current() *Catalog {
+	return t.current.Load()
+}
+
+// Revision returns the store's revision up to which changes were applied.
+func (t *Tracker) Revision() int64 {
+	return t.revision
+}
+
+// Replace applies a full reading: hosts and zones that it lacks are gone.
+// A configuration older than the one in force is passed over.
+func (t *Tracker) Replace(revision int64, changes []Change, now time.Duration) {
+	if revision < t.revision {
+		return
+	}
+	t.hosts = make(map[string]*Host)
+	t.evacuated = make(map[string]bool)
+	for i := range changes {
+		t.apply(&changes[i])
+	}
+	t.publish(revision, now)
+}
+
+// Apply applies what has changed since the last reading. It reports whether
+// anything but the revision changed.
+func (t *Tracker) Apply(revision int64, changes []Change, now time.Duration) bool {
+	changed := false
+	for i := range changes {
+		if changes[i].Revision > t.revision {
+			changed = t.apply(&changes[i]) || changed
+		}
+	}
+	if revision < t.revision {
+		return false
+	}
+	if changed {
+		t.publish(revision, now)
+		return true
+	}
+	t.revision = revision
+	if c := t.current.Load(); c != nil {
+		confirmed := *c
+		confirmed.Revision, confirmed.Confirmed = revision, now
+		t.current.Store(&confirmed)
+	}
+	return false
+}
+
+func (t *Tracker) apply(c *Change) bool {
+	switch {
+	case c.Config != nil:
+		if t.config != nil && c.Config.Version <= t.config.Version {
+			return false
+		}
+		t.config = c.Config
+	case c.Host != nil:
+		old := t.hosts[c.Host.ID]
+		t.hosts[c.Host.ID] = c.Host
+		return old == nil || !sameHost(old, c.Host)
+	case c.HostID != "":
+		if t.hosts[c.HostID] == nil {
+			return false
+		}
+		delete(t.hosts, c.HostID)
+	case c.Zone != "" && c.Removed:
+		delete(t.evacuated, c.Zone)
+	case c.Zone != "":
+		t.evacuated[c.Zone] = true
+	default:
+		return false
+	}
+	return true
+}
+
+// sameHost reports whether two descriptions lead to the same decisions.
+func sameHost(a, b *Host) bool {
+	return a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots &&
+		a.Draining == b.Draining && a.Born == b.Born && a.WarmupLeft == 0 && b.WarmupLeft == 0
+}
+
+func (t *Tracker) publish(revision int64, now time.Duration) {
+	t.revision = revision
+	if t.config == nil {
+		return
+	}
+	c := build(t.config, t.hosts, t.evacuated)
+	c.Revision, c.Confirmed = revision, now
+	t.current.Store(c)
+}
--- /dev/null
+++ b/datagram/datagram.go
@@ -0,0 +1,39 @@
+// Package datagram holds the two roles that carry opaque datagram flows: the
+// entry, which receives requesters' packets, and the agent beside a backend
+// server, which owns the flows of its host and has the last word on each.
+// The cores Entry and Agent decide; Node gives them sockets and clocks.
+package datagram
+
+import (
+	"time"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
+)
+
+// Output sends what a core has decided. The packet is only lent.
+type Output interface {
+	// ToRequester sends a packet to a requester.
+	ToRequester(to [4]byte, packet []byte)
+	// ToNode sends a frame, with the packet that follows it, to a process.
+	ToNode(to flow.Endpoint, f *flow.Frame, packet []byte)
+	// ToHost gives a packet to the host on this machine.
+	ToHost(packet []byte)
+}
+
+// CatalogFunc returns the snapshot in force, or nil before there is one.
+type CatalogFunc func() *catalog.Catalog
+
+const (
+	// maxHops bounds how often a packet is passed on between agents.
+	maxHops = 4
+	// refusalAge is how old the confirmation of a snapshot may be for an
+	// unknown route to be refused rather than passed over in silence.
+	refusalAge = 2 * time.Second
+	// closedLinger is how long a closed flow is kept for late packets.
+	closedLinger = 5 * time.Second
+	// idleMargin is added to the declared idle time before a flow is forgotten.
+	idleMargin = 5 * time.Second
+	// pendingLinger is how long an opening without an answer is remembered.
+	pendingLinger = 3 * time.Second
+)
--- /dev/null
+++ b/datagram/entry.go
@@ -0,0 +1,208 @@
+package datagram
+
+import (
+	"sync"
+	"time"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
+)
+
+// EntryConfig configures an Entry.
+type EntryConfig struct {
+	Zone string
+	// Self is where agents send their answers.
+	Self flow.Endpoint
+	// PeerPort is the port of all agents.
+	PeerPort uint16
+	// FlowLifetime is after how long a flow may be forgotten.
+	FlowLifetime time.Duration
+	Codec        flow.Codec
+	Catalog      CatalogFunc
+	Events       *Events
+}
+
+// Entry forwards requesters' packets to the agents of their flows. It holds a
+// cache of owners only: without it, keepers find the owner of any flow.
+type Entry struct {
+	config EntryConfig
+
+	mu     sync.Mutex
+	owners map[flow.Key]*owner
+	loads  *steering.Loads
+}
+
+// owner is what an entry knows of the agent of a flow.
+type owner struct {
+	agent [4]byte
+	// answered tells that the agent has confirmed the flow.
+	answered bool
+	// seen is when the flow's last packet came.
+	seen time.Duration
+}
+
+// NewEntry returns an entry that knows no flows.
+func NewEntry(config EntryConfig) *Entry {
+	return &Entry{config: config, owners: make(map[flow.Key]*owner), loads: steering.NewLoads()}
+}
+
+// HandlePacket forwards a packet from a requester.
+func (e *Entry) HandlePacket(now time.Duration, data []byte, out Output) {
+	var p flow.Packet
+	if !e.config.Codec.Decode(data, &p) {
+		e.config.Events.Drop(DropMalformed)
+		return
+	}
+	if p.Returned || p.Syn && p.Ack {
+		e.config.Events.Drop(DropForged)
+		return
+	}
+	c := e.config.Catalog()
+	if c == nil {
+		e.config.Events.Drop(DropNoCatalog)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p.Opening() {
+		e.open(now, c, &p, data, out)
+		return
+	}
+	e.follow(now, c, &p, data, out)
+}
+
+// open places a new flow.
+func (e *Entry) open(now time.Duration, c *catalog.Catalog, p *flow.Packet, data []byte, out Output) {
+	key := p.FromRequester()
+	route := c.Config.Routes[key.Service]
+	if route == nil {
+		e.refuseUnknown(now, c, p, out)
+		return
+	}
+	hash := key.Hash()
+	service := c.Services[route.Pick(hash)]
+	o := e.owners[key]
+	if o != nil && o.answered {
+		o.seen = now
+		e.deliver(c, service, o.agent, key, data, out)
+		return
+	}
+	opening := steering.Opening{Hash: hash, Zone: e.config.Zone, Now: now}
+	if o != nil {
+		// The copy of an opening shows that its first agent did not answer.
+		e.loads.Silent(o.agent, now)
+		silent := o.agent
+		opening.Avoid = func(agent [4]byte) bool { return agent == silent }
+		e.config.Events.Note(EventAgentSilent, key, "agent", flow.Endpoint{Addr: silent}.AddrPort().Addr())
+	}
+	var host *catalog.Host
+	if service != nil {
+		host = steering.ChooseHost(c, service, e.loads, opening)
+	}
+	if host == nil {
+		e.config.Events.Note(EventRefused, key, "reason", "no_host")
+		reset(e.config.Codec, p, out)
+		return
+	}
+	agent := host.Addr.Addr
+	e.loads.Placed(agent)
+	e.owners[key] = &owner{agent: agent, seen: now}
+	e.deliver(c, service, agent, key, data, out)
+}
+
+func (e *Entry) deliver(c *catalog.Catalog, service *catalog.Service, agent [4]byte, _ flow.Key, data []byte, out Output) {
+	f := flow.Frame{Kind: flow.Deliver, Config: c.Config.Version, Origin: e.config.Self}
+	if service != nil {
+		f.Service = service.Tag
+	}
+	out.ToNode(flow.Endpoint{Addr: agent, Port: e.config.PeerPort}, &f, data)
+}
+
+// refuseUnknown answers an opening for a route that does not exist. A snapshot
+// that may be old says nothing of routes that were just added.
+func (e *Entry) refuseUnknown(now time.Duration, c *catalog.Catalog, p *flow.Packet, out Output) {
+	if now-c.Confirmed > refusalAge {
+		e.config.Events.Drop(DropNoRoute)
+		return
+	}
+	e.config.Events.Note(EventRefused, p.FromRequester(), "reason", "no_route", "config", c.Config.Version)
+	reset(e.config.Codec, p, out)
+}
+
+// follow forwards a packet of a flow that is not new.
+func (e *Entry) follow(now time.Duration, c *catalog.Catalog, p *flow.Packet, data []byte, out Output) {
+	key := p.FromRequester()
+	var service *catalog.Service
+	hash := key.Hash()
+	if route := c.Config.Routes[key.Service]; route != nil {
+		service = c.Services[route.Pick(hash)]
+	}
+	if o := e.owners[key]; o != nil {
+		o.seen = now
+		e.deliver(c, service, o.agent, key, data, out)
+		return
+	}
+	keeper, _, ok := steering.Keepers(c, hash)
+	if !ok {
+		e.config.Events.Drop(DropNoAgents)
+		return
+	}
+	f := flow.Frame{Kind: flow.Find, Config: c.Config.Version, Origin: e.config.Self}
+	if service != nil {
+		f.Service = service.Tag
+	}
+	e.config.Events.Count(CountFinds)
+	out.ToNode(flow.Endpoint{Addr: keeper, Port: e.config.PeerPort}, &f, data)
+}
+
+// HandleFrame takes an agent's answer.
+func (e *Entry) HandleFrame(now time.Duration, data []byte) {
+	var f flow.Frame
+	if _, ok := f.Parse(data); !ok {
+		e.config.Events.Drop(DropMalformed)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch f.Kind {
+	case flow.Owned:
+		e.loads.Report(f.Owner, int(f.Flows), int(f.Busy), now)
+		if o := e.owners[f.Key]; o != nil {
+			o.agent, o.answered = f.Owner, true
+			return
+		}
+		e.owners[f.Key] = &owner{agent: f.Owner, answered: true, seen: now}
+	case flow.Load:
+		e.loads.Report(f.Owner, int(f.Flows), int(f.Busy), now)
+	case flow.Closed:
+		if o := e.owners[f.Key]; o != nil && o.agent == f.Owner {
+			delete(e.owners, f.Key)
+		}
+	default:
+		e.config.Events.Drop(DropMalformed)
+	}
+}
+
+// Expire forgets owners of flows that have been idle.
+func (e *Entry) Expire(now time.Duration) {
+	c := e.config.Catalog()
+	if c == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads.Retain(c)
+	for key, o := range e.owners {
+		idle := now - o.seen
+		if idle > c.Config.IdleTimeout+idleMargin || !o.answered && idle > pendingLinger {
+			delete(e.owners, key)
+		}
+	}
+}
+
+// reset tells a requester that its flow will not be opened.
+func reset(codec flow.Codec, p *flow.Packet, out Output) {
+	var b [64]byte
+	out.ToRequester(p.Src.Addr, codec.AppendReset(b[:0], p.Dst, p.Src, p.AckSeq))
+}
--- /dev/null
+++ b/datagram/node.go
@@ -0,0 +1,169 @@
+package datagram
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericrock/turmericrock/flow"
+)
+
+// maxDatagram is the size of the buffer that a datagram is read into.
+const maxDatagram = 2048
+
+// expireInterval is the time between two sweeps of the tables.
+const expireInterval = time.Second
+
+// Handler takes a datagram.
+type Handler func(now time.Duration, data []byte, out Output)
+
+// Sockets are the addresses of a node. Those that are not valid are not used.
+type Sockets struct {
+	// Requesters is where packets of requesters arrive; its port is also that
+	// of requesters.
+	Requesters netip.AddrPort
+	// Peers is where frames arrive.
+	Peers netip.AddrPort
+	// FromHost is where the host's packets arrive, Host where it reads.
+	FromHost, Host netip.AddrPort
+	// Ready is the address of the routers' check.
+	Ready string
+}
+
+// Node gives a core its sockets.
+type Node struct {
+	Sockets Sockets
+	// RequesterPort is the port that requesters receive at.
+	RequesterPort uint16
+	// OnRequester, OnPeer and OnHost take what arrives.
+	OnRequester, OnPeer, OnHost Handler
+	// Expire is called about once a second.
+	Expire func(now time.Duration)
+	// IsReady tells whether the routers may send packets.
+	IsReady func() bool
+	Now     func() time.Duration
+	Log     *logrus.Entry
+	Events  *Events
+
+	peers, requesters, host *net.UDPConn
+}
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	var listen net.ListenConfig
+	ready, err := listen.Listen(ctx, "tcp", n.Sockets.Ready)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: time.Second}
+	defer func() { _ = server.Close() }()
+	for _, s := range []struct {
+		at   netip.AddrPort
+		conn **net.UDPConn
+	}{
+		{n.Sockets.Peers, &n.peers}, {n.Sockets.Requesters, &n.requesters}, {n.Sockets.FromHost, &n.host},
+	} {
+		if !s.at.IsValid() {
+			continue
+		}
+		if *s.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.at)); err != nil {
+			return errors.Wrap(err, "listen")
+		}
+	}
+	var group sync.WaitGroup
+	group.Go(func() {
+		if err := server.Serve(ready); !errors.Is(err, http.ErrServerClosed) {
+			n.Log.WithError(err).Error("ready_failed")
+		}
+	})
+	group.Go(func() { n.read(n.peers, n.OnPeer) })
+	if n.requesters != nil {
+		group.Go(func() { n.read(n.requesters, n.OnRequester) })
+	}
+	if n.host != nil {
+		group.Go(func() { n.read(n.host, n.OnHost) })
+	}
+	n.sweep(ctx)
+	_ = server.Close()
+	for _, c := range []*net.UDPConn{n.peers, n.requesters, n.host} {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+	group.Wait()
+	return nil
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.IsReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.Expire(n.Now())
+			n.Events.Refill()
+		}
+	}
+}
+
+func (n *Node) read(conn *net.UDPConn, handle Handler) {
+	buffer := make([]byte, maxDatagram)
+	out := &output{node: n, scratch: make([]byte, 0, maxDatagram+flow.FrameSize)}
+	for {
+		size, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.Log.WithError(err).Debug("read_failed")
+			continue
+		}
+		handle(n.Now(), buffer[:size], out)
+	}
+}
+
+// output sends through the node's sockets. Each reader has its own.
+type output struct {
+	node    *Node
+	scratch []byte
+}
+
+func (o *output) send(conn *net.UDPConn, to netip.AddrPort, data []byte) {
+	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
+		o.node.Events.Drop(DropSend)
+	}
+}
+
+// ToRequester implements Output.
+func (o *output) ToRequester(to [4]byte, packet []byte) {
+	conn := o.node.requesters
+	if conn == nil {
+		conn = o.node.host
+	}
+	o.send(conn, netip.AddrPortFrom(netip.AddrFrom4(to), o.node.RequesterPort), packet)
+}
+
+// ToNode implements Output.
+func (o *output) ToNode(to flow.Endpoint, f *flow.Frame, packet []byte) {
+	o.scratch = append(f.Append(o.scratch[:0]), packet...)
+	o.send(o.node.peers, to.AddrPort(), o.scratch)
+}
+
+// ToHost implements Output.
+func (o *output) ToHost(packet []byte) {
+	o.send(o.node.peers, o.node.Sockets.Host, packet)
+}
--- /dev/null
+++ b/flow/frame.go
@@ -0,0 +1,118 @@
+package flow
+
+import (
+	"encoding/binary"
+)
+
+// FrameSize is the size of a frame's header in bytes. A packet follows it in
+// frames of the kinds Deliver, Find and Probe.
+const FrameSize = 36
+
+const frameMagic = 0x74
+
+// Kind tells what a frame asks for.
+type Kind uint8
+
+// The kinds of frames.
+const (
+	// Deliver brings a packet to the agent that owns its flow or is to take it.
+	Deliver Kind = iota + 1
+	// Find asks a keeper to bring a packet to the owner of its flow.
+	Find
+	// Probe asks every agent of a service for the owner of a packet's flow.
+	Probe
+	// Owned tells who owns a flow, and how loaded the owner is.
+	Owned
+	// Closed tells that a flow has ended at its owner.
+	Closed
+	// Load tells how loaded an agent is.
+	Load
+)
+
+// Frame is the header of a datagram between processes.
+type Frame struct {
+	Kind Kind
+	// Hops counts the agents that have passed the packet on.
+	Hops uint8
+	// Service is the tag of the service that the packet is for.
+	Service uint32
+	// Config is the version of the configuration that chose the service.
+	Config uint64
+	// Origin is the entry that received the packet; answers go there.
+	Origin Endpoint
+	// Avoid holds agents that could not take the packet. Zero is no agent.
+	Avoid [2][4]byte
+	// Key names the flow in Owned and Closed.
+	Key Key
+	// Owner is the agent of the flow in Owned, or of the load.
+	Owner [4]byte
+	// Flows counts the flows that the owner holds.
+	Flows uint16
+	// Busy counts the requests in service at the owner.
+	Busy uint16
+	// Started is the owner's start, so that a later process is told apart.
+	Started uint32
+}
+
+// Append appends the frame's header.
+func (f *Frame) Append(to []byte) []byte {
+	var b [FrameSize]byte
+	b[0], b[1], b[2] = frameMagic, byte(f.Kind), f.Hops
+	switch f.Kind {
+	case Deliver, Find, Probe:
+		binary.LittleEndian.PutUint32(b[4:], f.Service)
+		binary.LittleEndian.PutUint64(b[8:], f.Config)
+		copy(b[16:], f.Origin.Addr[:])
+		binary.LittleEndian.PutUint16(b[20:], f.Origin.Port)
+		copy(b[24:], f.Avoid[0][:])
+		copy(b[28:], f.Avoid[1][:])
+	case Owned, Closed, Load:
+		f.Key.put(b[4:])
+		copy(b[16:], f.Owner[:])
+		binary.LittleEndian.PutUint16(b[20:], f.Flows)
+		binary.LittleEndian.PutUint16(b[22:], f.Busy)
+		binary.LittleEndian.PutUint32(b[24:], f.Service)
+		binary.LittleEndian.PutUint32(b[28:], f.Started)
+	}
+	return append(to, b[:]...)
+}
+
+// Parse reads the frame's header and returns what follows it. It reports
+// false for a datagram that is no frame.
+func (f *Frame) Parse(data []byte) ([]byte, bool) {
+	if len(data) < FrameSize || data[0] != frameMagic {
+		return nil, false
+	}
+	*f = Frame{Kind: Kind(data[1]), Hops: data[2]}
+	switch f.Kind {
+	case Deliver, Find, Probe:
+		f.Service = binary.LittleEndian.Uint32(data[4:])
+		f.Config = binary.LittleEndian.Uint64(data[8:])
+		f.Origin = Endpoint{Addr: [4]byte(data[16:20]), Port: binary.LittleEndian.Uint16(data[20:])}
+		f.Avoid = [2][4]byte{[4]byte(data[24:28]), [4]byte(data[28:32])}
+	case Owned, Closed, Load:
+		f.Key = keyFrom(data[4:])
+		f.Owner = [4]byte(data[16:20])
+		f.Flows = binary.LittleEndian.Uint16(data[20:])
+		f.Busy = binary.LittleEndian.Uint16(data[22:])
+		f.Service = binary.LittleEndian.Uint32(data[24:])
+		f.Started = binary.LittleEndian.Uint32(data[28:])
+	default:
+		return nil, false
+	}
+	return data[FrameSize:], true
+}
+
+// Avoids reports whether the packet has been at the agent in vain.
+func (f *Frame) Avoids(agent [4]byte) bool {
+	return f.Avoid[0] == agent || f.Avoid[1] == agent
+}
+
+// AddAvoid notes an agent that could not take the packet. The oldest note is
+// given up when there is no room.
+func (f *Frame) AddAvoid(agent [4]byte) {
+	if f.Avoids(agent) {
+		return
+	}
+	f.Avoid[1], f.Avoid[0] = f.Avoid[0], agent
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,6 +32,8 @@
 	commander.Register(commander.HelpCommand(), "help")
 	commander.Register(newEntryCommand(err), groupRoles)
 	commander.Register(newAgentCommand(err), groupRoles)
+	commander.Register(newDatagramEntryCommand(out, err), groupRoles)
+	commander.Register(newDatagramAgentCommand(out, err), groupRoles)
 	commander.Register(newCheckCommand(out, err), groupOperators)
 	commander.Register(newBundleCommand(out, err), groupOperators)
 	commander.Register(newStatusCommand(out, err), groupOperators)
--- /dev/null
+++ b/internal/cli/datagram.go
@@ -0,0 +1,176 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/datagram"
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/internal/logging"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+const datagramEntryHelp = `Runs an entry for opaque datagram flows on the platform: it receives requesters'
+packets from the routers and forwards each to the agent that owns its flow. Settings
+come from the platform's file, named by -settings or by TURMERICROCK_CONFIG. On
+SIGTERM it leaves the routers' rotation, serves on until they have noticed, and ends.
+
+Example:
+  turmericrock datagram-entry -settings /etc/turmericrock/local.json`
+
+const datagramAgentHelp = `Runs the agent for opaque datagram flows beside a backend server on the platform: it
+owns the flows of the server, has the last word on each new one, and carries the
+server's packets to the requesters. Settings come from the platform's file, named by
+-settings or by TURMERICROCK_CONFIG.
+
+Example:
+  turmericrock datagram-agent -settings /etc/turmericrock/local.json`
+
+type datagramCommand struct {
+	settings string
+	out      io.Writer
+	start    func(*datagramNode) *datagram.Node
+	// linger is how long the process serves on after SIGTERM.
+	linger time.Duration
+}
+
+// entryLinger covers the time that routers take to notice an entry that is not
+// ready, at two misses of a check made twice a second, with some to spare.
+const entryLinger = 1800 * time.Millisecond
+
+func newDatagramEntryCommand(out, err io.Writer) *command {
+	c := &datagramCommand{out: out, start: startDatagramEntry, linger: entryLinger}
+	return c.command("datagram-entry", "forward packets of opaque flows to agents", datagramEntryHelp, err)
+}
+
+func newDatagramAgentCommand(out, err io.Writer) *command {
+	c := &datagramCommand{out: out, start: startDatagramAgent}
+	return c.command("datagram-agent", "own the opaque flows of a backend server", datagramAgentHelp, err)
+}
+
+func (c *datagramCommand) command(name, synopsis, help string, err io.Writer) *command {
+	return &command{
+		name: name, synopsis: synopsis, usage: "[-settings FILE]", help: help, err: err,
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsEnv), "`file` with the platform's settings")
+		},
+		run: c.run,
+	}
+}
+
+// datagramNode is what both roles start from.
+type datagramNode struct {
+	settings *platform.Settings
+	tracker  *catalog.Tracker
+	events   *datagram.Events
+	log      *logrus.Entry
+	now      func() time.Duration
+	started  time.Time
+	stopping atomic.Bool
+}
+
+func (c *datagramCommand) run(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	if err := required("settings", c.settings); err != nil {
+		return err
+	}
+	loaded, err := platform.LoadSettings(c.settings)
+	if err != nil {
+		return err
+	}
+	logger, err := logging.New(c.out, logrus.InfoLevel.String())
+	if err != nil {
+		return err
+	}
+	log := logger.WithFields(logrus.Fields{"node": loaded.Node, "zone": loaded.Zone})
+	started := time.Now()
+	n := &datagramNode{
+		settings: loaded,
+		tracker:  catalog.NewTracker(),
+		events:   datagram.NewEvents(log),
+		log:      log,
+		now:      func() time.Duration { return time.Since(started) },
+		started:  started,
+	}
+	log.WithField("version", Version()).Info("started")
+	return n.run(ctx, c.start(n), c.linger)
+}
+
+func (n *datagramNode) run(ctx context.Context, node *datagram.Node, linger time.Duration) error {
+	signalled, stop := untilSignal(ctx)
+	defer stop()
+	serving, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	context.AfterFunc(signalled, func() {
+		n.stopping.Store(true)
+		n.log.WithField("linger_ms", linger.Milliseconds()).Info("stopping")
+		time.AfterFunc(linger, end)
+	})
+	syncer := &catalog.Syncer{
+		Source: platform.NewSource(platform.NewStore(n.settings.Store), n.now, func(key string, revision int64, err error) {
+			n.log.WithError(err).WithFields(logrus.Fields{"key": key, "revision": revision}).Warn("value_rejected")
+		}),
+		Tracker: n.tracker, Log: n.log, Now: n.now, Changed: func(*catalog.Catalog) {},
+	}
+	go syncer.Run(serving)
+	err := node.Run(serving)
+	n.log.WithField("totals", n.events.Totals()).Info("stopped")
+	return errors.WithStack(err)
+}
+
+func (n *datagramNode) ready() bool {
+	return !n.stopping.Load() && n.tracker.Current() != nil
+}
+
+func (n *datagramNode) self() netip.AddrPort {
+	return netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort)
+}
+
+func (n *datagramNode) node() *datagram.Node {
+	return &datagram.Node{
+		Sockets: datagram.Sockets{
+			Peers: n.self(), FromHost: n.settings.FromHost, Host: n.settings.Host, Ready: n.settings.Ready,
+		},
+		RequesterPort: n.settings.Packets.Port(),
+		IsReady:       n.ready, Now: n.now, Log: n.log, Events: n.events,
+	}
+}
+
+func startDatagramEntry(n *datagramNode) *datagram.Node {
+	e := datagram.NewEntry(datagram.EntryConfig{
+		Zone: n.settings.Zone, Self: flow.EndpointOf(n.self()), PeerPort: n.settings.PeerPort,
+		FlowLifetime: n.settings.FlowLifetime,
+		Codec:        platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
+	})
+	node := n.node()
+	node.Sockets.Requesters = n.settings.Packets
+	node.OnRequester = e.HandlePacket
+	node.OnPeer = func(now time.Duration, data []byte, _ datagram.Output) { e.HandleFrame(now, data) }
+	node.Expire = e.Expire
+	return node
+}
+
+func startDatagramAgent(n *datagramNode) *datagram.Node {
+	a := datagram.NewAgent(datagram.AgentConfig{
+		Self: flow.EndpointOf(n.self()), Service: n.settings.Service, FlowLifetime: n.settings.FlowLifetime,
+		ColdOverage: n.settings.ColdOverage, ColdSlack: n.settings.ColdSlack,
+		Restarted: !n.settings.FirstStart, Started: uint32(n.started.Unix()),
+		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
+	})
+	node := n.node()
+	node.OnPeer = a.HandleFrame
+	node.OnHost = a.HandleHost
+	node.Expire = a.Expire
+	return node
+}
