Find every open flow again, and reset those that no host holds

Ruled out: requesters moving between entries, since the entry stayed the same.

An agent now keeps closed flows for a flow's lifetime, tells keepers that are new or have restarted, and tries an unknown flow at its host once only. A search is answered by every agent; when all say that their host does not hold the flow, the requester is reset at once rather than left to its timeout.

SIGHUP ended the processes (exit status 129); it is now logged.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -116,6 +116,14 @@
 	Hosts []*Host
 }
 
+// RemovedHost is a host whose description went away.
+type RemovedHost struct {
+	Agent   [4]byte
+	Service string
+	// At is when the description went away, on the process's own clock.
+	At time.Duration
+}
+
 // Catalog is an immutable snapshot. Nothing in it is changed once published.
 type Catalog struct {
 	// Revision is the store's revision that the snapshot follows.
@@ -123,13 +131,18 @@
 	// Confirmed is the time on the process's own clock at which the snapshot
 	// was known to be current.
 	Confirmed time.Duration
-	Config    *Config
-	Services  map[string]*Service
-	ByTag     map[uint32]*Service
+	// SteadySince is since when no reading has failed.
+	SteadySince time.Duration
+	Config      *Config
+	Services    map[string]*Service
+	ByTag       map[uint32]*Service
 	// Hosts maps the address of a machine to the newest host on it.
 	Hosts map[[4]byte]*Host
 	// Agents are the addresses of all agents, ordered.
 	Agents [][4]byte
+	// Removed are hosts whose description went away less than a flow's lifetime
+	// ago. They may still live: descriptions lapse while the store is away.
+	Removed []RemovedHost
 	// Evacuated holds the zones that operators have taken out of service.
 	Evacuated map[string]bool
 }
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -112,6 +112,7 @@
 }
 
 func (s *Syncer) fail(err error) {
+	s.Tracker.Failed()
 	if !s.failing {
 		s.Log.WithError(err).WithField("revision", s.Tracker.Revision()).Warn("store_lost")
 	}
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -29,9 +29,16 @@
 	config    *Config
 	hosts     map[string]*Host
 	evacuated map[string]bool
+	removed   []RemovedHost
+	steady    time.Duration
+	failed    bool
 	current   atomic.Pointer[Catalog]
 }
 
+// removedLinger is how long a removed host is remembered. It is the longest
+// lifetime of a flow that the platform's settings name.
+const removedLinger = time.Minute
+
 // NewTracker returns a tracker without a snapshot.
 func NewTracker() *Tracker {
 	return &Tracker{hosts: make(map[string]*Host), evacuated: make(map[string]bool)}
@@ -53,26 +60,55 @@
 	if revision < t.revision {
 		return
 	}
+	before := t.hosts
 	t.hosts = make(map[string]*Host)
 	t.evacuated = make(map[string]bool)
 	for i := range changes {
-		t.apply(&changes[i])
+		t.apply(&changes[i], now)
+	}
+	for id, h := range before {
+		if t.hosts[id] == nil {
+			t.noteRemoved(h, now)
+		}
 	}
+	t.succeeded(now)
 	t.publish(revision, now)
 }
 
+// Failed notes that a reading has failed.
+func (t *Tracker) Failed() {
+	t.failed = true
+}
+
+func (t *Tracker) succeeded(now time.Duration) {
+	if t.failed || t.steady == 0 {
+		t.steady, t.failed = now, false
+	}
+}
+
+func (t *Tracker) noteRemoved(h *Host, now time.Duration) {
+	kept := t.removed[:0:0]
+	for _, r := range t.removed {
+		if now-r.At < removedLinger && r.Agent != h.Addr.Addr {
+			kept = append(kept, r)
+		}
+	}
+	t.removed = append(kept, RemovedHost{Agent: h.Addr.Addr, Service: h.Service, At: now})
+}
+
 // Apply applies what has changed since the last reading. It reports whether
 // anything but the revision changed.
 func (t *Tracker) Apply(revision int64, changes []Change, now time.Duration) bool {
 	changed := false
 	for i := range changes {
 		if changes[i].Revision > t.revision {
-			changed = t.apply(&changes[i]) || changed
+			changed = t.apply(&changes[i], now) || changed
 		}
 	}
 	if revision < t.revision {
 		return false
 	}
+	t.succeeded(now)
 	if changed {
 		t.publish(revision, now)
 		return true
@@ -80,13 +116,13 @@
 	t.revision = revision
 	if c := t.current.Load(); c != nil {
 		confirmed := *c
-		confirmed.Revision, confirmed.Confirmed = revision, now
+		confirmed.Revision, confirmed.Confirmed, confirmed.SteadySince = revision, now, t.steady
 		t.current.Store(&confirmed)
 	}
 	return false
 }
 
-func (t *Tracker) apply(c *Change) bool {
+func (t *Tracker) apply(c *Change, now time.Duration) bool {
 	switch {
 	case c.Config != nil:
 		if t.config != nil && c.Config.Version <= t.config.Version {
@@ -101,6 +137,7 @@
 		if t.hosts[c.HostID] == nil {
 			return false
 		}
+		t.noteRemoved(t.hosts[c.HostID], now)
 		delete(t.hosts, c.HostID)
 	case c.Zone != "" && c.Removed:
 		delete(t.evacuated, c.Zone)
@@ -124,6 +161,6 @@
 		return
 	}
 	c := build(t.config, t.hosts, t.evacuated)
-	c.Revision, c.Confirmed = revision, now
+	c.Revision, c.Confirmed, c.SteadySince, c.Removed = revision, now, t.steady, t.removed
 	t.current.Store(c)
 }
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -62,8 +62,6 @@
 type record struct {
 	owner [4]byte
 	seen  time.Duration
-	// probed is when all agents were last asked for the owner.
-	probed time.Duration
 }
 
 // trial is a packet that the host was given although the flow is unknown.
@@ -71,18 +69,17 @@
 	frame flow.Frame
 	at    time.Duration
 	count int
+	// absent tells that the host returned the packet.
+	absent bool
 }
 
 const (
 	// trialSettled is after how long the host would have returned a packet of
 	// a flow that it does not hold.
 	trialSettled = 100 * time.Millisecond
-	// trialWindow is the span in which trialMost packets of one flow may be
-	// tried at a host that may not hold it.
-	trialWindow = 2500 * time.Millisecond
-	trialMost   = 2
-	// probeInterval is the time between two searches for one flow's owner.
-	probeInterval = 300 * time.Millisecond
+	// trialMost bounds the packets of one flow that are tried before the host
+	// had the time to return one.
+	trialMost = 2
 	// recordLinger is how long a keeper remembers a flow beyond its lifetime.
 	recordLinger = 5 * time.Second
 )
@@ -97,21 +94,24 @@
 	flows   map[flow.Key]*ownedFlow
 	records map[flow.Key]*record
 	trials  map[flow.Key]*trial
-	busy    int
-	open    int
-	cold    steering.ColdGate
-	loads   *steering.Loads
+	// searches are the flows whose owner this agent asks all others for.
+	searches map[flow.Key]*search
+	busy     int
+	open     int
+	cold     steering.ColdGate
+	loads    *steering.Loads
 }
 
 // NewAgent returns an agent that knows no flows.
 func NewAgent(config AgentConfig) *Agent {
 	return &Agent{
-		config:  config,
-		tag:     catalog.Tag(config.Service),
-		flows:   make(map[flow.Key]*ownedFlow),
-		records: make(map[flow.Key]*record),
-		trials:  make(map[flow.Key]*trial),
-		loads:   steering.NewLoads(),
+		config:   config,
+		tag:      catalog.Tag(config.Service),
+		flows:    make(map[flow.Key]*ownedFlow),
+		records:  make(map[flow.Key]*record),
+		trials:   make(map[flow.Key]*trial),
+		searches: make(map[flow.Key]*search),
+		loads:    steering.NewLoads(),
 	}
 }
 
@@ -134,6 +134,10 @@
 		if r := a.records[f.Key]; r != nil && r.owner == f.Owner {
 			delete(a.records, f.Key)
 		}
+	case flow.Absent:
+		a.absent(now, f.Key, f.Owner, out)
+	case flow.Hello:
+		a.tellStarted(f.Owner, out)
 	default:
 		a.config.Events.Drop(DropMalformed)
 	}
@@ -168,7 +172,9 @@
 	case flow.Find:
 		a.find(now, f, key, data, out)
 	case flow.Probe:
-		a.try(now, key, f, data, out)
+		if !a.try(now, key, f, data, out) {
+			a.answerAbsent(now, f.Asker, key, out)
+		}
 	}
 }
 
@@ -358,22 +364,26 @@
 
 // try gives the host a packet of a flow that the agent does not know. It is
 // done only while the host may hold flows from before the agent's start; the
-// host returns what it does not hold.
+// host returns what it does not hold. It reports false if the host does not
+// hold the flow.
 func (a *Agent) try(now time.Duration, key flow.Key, f *flow.Frame, data []byte, out Output) bool {
-	if !a.config.Restarted || now > a.config.FlowLifetime || f.Service != 0 && f.Service != a.tag {
+	if !a.config.Restarted || now > a.config.FlowLifetime {
 		return false
 	}
 	t := a.trials[key]
 	switch {
-	case t == nil || now-t.at > trialWindow:
+	case t == nil:
 		a.trials[key] = &trial{frame: *f, at: now, count: 1}
-	case now-t.at > trialSettled && t.count > 0:
-		// The host did not return the last one: it holds the flow.
-		delete(a.trials, key)
-		a.adopt(now, key, t.frame.Origin, out)
-	case t.count == 0 || t.count >= trialMost:
+	case t.absent:
 		return false
+	case now-t.at > trialSettled:
+		// The host did not return the packet: it holds the flow.
+		delete(a.trials, key)
+		a.adopt(now, key, f.Origin, out)
+	case t.count >= trialMost:
+		return true
 	default:
+		t.frame = *f
 		t.count++
 	}
 	out.ToHost(data)
@@ -425,7 +435,7 @@
 		return
 	}
 	self := a.config.Self
-	if r := a.records[key]; r != nil && r.owner != self.Addr && !f.Avoids(r.owner) && r.owner != ([4]byte{}) {
+	if r := a.records[key]; r != nil && r.owner != self.Addr && !f.Avoids(r.owner) {
 		next.Kind = flow.Deliver
 		next.AddAvoid(self.Addr)
 		out.ToNode(flow.Endpoint{Addr: r.owner, Port: self.Port}, &next, data)
@@ -440,32 +450,7 @@
 			return
 		}
 	}
-	a.probe(now, c, &next, key, data, out)
-}
-
-// probe asks all agents of the service, once neither keeper knows the owner.
-func (a *Agent) probe(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, data []byte, out Output) {
-	r := a.records[key]
-	if r == nil {
-		r = &record{probed: -probeInterval}
-		a.records[key] = r
-	}
-	service := c.ByTag[f.Service]
-	if service == nil || now-r.probed < probeInterval {
-		a.config.Events.Drop(DropNoOwner)
-		return
-	}
-	r.probed, r.seen = now, now
-	a.config.Events.Note(EventProbed, key, "agents", len(service.Hosts))
-	probe := *f
-	probe.Kind = flow.Probe
-	for _, h := range service.Hosts {
-		if h.Addr.Addr == a.config.Self.Addr {
-			a.try(now, key, &probe, data, out)
-			continue
-		}
-		out.ToNode(flow.Endpoint{Addr: h.Addr.Addr, Port: a.config.Self.Port}, &probe, data)
-	}
+	a.search(now, c, &next, key, data, out)
 }
 
 // HandleHost takes a packet that the host on this machine sent.
@@ -541,13 +526,17 @@
 		}
 		return
 	}
-	if t := a.trials[key]; t != nil {
-		t.count = 0
-		if t.frame.Kind != flow.Probe {
-			f := t.frame
-			a.find(now, &f, key, data, out)
-		}
+	t := a.trials[key]
+	if t == nil {
+		return
 	}
+	t.absent = true
+	f := t.frame
+	if f.Kind == flow.Probe {
+		a.answerAbsent(now, f.Asker, key, out)
+		return
+	}
+	a.find(now, &f, key, data, out)
 }
 
 func (a *Agent) forget(key flow.Key, fl *ownedFlow) {
@@ -571,7 +560,11 @@
 	defer a.mu.Unlock()
 	for key, fl := range a.flows {
 		quiet := now - fl.seen
-		if quiet > idle || fl.state == flowClosed && quiet > closedLinger || fl.state == flowOpening && quiet > pendingLinger {
+		if fl.state == flowClosed {
+			// Late packets of a closed flow are for its host to answer.
+			quiet -= a.config.FlowLifetime
+		}
+		if quiet > idle || fl.state == flowOpening && quiet > pendingLinger {
 			a.forget(key, fl)
 		}
 	}
@@ -581,8 +574,13 @@
 		}
 	}
 	for key, t := range a.trials {
-		if now-t.at > trialWindow {
+		if now-t.at > a.config.FlowLifetime {
 			delete(a.trials, key)
 		}
 	}
+	for key, s := range a.searches {
+		if now-s.at > searchLinger {
+			delete(a.searches, key)
+		}
+	}
 }
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -30,8 +30,6 @@
 	// refusalAge is how old the confirmation of a snapshot may be for an
 	// unknown route to be refused rather than passed over in silence.
 	refusalAge = 2 * time.Second
-	// closedLinger is how long a closed flow is kept for late packets.
-	closedLinger = 5 * time.Second
 	// idleMargin is added to the declared idle time before a flow is forgotten.
 	idleMargin = 5 * time.Second
 	// pendingLinger is how long an opening without an answer is remembered.
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -54,7 +54,7 @@
 	peers, requesters, host *net.UDPConn
 }
 
-// Run serves until the context ends.
+// Run serves until the context ends. The node must listen.
 func (n *Node) Run(ctx context.Context) error {
 	var listen net.ListenConfig
 	ready, err := listen.Listen(ctx, "tcp", n.Sockets.Ready)
@@ -63,19 +63,6 @@
 	}
 	server := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: time.Second}
 	defer func() { _ = server.Close() }()
-	for _, s := range []struct {
-		at   netip.AddrPort
-		conn **net.UDPConn
-	}{
-		{n.Sockets.Peers, &n.peers}, {n.Sockets.Requesters, &n.requesters}, {n.Sockets.FromHost, &n.host},
-	} {
-		if !s.at.IsValid() {
-			continue
-		}
-		if *s.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.at)); err != nil {
-			return errors.Wrap(err, "listen")
-		}
-	}
 	var group sync.WaitGroup
 	group.Go(func() {
 		if err := server.Serve(ready); !errors.Is(err, http.ErrServerClosed) {
@@ -100,6 +87,30 @@
 	return nil
 }
 
+// Listen opens the node's sockets for frames, requesters and the host.
+func (n *Node) Listen() error {
+	var err error
+	for _, s := range []struct {
+		at   netip.AddrPort
+		conn **net.UDPConn
+	}{
+		{n.Sockets.Peers, &n.peers}, {n.Sockets.Requesters, &n.requesters}, {n.Sockets.FromHost, &n.host},
+	} {
+		if !s.at.IsValid() {
+			continue
+		}
+		if *s.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.at)); err != nil {
+			return errors.Wrap(err, "listen")
+		}
+	}
+	return nil
+}
+
+// NewOutput returns an output for one goroutine. The node must listen.
+func (n *Node) NewOutput() Output {
+	return &output{node: n, scratch: make([]byte, 0, maxDatagram+flow.FrameSize)}
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.IsReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -122,7 +133,7 @@
 
 func (n *Node) read(conn *net.UDPConn, handle Handler) {
 	buffer := make([]byte, maxDatagram)
-	out := &output{node: n, scratch: make([]byte, 0, maxDatagram+flow.FrameSize)}
+	out := n.NewOutput()
 	for {
 		size, _, err := conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
--- /dev/null
+++ b/datagram/search.go
@@ -0,0 +1,174 @@
+package datagram
+
+import (
+	"time"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
+)
+
+const (
+	// searchInterval is the time between two searches for one flow's owner.
+	searchInterval = 300 * time.Millisecond
+	// searchLinger is how long a search is remembered.
+	searchLinger = 5 * time.Second
+	// listingSettle is how long readings must have succeeded for the list of
+	// hosts to be complete: descriptions that lapsed are back within 2 s.
+	listingSettle = 2500 * time.Millisecond
+	// listingAge is how old the list of hosts may be for a flow to be given up.
+	listingAge = 1500 * time.Millisecond
+	// removedSettle is after how long without an answer a host is taken as gone
+	// whose description was removed.
+	removedSettle = 10 * time.Second
+)
+
+// search is a question to all agents for the owner of a flow.
+type search struct {
+	at time.Duration
+	// missing are the agents that have not answered.
+	missing map[[4]byte]bool
+	origin  flow.Endpoint
+	// packet is the header of the packet that was to be delivered.
+	packet flow.Packet
+}
+
+// search asks all agents whose host may hold a flow, once neither keeper knows
+// the owner. If all of them answer that it does not, the flow is dead.
+func (a *Agent) search(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, data []byte, out Output) {
+	if s := a.searches[key]; s != nil && now-s.at < searchInterval {
+		a.config.Events.Drop(DropNoOwner)
+		return
+	}
+	s := &search{at: now, missing: make(map[[4]byte]bool), origin: f.Origin}
+	if !a.config.Codec.Decode(data, &s.packet) {
+		return
+	}
+	a.searches[key] = s
+	agents := a.mayHold(now, c, key)
+	for _, agent := range agents {
+		s.missing[agent] = true
+	}
+	a.config.Events.Note(EventProbed, key, "agents", len(agents))
+	probe := *f
+	probe.Kind, probe.Asker = flow.Probe, a.config.Self.Addr
+	for _, agent := range agents {
+		if agent != a.config.Self.Addr {
+			out.ToNode(flow.Endpoint{Addr: agent, Port: a.config.Self.Port}, &probe, data)
+			continue
+		}
+		if !a.try(now, key, &probe, data, out) {
+			a.absent(now, key, agent, out)
+		}
+	}
+}
+
+// mayHold returns the agents of the hosts that the flow may have been sent to.
+func (a *Agent) mayHold(now time.Duration, c *catalog.Catalog, key flow.Key) [][4]byte {
+	route := c.Config.Routes[key.Service]
+	listed := func(service string) bool {
+		if route == nil {
+			return true
+		}
+		for _, t := range route.Targets {
+			if t.Service == service {
+				return true
+			}
+		}
+		return false
+	}
+	var agents [][4]byte
+	for _, agent := range c.Agents {
+		if listed(c.Hosts[agent].Service) {
+			agents = append(agents, agent)
+		}
+	}
+	for _, r := range c.Removed {
+		if c.Hosts[r.Agent] == nil && now-r.At < removedSettle && listed(r.Service) {
+			agents = append(agents, r.Agent)
+		}
+	}
+	return agents
+}
+
+// answerAbsent tells the searching agent that the host does not hold a flow.
+func (a *Agent) answerAbsent(now time.Duration, asker [4]byte, key flow.Key, out Output) {
+	if asker == a.config.Self.Addr {
+		a.absent(now, key, asker, out)
+		return
+	}
+	f := a.report(flow.Absent, key)
+	out.ToNode(flow.Endpoint{Addr: asker, Port: a.config.Self.Port}, &f, nil)
+}
+
+// absent notes an agent's answer. Once all have answered, the requester is
+// told at once that its flow is gone, so that it need not wait for its timeout.
+func (a *Agent) absent(now time.Duration, key flow.Key, agent [4]byte, out Output) {
+	s := a.searches[key]
+	if s == nil || !s.missing[agent] {
+		return
+	}
+	delete(s.missing, agent)
+	if len(s.missing) > 0 {
+		return
+	}
+	c := a.config.Catalog()
+	if c == nil || now-c.SteadySince < listingSettle || now-c.Confirmed > listingAge {
+		return
+	}
+	if s.packet.Rst {
+		return
+	}
+	a.config.Events.Note(EventLost, key, "reason", "no_host_holds_flow", "list_age_ms", (now - c.Confirmed).Milliseconds())
+	reset(a.config.Codec, &s.packet, out)
+}
+
+// Start tells all other keepers that this agent knows no flows.
+func (a *Agent) Start(c *catalog.Catalog, out Output) {
+	hello := a.report(flow.Hello, flow.Key{})
+	for _, agent := range c.Agents {
+		if agent != a.config.Self.Addr {
+			out.ToNode(flow.Endpoint{Addr: agent, Port: a.config.Self.Port}, &hello, nil)
+		}
+	}
+}
+
+// tellStarted announces the flows that a keeper, which has just started, is to
+// remember.
+func (a *Agent) tellStarted(keeper [4]byte, out Output) {
+	c := a.config.Catalog()
+	if c == nil {
+		return
+	}
+	for key, fl := range a.flows {
+		if fl.state == flowOpening {
+			continue
+		}
+		if first, second, ok := steering.Keepers(c, key.Hash()); ok && (first == keeper || second == keeper) {
+			a.tellKeeper(keeper, key, out)
+		}
+	}
+}
+
+// KeepersChanged announces the flows whose keepers differ between two lists.
+func (a *Agent) KeepersChanged(old, c *catalog.Catalog, out Output) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for key, fl := range a.flows {
+		if fl.state == flowOpening {
+			continue
+		}
+		hash := key.Hash()
+		first, second, _ := steering.Keepers(old, hash)
+		for _, keeper := range newKeepers(c, hash) {
+			if keeper != first && keeper != second {
+				a.tellKeeper(keeper, key, out)
+			}
+		}
+	}
+}
+
+func newKeepers(c *catalog.Catalog, hash uint64) [2][4]byte {
+	first, second, _ := steering.Keepers(c, hash)
+	return [2][4]byte{first, second}
+}
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -27,6 +27,10 @@
 	Closed
 	// Load tells how loaded an agent is.
 	Load
+	// Absent answers a Probe: the agent's host does not hold the flow.
+	Absent
+	// Hello tells that a keeper has started and knows no flows.
+	Hello
 )
 
 // Frame is the header of a datagram between processes.
@@ -42,9 +46,11 @@
 	Origin Endpoint
 	// Avoid holds agents that could not take the packet. Zero is no agent.
 	Avoid [2][4]byte
-	// Key names the flow in Owned and Closed.
+	// Asker is the agent that a Probe is answered to.
+	Asker [4]byte
+	// Key names the flow in Owned, Closed and Absent.
 	Key Key
-	// Owner is the agent of the flow in Owned, or of the load.
+	// Owner is the agent that sends the frame.
 	Owner [4]byte
 	// Flows counts the flows that the owner holds.
 	Flows uint16
@@ -66,7 +72,8 @@
 		binary.LittleEndian.PutUint16(b[20:], f.Origin.Port)
 		copy(b[24:], f.Avoid[0][:])
 		copy(b[28:], f.Avoid[1][:])
-	case Owned, Closed, Load:
+		copy(b[32:], f.Asker[:])
+	case Owned, Closed, Load, Absent, Hello:
 		f.Key.put(b[4:])
 		copy(b[16:], f.Owner[:])
 		binary.LittleEndian.PutUint16(b[20:], f.Flows)
@@ -90,7 +97,8 @@
 		f.Config = binary.LittleEndian.Uint64(data[8:])
 		f.Origin = Endpoint{Addr: [4]byte(data[16:20]), Port: binary.LittleEndian.Uint16(data[20:])}
 		f.Avoid = [2][4]byte{[4]byte(data[24:28]), [4]byte(data[28:32])}
-	case Owned, Closed, Load:
+		f.Asker = [4]byte(data[32:36])
+	case Owned, Closed, Load, Absent, Hello:
 		f.Key = keyFrom(data[4:])
 		f.Owner = [4]byte(data[16:20])
 		f.Flows = binary.LittleEndian.Uint16(data[20:])
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -6,7 +6,10 @@
 	"io"
 	"net/netip"
 	"os"
+	"os/signal"
+	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,6 +79,9 @@
 	now      func() time.Duration
 	started  time.Time
 	stopping atomic.Bool
+	// changed is called with the snapshot before, which may be nil, and the
+	// new one.
+	changed func(old, c *catalog.Catalog)
 }
 
 func (c *datagramCommand) run(ctx context.Context, args []string) error {
@@ -112,16 +118,26 @@
 	defer stop()
 	serving, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
+	if err := node.Listen(); err != nil {
+		return err
+	}
+	go n.watchReload(serving)
 	context.AfterFunc(signalled, func() {
 		n.stopping.Store(true)
 		n.log.WithField("linger_ms", linger.Milliseconds()).Info("stopping")
 		time.AfterFunc(linger, end)
 	})
+	var last *catalog.Catalog
 	syncer := &catalog.Syncer{
 		Source: platform.NewSource(platform.NewStore(n.settings.Store), n.now, func(key string, revision int64, err error) {
 			n.log.WithError(err).WithFields(logrus.Fields{"key": key, "revision": revision}).Warn("value_rejected")
 		}),
-		Tracker: n.tracker, Log: n.log, Now: n.now, Changed: func(*catalog.Catalog) {},
+		Tracker: n.tracker, Log: n.log, Now: n.now, Changed: func(c *catalog.Catalog) {
+			if n.changed != nil {
+				n.changed(last, c)
+			}
+			last = c
+		},
 	}
 	go syncer.Run(serving)
 	err := node.Run(serving)
@@ -129,6 +145,23 @@
 	return errors.WithStack(err)
 }
 
+// watchReload logs requests to read the settings anew. No setting that a
+// running process uses can change in place: addresses and service are those
+// of its sockets and its host.
+func (n *datagramNode) watchReload(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			n.log.Info("reload_requested")
+		}
+	}
+}
+
 func (n *datagramNode) ready() bool {
 	return !n.stopping.Load() && n.tracker.Current() != nil
 }
@@ -169,6 +202,15 @@
 		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
 	node := n.node()
+	n.changed = func(old, c *catalog.Catalog) {
+		if old == nil {
+			a.Start(c, node.NewOutput())
+			return
+		}
+		if !slices.Equal(old.Agents, c.Agents) {
+			a.KeepersChanged(old, c, node.NewOutput())
+		}
+	}
 	node.OnPeer = a.HandleFrame
 	node.OnHost = a.HandleHost
 	node.Expire = a.Expire
