Search at every service that a route ever sent flows to

Ruled out: an agent that had forgotten the flow.

A packet of an unknown flow is tried only at a service that a known version allows.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -31,6 +32,9 @@
 	Priority int
 	// Retryable tells whether a request may run more than once.
 	Retryable bool
+	// Former are services that earlier versions sent flows to; open flows may
+	// still be there.
+	Former []string
 }
 
 // Pick returns the target for a flow. Every process picks the same one.
@@ -131,6 +135,8 @@
 	// Confirmed is the time on the process's own clock at which the snapshot
 	// was known to be current.
 	Confirmed time.Duration
+	// Since is when the process published its first snapshot.
+	Since time.Duration
 	// SteadySince is since when no reading has failed.
 	SteadySince time.Duration
 	Config      *Config
@@ -157,6 +163,34 @@
 	return uint32(xxhash.Sum64String(service))
 }
 
+// MayHold reports whether a host of the service may hold flows of the route.
+func (r *Route) MayHold(service string) bool {
+	if slices.Contains(r.Former, service) {
+		return true
+	}
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
+// inherit notes the services that the version before sent flows to.
+func (c *Config) inherit(before *Config) {
+	for at, route := range c.Routes {
+		old := before.Routes[at]
+		if old == nil {
+			continue
+		}
+		for _, t := range old.Targets {
+			if !route.MayHold(t.Service) {
+				route.Former = append(route.Former, t.Service)
+			}
+		}
+		for _, service := range old.Former {
+			if !route.MayHold(service) {
+				route.Former = append(route.Former, service)
+			}
+		}
+	}
+}
+
 func build(config *Config, hosts map[string]*Host, evacuated map[string]bool) *Catalog {
 	c := &Catalog{
 		Config:    config,
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -31,6 +31,7 @@
 	evacuated map[string]bool
 	removed   []RemovedHost
 	steady    time.Duration
+	since     time.Duration
 	failed    bool
 	current   atomic.Pointer[Catalog]
 }
@@ -128,6 +129,9 @@
 		if t.config != nil && c.Config.Version <= t.config.Version {
 			return false
 		}
+		if t.config != nil {
+			c.Config.inherit(t.config)
+		}
 		t.config = c.Config
 	case c.Host != nil:
 		old := t.hosts[c.Host.ID]
@@ -160,7 +164,11 @@
 	if t.config == nil {
 		return
 	}
+	if t.current.Load() == nil {
+		t.since = now
+	}
 	c := build(t.config, t.hosts, t.evacuated)
+	c.Since = t.since
 	c.Revision, c.Confirmed, c.SteadySince, c.Removed = revision, now, t.steady, t.removed
 	t.current.Store(c)
 }
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -172,9 +172,7 @@
 	case flow.Find:
 		a.find(now, f, key, data, out)
 	case flow.Probe:
-		if !a.try(now, key, f, data, out) {
-			a.answerAbsent(now, f.Asker, key, out)
-		}
+		a.answerProbe(now, key, f, data, out)
 	}
 }
 
@@ -362,12 +360,31 @@
 	return steering.ChooseHost(c, service, a.loads, steering.Opening{Hash: hash, Zone: zone, Avoid: f.Avoids, Now: now})
 }
 
+// unsure reports whether the host may hold flows that the agent does not know.
+func (a *Agent) unsure(now time.Duration) bool {
+	return a.config.Restarted && now <= a.config.FlowLifetime
+}
+
+// mayTry reports whether a packet of an unknown flow may be meant for the
+// service of this agent's host. No packet is tried at another service.
+func (a *Agent) mayTry(f *flow.Frame, key flow.Key) bool {
+	if f.Service == a.tag {
+		return true
+	}
+	c := a.config.Catalog()
+	if c == nil {
+		return false
+	}
+	route := c.Config.Routes[key.Service]
+	return route != nil && route.MayHold(a.config.Service)
+}
+
 // try gives the host a packet of a flow that the agent does not know. It is
 // done only while the host may hold flows from before the agent's start; the
 // host returns what it does not hold. It reports false if the host does not
 // hold the flow.
 func (a *Agent) try(now time.Duration, key flow.Key, f *flow.Frame, data []byte, out Output) bool {
-	if !a.config.Restarted || now > a.config.FlowLifetime {
+	if !a.unsure(now) || !a.mayTry(f, key) {
 		return false
 	}
 	t := a.trials[key]
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -11,6 +11,9 @@
 const (
 	// searchInterval is the time between two searches for one flow's owner.
 	searchInterval = 300 * time.Millisecond
+	// searchPackets bounds the packets of a flow that one search sends to all
+	// agents: as many as a requester has in flight.
+	searchPackets = 16
 	// searchLinger is how long a search is remembered.
 	searchLinger = 5 * time.Second
 	// listingSettle is how long readings must have succeeded for the list of
@@ -28,7 +31,8 @@
 	at time.Duration
 	// missing are the agents that have not answered.
 	missing map[[4]byte]bool
-	origin  flow.Endpoint
+	// packets counts the packets that were sent to all agents.
+	packets int
 	// packet is the header of the packet that was to be delivered.
 	packet flow.Packet
 }
@@ -36,20 +40,24 @@
 // search asks all agents whose host may hold a flow, once neither keeper knows
 // the owner. If all of them answer that it does not, the flow is dead.
 func (a *Agent) search(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, data []byte, out Output) {
-	if s := a.searches[key]; s != nil && now-s.at < searchInterval {
+	agents := a.mayHold(now, c, key)
+	s := a.searches[key]
+	switch {
+	case s == nil || now-s.at >= searchInterval:
+		s = &search{at: now, missing: make(map[[4]byte]bool)}
+		if !a.config.Codec.Decode(data, &s.packet) {
+			return
+		}
+		a.searches[key] = s
+		for _, agent := range agents {
+			s.missing[agent] = true
+		}
+		a.config.Events.Note(EventProbed, key, "agents", len(agents))
+	case s.packets >= searchPackets:
 		a.config.Events.Drop(DropNoOwner)
 		return
 	}
-	s := &search{at: now, missing: make(map[[4]byte]bool), origin: f.Origin}
-	if !a.config.Codec.Decode(data, &s.packet) {
-		return
-	}
-	a.searches[key] = s
-	agents := a.mayHold(now, c, key)
-	for _, agent := range agents {
-		s.missing[agent] = true
-	}
-	a.config.Events.Note(EventProbed, key, "agents", len(agents))
+	s.packets++
 	probe := *f
 	probe.Kind, probe.Asker = flow.Probe, a.config.Self.Addr
 	for _, agent := range agents {
@@ -57,26 +65,16 @@
 			out.ToNode(flow.Endpoint{Addr: agent, Port: a.config.Self.Port}, &probe, data)
 			continue
 		}
-		if !a.try(now, key, &probe, data, out) {
-			a.absent(now, key, agent, out)
-		}
+		a.answerProbe(now, key, &probe, data, out)
 	}
 }
 
 // mayHold returns the agents of the hosts that the flow may have been sent to.
 func (a *Agent) mayHold(now time.Duration, c *catalog.Catalog, key flow.Key) [][4]byte {
 	route := c.Config.Routes[key.Service]
-	listed := func(service string) bool {
-		if route == nil {
-			return true
-		}
-		for _, t := range route.Targets {
-			if t.Service == service {
-				return true
-			}
-		}
-		return false
-	}
+	// Versions before the first snapshot may have sent the flow anywhere.
+	anywhere := route == nil || now-c.Since < a.config.FlowLifetime
+	listed := func(service string) bool { return anywhere || route.MayHold(service) }
 	var agents [][4]byte
 	for _, agent := range c.Agents {
 		if listed(c.Hosts[agent].Service) {
@@ -91,6 +89,20 @@
 	return agents
 }
 
+// answerProbe tries a flow that is searched for at the host, or answers that
+// the host does not hold it. An agent that can tell neither stays silent, so
+// that the flow is not given up.
+func (a *Agent) answerProbe(now time.Duration, key flow.Key, f *flow.Frame, data []byte, out Output) {
+	if a.try(now, key, f, data, out) {
+		return
+	}
+	if a.unsure(now) && !a.mayTry(f, key) {
+		a.config.Events.Drop(DropNoOwner)
+		return
+	}
+	a.answerAbsent(now, f.Asker, key, out)
+}
+
 // answerAbsent tells the searching agent that the host does not hold a flow.
 func (a *Agent) answerAbsent(now time.Duration, asker [4]byte, key flow.Key, out Output) {
 	if asker == a.config.Self.Addr {
