Let a few agents read the store for all

Two agents of different zones, chosen by rendezvous over the listed agents, now read it; the others ask them by HTTP with a wait, in CBOR, and read the store themselves when no reader answers or its word is older than 1.1 s. A process that finds the store away at its start asks the seeds. Ruled out: a watch a node with a longer wait, since hosts write 9 times a second and end each wait.

--- /dev/null
+++ b/catalog/journal.go
@@ -0,0 +1,92 @@
+package catalog
+
+import (
+	"sync"
+	"time"
+)
+
+// journalSize is how many changes a process keeps for its peers.
+const journalSize = 1024
+
+// journal holds what a process tells its peers: the newest value of each key
+// and the latest changes. It is safe for concurrent use.
+type journal struct {
+	mu sync.Mutex
+	// revision is the store's revision up to which the journal is complete.
+	revision int64
+	// base is the revision after which no change is missing in recent.
+	base      int64
+	confirmed time.Duration
+	values    map[string]Value
+	recent    []Value
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+}
+
+func newJournal() *journal {
+	return &journal{values: make(map[string]Value), changed: make(chan struct{})}
+}
+
+// replace takes a full reading.
+func (j *journal) replace(revision int64, changes []Change, now time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.values = make(map[string]Value, len(changes))
+	for i := range changes {
+		j.put(changes[i].Value)
+	}
+	j.recent, j.base = nil, revision
+	j.revision, j.confirmed = revision, now
+	j.wake()
+}
+
+// add takes changes that matter to a peer.
+func (j *journal) add(revision int64, changes []Change, now time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i := range changes {
+		j.put(changes[i].Value)
+		j.recent = append(j.recent, changes[i].Value)
+	}
+	if surplus := len(j.recent) - journalSize; surplus > 0 {
+		j.base = j.recent[surplus-1].Revision
+		j.recent = append([]Value(nil), j.recent[surplus:]...)
+	}
+	j.revision, j.confirmed = revision, now
+	if len(changes) > 0 {
+		j.wake()
+	}
+}
+
+func (j *journal) put(v Value) {
+	if v.Removed {
+		delete(j.values, v.Key)
+		return
+	}
+	j.values[v.Key] = v
+}
+
+func (j *journal) wake() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+// since returns the changes after a revision, or everything when some of them
+// are no longer known, and a channel that is closed at the next change.
+func (j *journal) since(after int64) (values []Value, full bool, revision int64, confirmed time.Duration, next <-chan struct{}) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	full = after < j.base
+	if full {
+		for _, v := range j.values {
+			values = append(values, v)
+		}
+	} else {
+		for _, v := range j.recent {
+			if v.Revision > after {
+				values = append(values, v)
+			}
+		}
+	}
+	return values, full, j.revision, j.confirmed, j.changed
+}
--- /dev/null
+++ b/catalog/peer.go
@@ -0,0 +1,174 @@
+package catalog
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// PeerPath is where a process tells its peers what it has read.
+const PeerPath = "/catalog"
+
+const (
+	// peerDialTimeout bounds how long a connection to a peer may take to open.
+	peerDialTimeout = 250 * time.Millisecond
+	// peerTimeout bounds an answer of a peer beyond the time it may wait.
+	peerTimeout = 300 * time.Millisecond
+	// maxPeerAnswer is the largest answer that is read, in bytes.
+	maxPeerAnswer = 16 << 20
+	// maxPeerWait bounds how long a peer may ask to wait.
+	maxPeerWait = 5 * time.Second
+)
+
+// update is the body of an answer between peers.
+type update struct {
+	Revision int64       `cbor:"1,keyasint"`
+	Full     bool        `cbor:"2,keyasint"`
+	AgeMS    int64       `cbor:"3,keyasint"`
+	Values   []peerValue `cbor:"4,keyasint"`
+}
+
+type peerValue struct {
+	Key      string `cbor:"1,keyasint"`
+	Data     []byte `cbor:"2,keyasint"`
+	Revision int64  `cbor:"3,keyasint"`
+	Removed  bool   `cbor:"4,keyasint,omitempty"`
+	// AgeMS is how long ago the value was read from the store.
+	AgeMS int64 `cbor:"5,keyasint"`
+}
+
+// PeerHandler answers peers from a tracker. The parameter after names the
+// revision that the peer holds, wait_ms how long it waits for a change.
+func PeerHandler(t *Tracker, now func() time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after is no revision", http.StatusBadRequest)
+			return
+		}
+		waitMS, err := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+		if err != nil {
+			http.Error(w, "wait_ms is no number", http.StatusBadRequest)
+			return
+		}
+		u, ok := t.await(r.Context(), after, min(maxPeerWait, time.Duration(waitMS)*time.Millisecond), now)
+		if !ok {
+			http.Error(w, "nothing read yet", http.StatusServiceUnavailable)
+			return
+		}
+		body, err := cbor.Marshal(u)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(body) // The peer sees a cut answer and asks again.
+	})
+}
+
+// await returns what has changed after a revision, as soon as there is any
+// change or the time is over.
+func (t *Tracker) await(ctx context.Context, after int64, wait time.Duration, now func() time.Duration) (update, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		values, full, revision, confirmed, next := t.journal.since(after)
+		if revision == 0 {
+			return update{}, false
+		}
+		expired := false
+		if len(values) == 0 && !full {
+			select {
+			case <-next:
+				continue
+			case <-ctx.Done():
+				return update{}, false
+			case <-timer.C:
+				expired = true
+			}
+		}
+		if expired {
+			values, full, revision, confirmed, _ = t.journal.since(after)
+		}
+		u := update{Revision: revision, Full: full, AgeMS: (now() - confirmed).Milliseconds()}
+		for _, v := range values {
+			u.Values = append(u.Values, peerValue{
+				Key: v.Key, Data: v.Data, Revision: v.Revision, Removed: v.Removed,
+				AgeMS: (now() - v.Read).Milliseconds(),
+			})
+		}
+		return u, true
+	}
+}
+
+// Peers reads from other processes. It is safe for concurrent use.
+type Peers struct {
+	Decode Decoder
+	Now    func() time.Duration
+	// Rejected is told of each value that cannot be used.
+	Rejected func(v Value, err error)
+	client   *http.Client
+}
+
+// NewPeers returns a reader of other processes.
+func NewPeers(decode Decoder, now func() time.Duration, rejected func(Value, error)) *Peers {
+	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
+	return &Peers{
+		Decode: decode, Now: now, Rejected: rejected,
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
+	}
+}
+
+// Changes asks the peer at an address for what has changed after a revision.
+func (p *Peers) Changes(ctx context.Context, address string, after int64, wait time.Duration) (Reading, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	defer cancel()
+	query := url.Values{
+		"after":   {strconv.FormatInt(after, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PeerPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return Reading{}, errors.WithStack(err)
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return Reading{}, errors.Wrap(err, "peer")
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxPeerAnswer))
+	if err != nil {
+		return Reading{}, errors.Wrap(err, "peer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return Reading{}, errors.Errorf("peer answered %d", response.StatusCode)
+	}
+	return p.decode(body)
+}
+
+func (p *Peers) decode(body []byte) (Reading, error) {
+	var u update
+	if err := cbor.Unmarshal(body, &u); err != nil {
+		return Reading{}, errors.Wrap(err, "peer")
+	}
+	now := p.Now()
+	reading := Reading{Revision: u.Revision, Full: u.Full, Age: time.Duration(u.AgeMS) * time.Millisecond}
+	for _, w := range u.Values {
+		v := Value{
+			Key: w.Key, Data: w.Data, Revision: w.Revision, Removed: w.Removed,
+			Read: now - time.Duration(w.AgeMS)*time.Millisecond,
+		}
+		change, err := p.Decode(v)
+		if err != nil {
+			p.Rejected(v, err)
+		}
+		reading.Changes = append(reading.Changes, change)
+	}
+	return reading, nil
+}
--- /dev/null
+++ b/catalog/readers.go
@@ -0,0 +1,60 @@
+package catalog
+
+import (
+	"sort"
+
+	"github.com/turmericrock/turmericrock/placement"
+)
+
+// minReaders is how many agents read the store for all others, at least: the
+// loss of one leaves another.
+const minReaders = 2
+
+// agentsPerReader is how many agents one reader serves, at most.
+const agentsPerReader = 100
+
+// Readers returns the agents that read the store for all others, of different
+// zones where there are several. Every process with the same list of hosts
+// chooses the same ones.
+func Readers(c *Catalog) [][4]byte {
+	ranked := make([][4]byte, 0, len(c.Agents))
+	for _, agent := range c.Agents {
+		if c.Usable(c.Hosts[agent]) {
+			ranked = append(ranked, agent)
+		}
+	}
+	sort.Slice(ranked, func(i, j int) bool { return readerScore(ranked[i], 0) > readerScore(ranked[j], 0) })
+	want := max(minReaders, len(c.Agents)/agentsPerReader)
+	var chosen, others [][4]byte
+	zones := make(map[string]bool)
+	for _, agent := range ranked {
+		zone := c.Hosts[agent].Zone
+		if zones[zone] {
+			others = append(others, agent)
+			continue
+		}
+		zones[zone] = true
+		chosen = append(chosen, agent)
+	}
+	chosen = append(chosen, others...)
+	return chosen[:min(want, len(chosen))]
+}
+
+// ReadersFor returns the readers in the order in which a process asks them:
+// those of its own zone first.
+func ReadersFor(c *Catalog, self [4]byte, zone string) [][4]byte {
+	readers := Readers(c)
+	seed := readerScore(self, 1)
+	sort.SliceStable(readers, func(i, j int) bool {
+		near, far := c.Hosts[readers[i]].Zone == zone, c.Hosts[readers[j]].Zone == zone
+		if near != far {
+			return near
+		}
+		return readerScore(readers[i], seed) > readerScore(readers[j], seed)
+	})
+	return readers
+}
+
+func readerScore(a [4]byte, seed uint64) uint64 {
+	return placement.Mix(seed ^ placement.Mix(uint64(a[0])<<24|uint64(a[1])<<16|uint64(a[2])<<8|uint64(a[3])))
+}
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -9,39 +10,36 @@
 	"github.com/sirupsen/logrus"
 )
 
-// HistoryLostError reports that a source cannot say what has changed since a
-// revision, so that everything must be read anew.
-type HistoryLostError struct {
-	After int64
-}
-
-// Error implements error.
-func (e *HistoryLostError) Error() string {
-	return "changes after revision " + strconv.FormatInt(e.After, 10) + " are no longer known"
-}
-
-// Source reads what is declared.
-type Source interface {
-	// Snapshot returns everything, and a revision that it includes.
-	Snapshot(ctx context.Context) ([]Change, int64, error)
-	// Changes returns what has changed after a revision, and the revision up
-	// to which it is complete. It fails with a HistoryLostError.
-	Changes(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
-}
-
 const (
-	// PollInterval is the time between readings. It leaves room for several
-	// failed readings inside the bound of a change of configuration.
-	PollInterval = 700 * time.Millisecond
+	// storeInterval is the time between readings of the store. It leaves room
+	// for several failed readings inside the bound of a configuration.
+	storeInterval = 700 * time.Millisecond
 	// retryInterval is the time before a failed reading is repeated.
 	retryInterval = 250 * time.Millisecond
+	// peerWait is how long a reader is asked to wait for a change.
+	peerWait = 600 * time.Millisecond
+	// peerMaxAge is how old the store's word may be at a reader.
+	peerMaxAge = 1100 * time.Millisecond
+	// peerBackoff is how long a reader that failed is left alone.
+	peerBackoff = 2 * time.Second
 )
 
-// Syncer keeps a tracker up with a source.
+// Syncer keeps a tracker up with what is declared. A few agents read the
+// store; the others ask them, and read the store themselves when no reader
+// answers or the readers' word is old. A process that cannot reach the store
+// at its start asks the seeds.
 type Syncer struct {
-	Source  Source
+	Store   Source
+	Peers   *Peers
 	Tracker *Tracker
-	Log     *logrus.Entry
+	// Self is the address of this process, and Zone its zone.
+	Self [4]byte
+	Zone string
+	// PeerPort is the port that readers answer at.
+	PeerPort uint16
+	// Seeds are addresses of processes that may know a configuration.
+	Seeds []string
+	Log   *logrus.Entry
 	// Now is the process's own clock.
 	Now func() time.Duration
 	// Changed is called after a snapshot with changes was published.
@@ -49,10 +47,13 @@
 
 	synced  bool
 	failing bool
+	// suspended holds until when a reader is left alone.
+	suspended map[string]time.Duration
 }
 
 // Run reads until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
+	s.suspended = make(map[string]time.Duration)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -61,43 +62,126 @@
 			return
 		case <-timer.C:
 		}
-		if err := s.read(ctx); err != nil {
-			s.fail(err)
-			timer.Reset(retryInterval)
+		timer.Reset(s.round(ctx))
+	}
+}
+
+// round reads once and returns the time until the next reading.
+func (s *Syncer) round(ctx context.Context) time.Duration {
+	if c := s.Tracker.Current(); c != nil && s.fromReaders(ctx, c) {
+		s.recovered()
+		return 0
+	}
+	if err := s.fromStore(ctx); err != nil {
+		s.fail(err)
+		if !s.synced {
+			s.fromSeeds(ctx)
+		}
+		return retryInterval
+	}
+	s.recovered()
+	return storeInterval
+}
+
+// fromReaders asks the readers in turn. It reports whether one had the store's
+// recent word.
+func (s *Syncer) fromReaders(ctx context.Context, c *Catalog) bool {
+	readers := ReadersFor(c, s.Self, s.Zone)
+	for _, reader := range readers {
+		if reader == s.Self {
+			return false
+		}
+	}
+	wait := peerWait
+	for _, reader := range readers {
+		address := netip.AddrPortFrom(netip.AddrFrom4(reader), s.PeerPort).String()
+		if s.Now() < s.suspended[address] {
 			continue
 		}
-		s.recovered()
-		timer.Reset(PollInterval)
+		err := s.fromPeer(ctx, address, wait, peerMaxAge)
+		if err == nil {
+			return true
+		}
+		s.Log.WithError(err).WithField("reader", address).Warn("reader_lost")
+		s.suspended[address] = s.Now() + peerBackoff
+		// The time that was spent on a lost reader is not waited for once more.
+		wait = 0
 	}
+	return false
 }
 
-func (s *Syncer) read(ctx context.Context) error {
+// PeerAgeError reports a peer whose word is too old to rely on.
+type PeerAgeError struct {
+	Age time.Duration
+}
+
+// Error implements error.
+func (e *PeerAgeError) Error() string {
+	return "the peer last read the store " + strconv.FormatInt(e.Age.Milliseconds(), 10) + " ms ago"
+}
+
+func (s *Syncer) fromPeer(ctx context.Context, address string, wait, maxAge time.Duration) error {
+	reading, err := s.Peers.Changes(ctx, address, s.Tracker.Revision(), wait)
+	if err != nil {
+		return err
+	}
+	s.apply("peer", &reading)
+	if reading.Age > maxAge {
+		return &PeerAgeError{Age: reading.Age}
+	}
+	return nil
+}
+
+func (s *Syncer) fromStore(ctx context.Context) error {
 	if s.synced {
-		changes, revision, err := s.Source.Changes(ctx, s.Tracker.Revision(), 0)
+		reading, err := s.Store.Changes(ctx, s.Tracker.Revision(), 0)
 		var lost *HistoryLostError
 		if !errors.As(err, &lost) {
-			if err == nil && s.Tracker.Apply(revision, changes, s.Now()) {
-				s.publish("changes")
+			if err == nil {
+				s.apply("changes", &reading)
 			}
 			return err
 		}
 		s.Log.WithField("after", lost.After).Warn("store_history_lost")
 	}
-	changes, revision, err := s.Source.Snapshot(ctx)
+	reading, err := s.Store.Snapshot(ctx)
 	if err != nil {
 		return err
 	}
-	s.Tracker.Replace(revision, changes, s.Now())
 	s.synced = true
-	s.publish("snapshot")
+	s.apply("snapshot", &reading)
 	return nil
 }
 
-func (s *Syncer) publish(from string) {
-	c := s.Tracker.Current()
-	if c == nil {
+// fromSeeds asks the seeds for what they know, however old it is: it is better
+// than nothing while the store is away.
+func (s *Syncer) fromSeeds(ctx context.Context) {
+	for _, seed := range s.Seeds {
+		reading, err := s.Peers.Changes(ctx, seed, s.Tracker.Revision(), 0)
+		if err != nil {
+			s.Log.WithError(err).WithField("seed", seed).Debug("seed_failed")
+			continue
+		}
+		s.apply("seed", &reading)
 		return
 	}
+}
+
+func (s *Syncer) apply(from string, r *Reading) {
+	confirmed := s.Now() - r.Age
+	changed := false
+	if r.Full {
+		changed = s.Tracker.Replace(r.Revision, r.Changes, confirmed)
+	} else {
+		changed = s.Tracker.Apply(r.Revision, r.Changes, confirmed)
+	}
+	if c := s.Tracker.Current(); changed && c != nil {
+		s.logChange(from, c)
+		s.Changed(c)
+	}
+}
+
+func (s *Syncer) logChange(from string, c *Catalog) {
 	draining := 0
 	for _, h := range c.Hosts {
 		if h.Draining {
@@ -107,8 +191,8 @@
 	s.Log.WithFields(logrus.Fields{
 		"from": from, "revision": c.Revision, "config": c.Config.Version, "routes": len(c.Config.Routes),
 		"hosts": len(c.Hosts), "draining": draining, "zones_out": len(c.Evacuated),
+		"age_ms": (s.Now() - c.Confirmed).Milliseconds(),
 	}).Info("catalog_changed")
-	s.Changed(c)
 }
 
 func (s *Syncer) fail(err error) {
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -6,20 +6,18 @@
 )
 
 // Change is one decoded change of what is declared. Exactly one of Config,
-// Host and Zone is set, or none for a value that is not understood.
+// Host, HostID and Zone is set, or none for a value that is not understood.
 type Change struct {
-	Revision int64
-	// Key is the name of the value, for logs.
-	Key    string
+	// Value is what the change was decoded from.
+	Value  Value
 	Config *Config
 	// Host is what a host says of itself.
 	Host *Host
 	// HostID names a host whose value is gone or cannot be used.
 	HostID string
-	// Zone names a zone that is taken out of service, or taken back when
-	// Removed is set.
-	Zone    string
-	Removed bool
+	// Zone names a zone that is taken out of service, or taken back when the
+	// value is removed.
+	Zone string
 }
 
 // Tracker applies changes and publishes snapshots. Only one goroutine may
@@ -33,16 +31,22 @@
 	steady    time.Duration
 	since     time.Duration
 	failed    bool
+	journal   *journal
 	current   atomic.Pointer[Catalog]
 }
 
-// removedLinger is how long a removed host is remembered. It is the longest
-// lifetime of a flow that the platform's settings name.
-const removedLinger = time.Minute
+const (
+	// removedLinger is how long a removed host is remembered. It is the longest
+	// lifetime of a flow that the platform's settings name.
+	removedLinger = time.Minute
+	// warmupSlack is by how much two reports of the end of a host's warm-up may
+	// differ without a new decision.
+	warmupSlack = 300 * time.Millisecond
+)
 
 // NewTracker returns a tracker without a snapshot.
 func NewTracker() *Tracker {
-	return &Tracker{hosts: make(map[string]*Host), evacuated: make(map[string]bool)}
+	return &Tracker{hosts: make(map[string]*Host), evacuated: make(map[string]bool), journal: newJournal()}
 }
 
 // Current returns the snapshot, or nil before a configuration is known.
@@ -55,25 +59,54 @@
 	return t.revision
 }
 
-// Replace applies a full reading: hosts and zones that it lacks are gone.
-// A configuration older than the one in force is passed over.
-func (t *Tracker) Replace(revision int64, changes []Change, now time.Duration) {
+// Replace applies a full reading, confirmed at a time: hosts and zones that it
+// lacks are gone. A reading older than the one in force is passed over.
+func (t *Tracker) Replace(revision int64, changes []Change, confirmed time.Duration) bool {
 	if revision < t.revision {
-		return
+		return false
 	}
 	before := t.hosts
 	t.hosts = make(map[string]*Host)
 	t.evacuated = make(map[string]bool)
 	for i := range changes {
-		t.apply(&changes[i], now)
+		t.apply(&changes[i], confirmed)
 	}
 	for id, h := range before {
 		if t.hosts[id] == nil {
-			t.noteRemoved(h, now)
+			t.noteRemoved(h, confirmed)
 		}
 	}
-	t.succeeded(now)
-	t.publish(revision, now)
+	t.succeeded(confirmed)
+	t.publish(revision, confirmed)
+	t.journal.replace(revision, changes, confirmed)
+	return true
+}
+
+// Apply applies what has changed since the last reading. It reports whether
+// anything but the revision changed.
+func (t *Tracker) Apply(revision int64, changes []Change, confirmed time.Duration) bool {
+	if revision < t.revision {
+		return false
+	}
+	var relevant []Change
+	for i := range changes {
+		if changes[i].Value.Revision > t.revision && t.apply(&changes[i], confirmed) {
+			relevant = append(relevant, changes[i])
+		}
+	}
+	t.succeeded(confirmed)
+	t.journal.add(revision, relevant, confirmed)
+	if len(relevant) > 0 {
+		t.publish(revision, confirmed)
+		return true
+	}
+	t.revision = revision
+	if c := t.current.Load(); c != nil {
+		next := *c
+		next.Revision, next.Confirmed, next.SteadySince = revision, max(c.Confirmed, confirmed), t.steady
+		t.current.Store(&next)
+	}
+	return false
 }
 
 // Failed notes that a reading has failed.
@@ -97,32 +130,7 @@
 	t.removed = append(kept, RemovedHost{Agent: h.Addr.Addr, Service: h.Service, At: now})
 }
 
-// Apply applies what has changed since the last reading. It reports whether
-// anything but the revision changed.
-func (t *Tracker) Apply(revision int64, changes []Change, now time.Duration) bool {
-	changed := false
-	for i := range changes {
-		if changes[i].Revision > t.revision {
-			changed = t.apply(&changes[i], now) || changed
-		}
-	}
-	if revision < t.revision {
-		return false
-	}
-	t.succeeded(now)
-	if changed {
-		t.publish(revision, now)
-		return true
-	}
-	t.revision = revision
-	if c := t.current.Load(); c != nil {
-		confirmed := *c
-		confirmed.Revision, confirmed.Confirmed, confirmed.SteadySince = revision, now, t.steady
-		t.current.Store(&confirmed)
-	}
-	return false
-}
-
+// apply reports whether the change leads to other decisions.
 func (t *Tracker) apply(c *Change, now time.Duration) bool {
 	switch {
 	case c.Config != nil:
@@ -135,18 +143,26 @@
 		t.config = c.Config
 	case c.Host != nil:
 		old := t.hosts[c.Host.ID]
+		if old != nil && sameHost(old, c.Host) {
+			return false
+		}
 		t.hosts[c.Host.ID] = c.Host
-		return old == nil || !sameHost(old, c.Host)
 	case c.HostID != "":
-		if t.hosts[c.HostID] == nil {
+		old := t.hosts[c.HostID]
+		if old == nil {
 			return false
 		}
-		t.noteRemoved(t.hosts[c.HostID], now)
+		t.noteRemoved(old, now)
 		delete(t.hosts, c.HostID)
-	case c.Zone != "" && c.Removed:
-		delete(t.evacuated, c.Zone)
 	case c.Zone != "":
-		t.evacuated[c.Zone] = true
+		if t.evacuated[c.Zone] != c.Value.Removed {
+			return false
+		}
+		if c.Value.Removed {
+			delete(t.evacuated, c.Zone)
+		} else {
+			t.evacuated[c.Zone] = true
+		}
 	default:
 		return false
 	}
@@ -155,20 +171,23 @@
 
 // sameHost reports whether two descriptions lead to the same decisions.
 func sameHost(a, b *Host) bool {
+	warm := (a.Heard + a.WarmupLeft) - (b.Heard + b.WarmupLeft)
+	sameWarmup := a.WarmupLeft == 0 && b.WarmupLeft == 0 ||
+		a.WarmupLeft > 0 && b.WarmupLeft > 0 && warm.Abs() < warmupSlack
 	return a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots &&
-		a.Draining == b.Draining && a.Born == b.Born && a.WarmupLeft == 0 && b.WarmupLeft == 0
+		a.Draining == b.Draining && a.Born == b.Born && sameWarmup
 }
 
-func (t *Tracker) publish(revision int64, now time.Duration) {
+func (t *Tracker) publish(revision int64, confirmed time.Duration) {
 	t.revision = revision
 	if t.config == nil {
 		return
 	}
 	if t.current.Load() == nil {
-		t.since = now
+		t.since = confirmed
 	}
 	c := build(t.config, t.hosts, t.evacuated)
 	c.Since = t.since
-	c.Revision, c.Confirmed, c.SteadySince, c.Removed = revision, now, t.steady, t.removed
+	c.Revision, c.Confirmed, c.SteadySince, c.Removed = revision, confirmed, t.steady, t.removed
 	t.current.Store(c)
 }
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -20,6 +20,9 @@
 // expireInterval is the time between two sweeps of the tables.
 const expireInterval = time.Second
 
+// headerTimeout bounds how long a caller may take to send a request.
+const headerTimeout = time.Second
+
 // Handler takes a datagram.
 type Handler func(now time.Duration, data []byte, out Output)
 
@@ -34,6 +37,8 @@
 	FromHost, Host netip.AddrPort
 	// Ready is the address of the routers' check.
 	Ready string
+	// Control is where starting processes ask, or empty.
+	Control string
 }
 
 // Node gives a core its sockets.
@@ -45,6 +50,8 @@
 	OnRequester, OnPeer, OnHost Handler
 	// Expire is called about once a second.
 	Expire func(now time.Duration)
+	// PeerHandler answers other processes, over TCP at the address of frames.
+	PeerHandler http.Handler
 	// IsReady tells whether the routers may send packets.
 	IsReady func() bool
 	Now     func() time.Duration
@@ -52,23 +59,19 @@
 	Events  *Events
 
 	peers, requesters, host *net.UDPConn
+	servers                 []httpServer
 }
 
 // Run serves until the context ends. The node must listen.
 func (n *Node) Run(ctx context.Context) error {
-	var listen net.ListenConfig
-	ready, err := listen.Listen(ctx, "tcp", n.Sockets.Ready)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	server := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: time.Second}
-	defer func() { _ = server.Close() }()
 	var group sync.WaitGroup
-	group.Go(func() {
-		if err := server.Serve(ready); !errors.Is(err, http.ErrServerClosed) {
-			n.Log.WithError(err).Error("ready_failed")
-		}
-	})
+	for _, s := range n.servers {
+		group.Go(func() {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				n.Log.WithError(err).Error("server_failed")
+			}
+		})
+	}
 	group.Go(func() { n.read(n.peers, n.OnPeer) })
 	if n.requesters != nil {
 		group.Go(func() { n.read(n.requesters, n.OnRequester) })
@@ -77,7 +80,9 @@
 		group.Go(func() { n.read(n.host, n.OnHost) })
 	}
 	n.sweep(ctx)
-	_ = server.Close()
+	for _, s := range n.servers {
+		_ = s.server.Close()
+	}
 	for _, c := range []*net.UDPConn{n.peers, n.requesters, n.host} {
 		if c != nil {
 			_ = c.Close()
@@ -103,6 +108,30 @@
 			return errors.Wrap(err, "listen")
 		}
 	}
+	return n.listenHTTP()
+}
+
+// httpServer is a server with the listener that it serves.
+type httpServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (n *Node) listenHTTP() error {
+	handlers := map[string]http.Handler{
+		n.Sockets.Ready:          http.HandlerFunc(n.serveReady),
+		n.Sockets.Peers.String(): n.PeerHandler,
+		n.Sockets.Control:        n.PeerHandler,
+	}
+	delete(handlers, "")
+	for address, handler := range handlers {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		n.servers = append(n.servers, httpServer{server: server, listener: listener})
+	}
 	return nil
 }
 
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -128,11 +128,15 @@
 		time.AfterFunc(linger, end)
 	})
 	var last *catalog.Catalog
+	rejected := func(v catalog.Value, err error) {
+		n.log.WithError(err).WithFields(logrus.Fields{"key": v.Key, "revision": v.Revision}).Warn("value_rejected")
+	}
 	syncer := &catalog.Syncer{
-		Source: platform.NewSource(platform.NewStore(n.settings.Store), n.now, func(key string, revision int64, err error) {
-			n.log.WithError(err).WithFields(logrus.Fields{"key": key, "revision": revision}).Warn("value_rejected")
-		}),
-		Tracker: n.tracker, Log: n.log, Now: n.now, Changed: func(c *catalog.Catalog) {
+		Store:   platform.NewSource(platform.NewStore(n.settings.Store), n.now, rejected),
+		Peers:   catalog.NewPeers(platform.Decode, n.now, rejected),
+		Tracker: n.tracker, Self: n.settings.IP.As4(), Zone: n.settings.Zone, PeerPort: n.settings.PeerPort,
+		Seeds: n.settings.Seeds, Log: n.log, Now: n.now,
+		Changed: func(c *catalog.Catalog) {
 			if n.changed != nil {
 				n.changed(last, c)
 			}
@@ -173,9 +177,11 @@
 func (n *datagramNode) node() *datagram.Node {
 	return &datagram.Node{
 		Sockets: datagram.Sockets{
-			Peers: n.self(), FromHost: n.settings.FromHost, Host: n.settings.Host, Ready: n.settings.Ready,
+			Peers: n.self(), FromHost: n.settings.FromHost, Host: n.settings.Host,
+			Ready: n.settings.Ready, Control: n.settings.Control,
 		},
 		RequesterPort: n.settings.Packets.Port(),
+		PeerHandler:   catalog.PeerHandler(n.tracker, n.now),
 		IsReady:       n.ready, Now: n.now, Log: n.log, Events: n.events,
 	}
 }
