Give dead flows up at once after a restart, and let watches wait

After a power failure of all machines the requests on dead flows waited out their timeouts: a search was believed only 2.5 s after the first reading, since descriptions may have lapsed. An agent now reads the store's history at its start: a host that went away without draining is asked as well, and the list is otherwise complete. A host as young as its agent holds no flow unknown to it.

Hosts change their descriptions rarely, so that a watch waits 0.9 s at the store.

--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -11,15 +11,19 @@
 )
 
 const (
-	// storeInterval is the time between readings of the store. It leaves room
-	// for several failed readings inside the bound of a configuration.
-	storeInterval = 700 * time.Millisecond
+	// storeWait is how long the store is asked to wait for a change. A watch
+	// that went silent is noticed well inside the bound of a configuration.
+	storeWait = 900 * time.Millisecond
 	// retryInterval is the time before a failed reading is repeated.
 	retryInterval = 250 * time.Millisecond
 	// peerWait is how long a reader is asked to wait for a change.
 	peerWait = 600 * time.Millisecond
 	// peerMaxAge is how old the store's word may be at a reader.
-	peerMaxAge = 1100 * time.Millisecond
+	peerMaxAge = 1600 * time.Millisecond
+	// historyStride is how many revisions are looked back on at first, and
+	// historyCalls how often the store is asked.
+	historyStride = 16
+	historyCalls  = 8
 	// peerBackoff is how long a reader that failed is left alone.
 	peerBackoff = 2 * time.Second
 )
@@ -39,7 +43,10 @@
 	PeerPort uint16
 	// Seeds are addresses of processes that may know a configuration.
 	Seeds []string
-	Log   *logrus.Entry
+	// Explain tells that the process decides by the absence of hosts, so that it
+	// reads what came before its start.
+	Explain bool
+	Log     *logrus.Entry
 	// Now is the process's own clock.
 	Now func() time.Duration
 	// Changed is called after a snapshot with changes was published.
@@ -80,7 +87,16 @@
 		return retryInterval
 	}
 	s.recovered()
-	return storeInterval
+	return 0
+}
+
+// storeWait returns how long the store is asked to wait: not at all while
+// readings fail, since the process's word is old then.
+func (s *Syncer) storeWait() time.Duration {
+	if s.failing || s.Now()-s.Tracker.Confirmed() > storeWait {
+		return 0
+	}
+	return storeWait
 }
 
 // fromReaders asks the readers in turn. It reports whether one had the store's
@@ -134,7 +150,7 @@
 
 func (s *Syncer) fromStore(ctx context.Context) error {
 	if s.synced {
-		reading, err := s.Store.Changes(ctx, s.Tracker.Revision(), 0)
+		reading, err := s.Store.Changes(ctx, s.Tracker.Revision(), s.storeWait())
 		var lost *HistoryLostError
 		if !errors.As(err, &lost) {
 			if err == nil {
@@ -148,11 +164,57 @@
 	if err != nil {
 		return err
 	}
+	first := !s.synced
 	s.synced = true
 	s.apply("snapshot", &reading)
+	if first {
+		s.explain(ctx, reading.Revision)
+	}
 	return nil
 }
 
+// explain reads what came before the first reading, as far back as the store
+// remembers. Without it, the list of hosts may lack some that live.
+func (s *Syncer) explain(ctx context.Context, revision int64) {
+	if !s.Explain || s.Tracker.Current() == nil {
+		return
+	}
+	changes, after := s.history(ctx, revision)
+	if after == revision {
+		s.Log.WithField("revision", revision).Info("history_unknown")
+		return
+	}
+	complete := s.Tracker.Explain(changes, s.Now())
+	s.Log.WithFields(logrus.Fields{
+		"revision": revision, "after": after, "changes": len(changes), "complete": complete,
+	}).Info("history_read")
+}
+
+// history returns all changes that the store remembers, up to a revision, and
+// the revision after which they begin. The store tells only whether it
+// remembers what came after one revision, so that the oldest is searched for.
+func (s *Syncer) history(ctx context.Context, revision int64) (changes []Change, after int64) {
+	forgotten, after := int64(-1), revision
+	for range historyCalls {
+		// Strides grow until the store has forgotten, then halve.
+		next := after - max(historyStride, 2*(revision-after))
+		if forgotten >= 0 {
+			next = (forgotten + after) / 2
+		}
+		next = max(0, next)
+		if next == after || next == forgotten {
+			break
+		}
+		reading, err := s.Store.Changes(ctx, next, 0)
+		if err != nil {
+			forgotten = next
+			continue
+		}
+		changes, after = reading.Changes, next
+	}
+	return changes, after
+}
+
 // fromSeeds asks the seeds for what they know, however old it is: it is better
 // than nothing while the store is away.
 func (s *Syncer) fromSeeds(ctx context.Context) {
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -24,6 +24,7 @@
 // apply changes; any may read the snapshot.
 type Tracker struct {
 	revision  int64
+	confirmed time.Duration
 	config    *Config
 	hosts     map[string]*Host
 	evacuated map[string]bool
@@ -59,6 +60,11 @@
 	return t.revision
 }
 
+// Confirmed returns when what was applied was known to be current.
+func (t *Tracker) Confirmed() time.Duration {
+	return t.confirmed
+}
+
 // Replace applies a full reading, confirmed at a time: hosts and zones that it
 // lacks are gone. A reading older than the one in force is passed over.
 func (t *Tracker) Replace(revision int64, changes []Change, confirmed time.Duration) bool {
@@ -77,6 +83,7 @@
 		}
 	}
 	t.succeeded(confirmed)
+	t.confirmed = max(t.confirmed, confirmed)
 	t.publish(revision, confirmed)
 	t.journal.replace(revision, changes, confirmed)
 	return true
@@ -95,6 +102,7 @@
 		}
 	}
 	t.succeeded(confirmed)
+	t.confirmed = max(t.confirmed, confirmed)
 	t.journal.add(revision, relevant, confirmed)
 	if len(relevant) > 0 {
 		t.publish(revision, confirmed)
@@ -114,6 +122,38 @@
 	t.failed = true
 }
 
+// Explain takes the changes before the first reading. Hosts that went away
+// without having drained may still live. If each of them is known, the list of
+// hosts is complete, as if readings had succeeded for long.
+func (t *Tracker) Explain(changes []Change, now time.Duration) bool {
+	known := make(map[string]*Host)
+	complete := true
+	for i := range changes {
+		c := &changes[i]
+		if c.Host != nil {
+			known[c.HostID] = c.Host
+		}
+		if c.HostID == "" || c.Host != nil || t.hosts[c.HostID] != nil {
+			continue
+		}
+		switch h := known[c.HostID]; {
+		case h == nil:
+			complete = false
+		case !h.Draining:
+			t.noteRemoved(h, now)
+		}
+	}
+	if complete {
+		t.steady = now - removedLinger
+	}
+	if c := t.current.Load(); c != nil {
+		next := *c
+		next.SteadySince, next.Removed = t.steady, t.removed
+		t.current.Store(&next)
+	}
+	return complete
+}
+
 func (t *Tracker) succeeded(now time.Duration) {
 	if t.failed || t.steady == 0 {
 		t.steady, t.failed = now, false
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -23,7 +23,8 @@
 	ColdOverage, ColdSlack float64
 	// Restarted tells that the host may hold flows from before.
 	Restarted bool
-	Started   uint32
+	// Started is the process's start by the machine's time of day.
+	Started time.Time
 	Codec     flow.Codec
 	Catalog   CatalogFunc
 	Events    *Events
@@ -77,6 +78,9 @@
 	// trialSettled is after how long the host would have returned a packet of
 	// a flow that it does not hold.
 	trialSettled = 100 * time.Millisecond
+	// startSkew is by how much a host may start before its agent when both
+	// start with the machine. A process that was killed is away for longer.
+	startSkew = 300 * time.Millisecond
 	// trialMost bounds the packets of one flow that are tried before the host
 	// had the time to return one.
 	trialMost = 2
@@ -239,7 +243,7 @@
 
 func (a *Agent) report(kind flow.Kind, key flow.Key) flow.Frame {
 	return flow.Frame{
-		Kind: kind, Key: key, Owner: a.config.Self.Addr, Service: a.tag, Started: a.config.Started,
+		Kind: kind, Key: key, Owner: a.config.Self.Addr, Service: a.tag, Started: uint32(a.config.Started.Unix()),
 		Flows: uint16(min(a.open, 1<<16-1)), Busy: uint16(min(a.busy, 1<<16-1)),
 	}
 }
@@ -365,6 +369,17 @@
 	return a.config.Restarted && now <= a.config.FlowLifetime
 }
 
+// hostIsYoung reports whether the host started with the agent or after it, so
+// that the agent has seen all of its flows. Both stamps are of one clock.
+func (a *Agent) hostIsYoung() bool {
+	c := a.config.Catalog()
+	if c == nil {
+		return false
+	}
+	host := c.Hosts[a.config.Self.Addr]
+	return host != nil && host.Born >= a.config.Started.Add(-startSkew).UnixMilli()
+}
+
 // mayTry reports whether a packet of an unknown flow may be meant for the
 // service of this agent's host. No packet is tried at another service.
 func (a *Agent) mayTry(f *flow.Frame, key flow.Key) bool {
@@ -394,9 +409,8 @@
 	case t.absent:
 		return false
 	case now-t.at > trialSettled:
-		// The host did not return the packet: it holds the flow.
-		delete(a.trials, key)
-		a.adopt(now, key, f.Origin, out)
+		// The host did not return the last packets: it holds the flow, or is down.
+		t.frame, t.at, t.count = *f, now, 1
 	case t.count >= trialMost:
 		return true
 	default:
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -96,7 +96,7 @@
 	if a.try(now, key, f, data, out) {
 		return
 	}
-	if a.unsure(now) && !a.mayTry(f, key) {
+	if a.unsure(now) && !a.mayTry(f, key) && !a.hostIsYoung() {
 		a.config.Events.Drop(DropNoOwner)
 		return
 	}
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -135,7 +135,7 @@
 		Store:   platform.NewSource(platform.NewStore(n.settings.Store), n.now, rejected),
 		Peers:   catalog.NewPeers(platform.Decode, n.now, rejected),
 		Tracker: n.tracker, Self: n.settings.IP.As4(), Zone: n.settings.Zone, PeerPort: n.settings.PeerPort,
-		Seeds: n.settings.Seeds, Log: n.log, Now: n.now,
+		Seeds: n.settings.Seeds, Explain: n.settings.Service != "", Log: n.log, Now: n.now,
 		Changed: func(c *catalog.Catalog) {
 			if n.changed != nil {
 				n.changed(last, c)
@@ -204,7 +204,7 @@
 	a := datagram.NewAgent(datagram.AgentConfig{
 		Self: flow.EndpointOf(n.self()), Service: n.settings.Service, FlowLifetime: n.settings.FlowLifetime,
 		ColdOverage: n.settings.ColdOverage, ColdSlack: n.settings.ColdSlack,
-		Restarted: !n.settings.FirstStart, Started: uint32(n.started.Unix()),
+		Restarted: !n.settings.FirstStart, Started: n.started,
 		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
 	node := n.node()
