--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -206,11 +206,16 @@
 			break
 		}
 		reading, err := s.Store.Changes(ctx, next, 0)
-		if err != nil {
+		var lost *HistoryLostError
+		switch {
+		case errors.As(err, &lost):
 			forgotten = next
-			continue
+		case err != nil:
+			s.Log.WithError(err).Info("history_failed")
+			return changes, after
+		default:
+			changes, after = reading.Changes, next
 		}
-		changes, after = reading.Changes, next
 	}
 	return changes, after
 }
