Pass openings on and refuse them while hosts are overloaded

A burst of 2.5 times the load on the second site made 40 % of the requests late for the surplus of a tenth: hosts queue 8 requests, and those that they shed come back twice. Ruled out: uneven placement, since all seven hosts were at 9 to 14 requests.

The agent predicts from requests in service, slots and the measured time in service how long one more request takes. Above 0.45 of the route's target latency an opening goes on to a less loaded host, above 0.7 it is refused at once.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -25,9 +25,9 @@
 	Restarted bool
 	// Started is the process's start by the machine's time of day.
 	Started time.Time
-	Codec     flow.Codec
-	Catalog   CatalogFunc
-	Events    *Events
+	Codec   flow.Codec
+	Catalog CatalogFunc
+	Events  *Events
 }
 
 // flowState is where a flow stands at its owner.
@@ -54,8 +54,10 @@
 	// opening is the frame that brought the opening.
 	opening flow.Frame
 	seen    time.Duration
-	// busy tells that a request is in service.
-	busy              bool
+	// busy tells that a request is in service, asked since when, and unqueued
+	// that a slot was free then.
+	busy, unqueued    bool
+	asked             time.Duration
 	requesterFin, fin bool
 }
 
@@ -104,6 +106,7 @@
 	open     int
 	cold     steering.ColdGate
 	loads    *steering.Loads
+	service  steering.ServiceTime
 }
 
 // NewAgent returns an agent that knows no flows.
@@ -133,6 +136,7 @@
 	case flow.Deliver, flow.Find, flow.Probe:
 		a.handlePacket(now, &f, packet, out)
 	case flow.Owned:
+		a.loads.Report(f.Owner, int(f.Flows), int(f.Busy), now)
 		a.records[f.Key] = &record{owner: f.Owner, seen: now}
 	case flow.Closed:
 		if r := a.records[f.Key]; r != nil && r.owner == f.Owner {
@@ -201,7 +205,7 @@
 		a.config.Events.Note(EventOpened, key, "entry", f.Origin.AddrPort().Addr(), "flows", a.open, "busy", a.busy)
 	}
 	if p.Size > 0 && !fl.busy {
-		fl.busy = true
+		fl.busy, fl.asked, fl.unqueued = true, now, a.busy < a.slots()
 		a.busy++
 	}
 	if p.Fin {
@@ -268,19 +272,30 @@
 		a.passOn(now, f, p, data, reason, out)
 		return
 	}
+	switch a.admit(c, f, key) {
+	case steering.PassOn:
+		if a.passOn(now, f, p, data, reasonBusy, out) {
+			return
+		}
+	case steering.Refuse:
+		a.refuse(f, p, "overloaded", out)
+		return
+	}
+	if !a.takeCold(now, c) {
+		a.passOn(now, f, p, data, "cold", out)
+		return
+	}
 	a.flows[key] = &ownedFlow{state: flowOpening, origin: f.Origin, opening: *f, seen: now}
 	a.open++
 	out.ToHost(data)
 }
 
-// unfit returns why the host may not take an opening, or "". An opening that
-// is fit is counted against the limit of a cold host.
+// unfit returns why the host may not take an opening, or "".
 func (a *Agent) unfit(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key) string {
 	if f.Service != a.tag {
 		return "other_service"
 	}
 	if c == nil {
-		a.cold.Count(now)
 		return ""
 	}
 	if c.Config.Version >= f.Config {
@@ -306,35 +321,77 @@
 	if service.MaxFlows > 0 && a.open >= service.MaxFlows {
 		return "full"
 	}
-	if service.WarmupPerSecond > 0 && (host == nil || host.Cold(now)) {
-		limit := steering.ColdLimit(service.WarmupPerSecond, a.config.ColdOverage, a.config.ColdSlack)
-		if !a.cold.Admit(now, limit) {
-			return "cold"
+	return ""
+}
+
+// slots returns how many requests the host works on at a time.
+func (a *Agent) slots() int {
+	if c := a.config.Catalog(); c != nil {
+		if host := c.Hosts[a.config.Self.Addr]; host != nil {
+			return host.Slots
+		}
+	}
+	return 1
+}
+
+// admit decides whether the host has room for one more flow.
+func (a *Agent) admit(c *catalog.Catalog, f *flow.Frame, key flow.Key) steering.Verdict {
+	if c == nil {
+		return steering.Accept
+	}
+	route := c.Config.Routes[key.Service]
+	if route == nil {
+		return steering.Accept
+	}
+	pressure := steering.Pressure{Busy: a.busy, Slots: a.slots(), Service: a.service.Mean()}
+	return pressure.Admit(route.TargetLatency, route.Priority, f.Hops < passOnHops)
+}
+
+// takeCold reports whether the limit of a cold host leaves room for one more
+// opening, and counts it. A host that is not listed yet is taken as cold.
+func (a *Agent) takeCold(now time.Duration, c *catalog.Catalog) bool {
+	if c != nil {
+		service := c.Services[a.config.Service]
+		host := c.Hosts[a.config.Self.Addr]
+		if service != nil && service.WarmupPerSecond > 0 && (host == nil || host.Cold(now)) {
+			limit := steering.ColdLimit(service.WarmupPerSecond, a.config.ColdOverage, a.config.ColdSlack)
+			return a.cold.Admit(now, limit)
 		}
-		return ""
 	}
 	a.cold.Count(now)
-	return ""
+	return true
 }
 
-// passOn brings an opening to another host, or refuses it at once.
-func (a *Agent) passOn(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, reason string, out Output) {
+// passOn brings an opening to another host. Where there is none, it refuses
+// the opening at once, unless the host itself could still take it: then it
+// reports false.
+func (a *Agent) passOn(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, reason string, out Output) bool {
 	key := p.FromRequester()
 	load := a.report(flow.Load, flow.Key{})
 	out.ToNode(f.Origin, &load, nil)
-	c := a.config.Catalog()
 	next := *f
 	next.Hops++
 	next.AddAvoid(a.config.Self.Addr)
-	host := a.alternative(now, c, &next, key)
+	host := a.alternative(now, a.config.Catalog(), &next, key)
 	if host == nil {
-		a.config.Events.Note(EventRefused, key, "reason", reason, "hops", f.Hops)
-		reset(a.config.Codec, p, out)
-		return
+		if reason != reasonBusy {
+			a.refuse(f, p, reason, out)
+		}
+		return false
 	}
-	a.config.Events.Note(EventPassedOn, key, "reason", reason, "to", flow.Endpoint{Addr: host.Addr.Addr}.AddrPort().Addr(), "hops", f.Hops)
+	a.config.Events.Note(EventPassedOn, key, "reason", reason, "to", flow.Endpoint{Addr: host.Addr.Addr}.AddrPort().Addr(),
+		"hops", f.Hops, "busy", a.busy, "flows", a.open)
 	next.Kind = flow.Deliver
 	out.ToNode(flow.Endpoint{Addr: host.Addr.Addr, Port: a.config.Self.Port}, &next, data)
+	return true
+}
+
+// refuse tells the requester at once that its flow is not opened: none of its
+// requests has run.
+func (a *Agent) refuse(f *flow.Frame, p *flow.Packet, reason string, out Output) {
+	a.config.Events.Note(EventRefused, p.FromRequester(), "reason", reason, "hops", f.Hops,
+		"busy", a.busy, "service_ms", a.service.Mean().Milliseconds())
+	reset(a.config.Codec, p, out)
 }
 
 // alternative chooses another host for an opening, and sets the service by the
@@ -523,6 +580,9 @@
 	if p.Size > 0 && fl.busy {
 		fl.busy = false
 		a.busy--
+		if fl.unqueued {
+			a.service.Observe(now - fl.asked)
+		}
 	}
 	if p.Fin {
 		fl.fin = true
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -27,6 +27,8 @@
 const (
 	// maxHops bounds how often a packet is passed on between agents.
 	maxHops = 4
+	// passOnHops bounds how often an opening is passed on since hosts are busy.
+	passOnHops = 4
 	// refusalAge is how old the confirmation of a snapshot may be for an
 	// unknown route to be refused rather than passed over in silence.
 	refusalAge = 2 * time.Second
@@ -35,3 +37,6 @@
 	// pendingLinger is how long an opening without an answer is remembered.
 	pendingLinger = 3 * time.Second
 )
+
+// reasonBusy is why an opening is passed on that the host could still take.
+const reasonBusy = "busy"
--- /dev/null
+++ b/steering/admission.go
@@ -0,0 +1,87 @@
+package steering
+
+import "time"
+
+const (
+	// passOnShare is the share of a route's target latency from which on a new
+	// flow is better taken to another host.
+	passOnShare = 0.45
+	// refuseShare is the share from which on a new flow is refused when no other
+	// host can take it: its requests, and those that wait already, would be late.
+	refuseShare = 0.7
+	// urgentShare is added to refuseShare for each step by which a route is more
+	// urgent than the least urgent ones, so that those are refused first.
+	urgentShare = 0.1
+	// leastUrgent is the priority of the routes that are refused first.
+	leastUrgent = 2
+	// serviceSmoothing is the weight of a new sample of the time in service.
+	serviceSmoothing = 0.1
+)
+
+// Verdict is the decision on a new flow.
+type Verdict uint8
+
+// The decisions on a new flow.
+const (
+	// Accept gives the flow to the host.
+	Accept Verdict = iota
+	// PassOn brings the flow to another host.
+	PassOn
+	// Refuse tells the requester at once that no host can take the flow.
+	Refuse
+)
+
+// Pressure is the work that waits at a host. It answers a burst: more requests
+// than the hosts can serve, of which the queue makes all late instead of some
+// refused.
+type Pressure struct {
+	// Busy counts the requests in service and in the queue, Slots those that are
+	// in service at a time.
+	Busy, Slots int
+	// Service is the time in service of a request.
+	Service time.Duration
+}
+
+// Latency returns how long one more request would take.
+func (p Pressure) Latency() time.Duration {
+	turns := float64(p.Busy+1) / float64(max(1, p.Slots))
+	return time.Duration(max(1, turns) * float64(p.Service))
+}
+
+// Admit decides on a new flow of a route. Others tells whether another host may
+// take the flow.
+func (p Pressure) Admit(target time.Duration, priority int, others bool) Verdict {
+	if target <= 0 || p.Busy < p.Slots {
+		return Accept
+	}
+	share := p.Latency().Seconds() / target.Seconds()
+	urgency := max(0, leastUrgent-priority)
+	switch {
+	case others && share > passOnShare:
+		return PassOn
+	case share > refuseShare+urgentShare*float64(urgency):
+		return Refuse
+	default:
+		return Accept
+	}
+}
+
+// ServiceTime estimates the time in service of a host's requests from those
+// that did not wait. It is not safe for concurrent use.
+type ServiceTime struct {
+	mean time.Duration
+}
+
+// Observe notes how long a request took that came while a slot was free.
+func (s *ServiceTime) Observe(took time.Duration) {
+	if s.mean == 0 {
+		s.mean = took
+		return
+	}
+	s.mean += time.Duration(serviceSmoothing * float64(took-s.mean))
+}
+
+// Mean returns the estimate, or 0 before any request was seen.
+func (s *ServiceTime) Mean() time.Duration {
+	return s.mean
+}
