--- /dev/null
+++ b/datagram/flows_test.go
@@ -0,0 +1,393 @@
+package datagram_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
+)
+
+// newServiceCell returns two entries before four hosts of one service.
+func newServiceCell(t *testing.T) *cell {
+	c := newCell(t)
+	c.addEntry(1)
+	c.addEntry(2)
+	for n := byte(11); n <= 14; n++ {
+		c.addHost(n, "s")
+	}
+	c.declare(1, nil, "s")
+	return c
+}
+
+func TestFlowIsServedThroughAnyEntry(t *testing.T) {
+	c := newServiceCell(t)
+	for port := uint16(1000); port < 1100; port++ {
+		r := c.requester(port, 1)
+		r.open()
+		must.Len(t, 1, r.send(ack, 0, 50))
+		r.via = 2
+		must.Len(t, 1, r.send(ack, 0, 50), must.Sprint("the second entry finds the owner"))
+	}
+	must.Eq(t, 0, c.strays())
+}
+
+func TestOwnerIsTakenFromACacheAfterTheFirstPacket(t *testing.T) {
+	c := newServiceCell(t)
+	r := c.requester(1000, 1)
+	r.open()
+	r.via = 2
+	r.send(ack, 0, 50)
+	found := c.frames[flow.Find]
+	must.Positive(t, found)
+	r.send(ack, 0, 50)
+	must.Eq(t, found, c.frames[flow.Find], must.Sprint("no keeper is asked twice"))
+}
+
+func TestOpeningIsSpreadOverHosts(t *testing.T) {
+	c := newServiceCell(t)
+	for port := uint16(1000); port < 1400; port++ {
+		c.requester(port, 1).open()
+	}
+	for _, h := range c.hosts {
+		must.Between(t, 80, h.taken, 120)
+	}
+}
+
+// A closed flow's late packets belong to its host, which answers them. They
+// were once tried at other hosts, as packets of a flow that nobody knew.
+func TestLatePacketOfAClosedFlowReachesItsHost(t *testing.T) {
+	c := newServiceCell(t)
+	r := c.requester(1000, 1)
+	own := r.open()
+	r.send(ack, 0, 50)
+	r.send(ack|fin, 0, 0)
+	c.now += 20 * time.Second
+	c.confirm()
+	for _, a := range c.agents {
+		a.Expire(c.now)
+	}
+	for _, e := range c.entries {
+		e.Expire(c.now)
+	}
+	for n := byte(11); n <= 14; n++ {
+		if addr(n) != own {
+			c.startAgent(n, true)
+		}
+	}
+	r.send(ack|fin, 0, 0)
+	must.Eq(t, 0, c.strays())
+}
+
+// Keepers are chosen from the list of agents, so that a change of the list
+// moves some records. They were once left behind.
+func TestKeepersThatJoinAreTold(t *testing.T) {
+	c := newServiceCell(t)
+	var flows []*requester
+	for port := uint16(1000); port < 1200; port++ {
+		r := c.requester(port, 1)
+		r.open()
+		flows = append(flows, r)
+	}
+	for n := byte(21); n <= 24; n++ {
+		c.addHost(n, "s")
+	}
+	c.declare(2, nil, "s")
+	for _, r := range flows {
+		r.via = 2
+		must.Len(t, 1, r.send(ack, 0, 50))
+	}
+	must.Eq(t, 0, c.frames[flow.Probe], must.Sprint("no search was needed"))
+}
+
+func TestKeepersThatRestartAreTold(t *testing.T) {
+	c := newServiceCell(t)
+	var flows []*requester
+	for port := uint16(1000); port < 1200; port++ {
+		r := c.requester(port, 1)
+		if own := r.open(); own == addr(13) || own == addr(14) {
+			flows = append(flows, r)
+		}
+	}
+	c.startAgent(11, true)
+	c.startAgent(12, true)
+	for _, r := range flows {
+		r.via = 2
+		must.Len(t, 1, r.send(ack, 0, 50))
+	}
+	must.Eq(t, 0, c.frames[flow.Probe], must.Sprint("no search was needed"))
+}
+
+func TestFlowsAreFoundAfterAllProcessesWereKilled(t *testing.T) {
+	c := newServiceCell(t)
+	var flows []*requester
+	for port := uint16(1000); port < 1200; port++ {
+		r := c.requester(port, 1)
+		r.open()
+		flows = append(flows, r)
+	}
+	c.restartAll()
+	for _, r := range flows {
+		must.Len(t, 1, r.send(ack, 0, 50))
+	}
+	for _, h := range c.hosts {
+		for key, n := range h.strays {
+			must.Less(t, 3, n, must.Sprintf("flow %v reached a foreign host %d times", key, n))
+		}
+	}
+}
+
+func (c *cell) restartAll() {
+	for a := range c.entries {
+		c.addEntry(a[3])
+	}
+	for a := range c.agents {
+		c.startAgent(a[3], true)
+	}
+}
+
+// A request of two packets lost the second one to the interval between two
+// searches, and was answered only after it had been sent again.
+func TestSearchCarriesAllPacketsInFlight(t *testing.T) {
+	c := newServiceCell(t)
+	var flows []*requester
+	for port := uint16(1000); port < 1050; port++ {
+		r := c.requester(port, 1)
+		r.open()
+		flows = append(flows, r)
+	}
+	c.restartAll()
+	entry := addr(1)
+	out := &cellOutput{c, entry}
+	for _, r := range flows {
+		c.toRequester = nil
+		for range 2 {
+			c.entries[entry].HandlePacket(c.now, packet(ack, r.at, service(), 1, 0, 50), out)
+		}
+		c.drain()
+		must.Len(t, 2, c.toRequester)
+	}
+}
+
+func TestRequesterOfADeadFlowIsResetAtOnce(t *testing.T) {
+	c := newServiceCell(t)
+	r := c.requester(1000, 1)
+	clear(c.hosts[r.open()].flows)
+	c.restartAll()
+	c.now += 3 * time.Second
+	c.confirm()
+	answers := r.send(ack, 777, 50)
+	must.Len(t, 1, answers)
+	must.True(t, answers[0].Rst)
+	must.Eq(t, 777, answers[0].Seq)
+}
+
+// The list of hosts may lack some that live while readings fail, so that
+// their flows must not be reset.
+func TestNoFlowIsGivenUpWhileTheListMayBeIncomplete(t *testing.T) {
+	c := newServiceCell(t)
+	r := c.requester(1000, 1)
+	own := r.open()
+	c.tracker = nil
+	c.declare(2, func(values *[]catalog.Value) {
+		*values = slices.DeleteFunc(*values, func(v catalog.Value) bool { return v.Key == fmt.Sprintf("servers/h%d", own[3]) })
+	}, "s")
+	c.restartAll()
+	c.agents[own].Expire(c.now)
+	c.now += 2 * time.Second
+	c.confirm()
+	must.Len(t, 0, r.send(ack, 777, 50))
+	c.tracker.Failed()
+	c.now += 2 * time.Second
+	c.confirm()
+	must.Len(t, 0, r.send(ack, 777, 50), must.Sprint("a reading has failed in between"))
+	c.now += 3 * time.Second
+	c.confirm()
+	must.Len(t, 1, r.send(ack, 777, 50), must.Sprint("a host that is still missing is gone"))
+}
+
+func TestFlowOfAnAgentThatDoesNotAnswerIsNotReset(t *testing.T) {
+	c := newServiceCell(t)
+	r := c.requester(1000, 1)
+	own := r.open()
+	c.restartAll()
+	c.cut[own] = true
+	c.now += 5 * time.Second
+	c.confirm()
+	for range 5 {
+		must.Len(t, 0, r.send(ack, 777, 50))
+		c.now += 400 * time.Millisecond
+		c.confirm()
+	}
+}
+
+// After a change of weights an open flow was once reset, since the search
+// asked only the services that the route then named.
+func TestFlowOfAFormerTargetIsFound(t *testing.T) {
+	c := newCell(t)
+	c.addEntry(1)
+	c.addEntry(2)
+	c.addHost(11, "s")
+	for n := byte(12); n <= 14; n++ {
+		c.addHost(n, "u")
+	}
+	c.declare(1, nil, "s")
+	c.now += 2 * lifetime
+	c.confirm()
+	var flows []*requester
+	for port := uint16(1000); port < 1050; port++ {
+		r := c.requester(port, 1)
+		r.open()
+		flows = append(flows, r)
+	}
+	c.now += 5 * time.Second
+	c.declare(2, nil, "u")
+	// The keepers lose what they know, and the owner does not hear of it.
+	c.cut[addr(11)] = true
+	for n := byte(12); n <= 14; n++ {
+		c.startAgent(n, true)
+	}
+	c.cut[addr(11)] = false
+	c.now += 5 * time.Second
+	c.confirm()
+	for _, r := range flows {
+		r.via = 2
+		answers := r.send(ack, 777, 50)
+		must.Len(t, 1, answers)
+		must.False(t, answers[0].Rst)
+	}
+	must.Positive(t, c.frames[flow.Probe])
+}
+
+func TestPacketOfAnUnknownFlowIsNotTriedAtAnotherService(t *testing.T) {
+	c := newCell(t)
+	c.addEntry(1)
+	c.addHost(11, "s")
+	foreign := c.addHost(12, "u")
+	c.declare(1, nil, "s")
+	r := c.requester(1000, 1)
+	r.open()
+	c.restartAll()
+	for range 5 {
+		r.send(ack, 0, 50)
+	}
+	must.MapEmpty(t, foreign.strays)
+}
+
+func TestHostThatLostItsFlowsHasThemReset(t *testing.T) {
+	c := newServiceCell(t)
+	r := c.requester(1000, 1)
+	h := c.hosts[r.open()]
+	clear(h.flows)
+	answers := r.send(ack, 55, 50)
+	must.Len(t, 1, answers)
+	must.True(t, answers[0].Rst)
+}
+
+func TestOpeningLeavesAHostThatRefusesIt(t *testing.T) {
+	c := newServiceCell(t)
+	c.hosts[addr(11)].refusing = true
+	c.hosts[addr(12)].refusing = true
+	for port := uint16(1000); port < 1050; port++ {
+		c.requester(port, 1).open()
+	}
+}
+
+func TestOpeningIsRefusedAtOnceWhenNoHostCanTakeIt(t *testing.T) {
+	c := newServiceCell(t)
+	for _, h := range c.hosts {
+		h.refusing = true
+	}
+	answers := c.requester(1000, 1).send(syn, 0, 0)
+	must.Len(t, 1, answers)
+	must.True(t, answers[0].Rst)
+}
+
+func TestCopyOfAnOpeningLeavesASilentHost(t *testing.T) {
+	c := newServiceCell(t)
+	for n := byte(11); n <= 13; n++ {
+		c.hosts[addr(n)].down = true
+	}
+	r := c.requester(1000, 1)
+	for range 4 {
+		if answers := r.send(syn, 0, 0); len(answers) > 0 {
+			must.Eq(t, addr(14), c.holder(r.key()))
+			return
+		}
+		c.now += 200 * time.Millisecond
+	}
+	t.Fatal("no copy reached the host that answers")
+}
+
+func TestDrainingHostAndZoneOutGetNoOpenings(t *testing.T) {
+	cases := map[string]func(values *[]catalog.Value){
+		"draining": func(values *[]catalog.Value) {
+			for i := range *values {
+				if v := &(*values)[i]; v.Key == "servers/h11" {
+					v.Data = []byte(`{"backend":"s","address":"10.0.0.11:8080","zone":"a","concurrency":2,"state":"draining","born":1}`)
+				}
+			}
+		},
+		"zone out": func(values *[]catalog.Value) {
+			for i := range *values {
+				if v := &(*values)[i]; v.Key == "servers/h11" {
+					v.Data = []byte(`{"backend":"s","address":"10.0.0.11:8080","zone":"b","concurrency":2,"state":"ready","born":1}`)
+				}
+			}
+			*values = append(*values, catalog.Value{Key: "op/evacuate/b", Data: []byte(`{}`)})
+		},
+	}
+	for name, edit := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newServiceCell(t)
+			before := c.current
+			r := c.requester(999, 1)
+			for r.open() != addr(11) {
+				r = c.requester(r.at.Port-1, 1)
+			}
+			c.declare(2, edit, "s")
+			taken := c.hosts[addr(11)].taken
+			for port := uint16(1000); port < 1100; port++ {
+				c.requester(port, 1).open()
+			}
+			must.Eq(t, taken, c.hosts[addr(11)].taken)
+			must.Len(t, 1, r.send(ack, 0, 50), must.Sprint("an open flow goes on"))
+			// An entry that has not heard yet sends to the host all the same: the
+			// agent has the last word.
+			c.entryKnows(1, before)
+			for port := uint16(2000); port < 2100; port++ {
+				c.requester(port, 1).open()
+			}
+			must.Eq(t, taken, c.hosts[addr(11)].taken)
+		})
+	}
+}
+
+func TestForgedPacketsAreDropped(t *testing.T) {
+	c := newServiceCell(t)
+	r := c.requester(1000, 1)
+	own := r.open()
+	for _, flags := range []byte{syn | ack, bounced | ack, bounced | syn} {
+		forged := packet(flags, r.at, service(), 1, 0, 0)
+		c.entries[addr(1)].HandlePacket(c.now, forged, &cellOutput{c, addr(1)})
+		must.SliceEmpty(t, c.queue, must.Sprint("the entry passes nothing on"))
+		f := flow.Frame{Kind: flow.Deliver, Service: catalog.Tag("s"), Config: 1}
+		c.agents[own].HandleFrame(c.now, append(f.Append(nil), forged...), &cellOutput{c, own})
+		must.SliceEmpty(t, c.queue, must.Sprint("the agent passes nothing on"))
+	}
+}
+
+func TestDatagramsThatAreNoneOfTheProtocolAreDropped(t *testing.T) {
+	c := newServiceCell(t)
+	for _, data := range [][]byte{nil, {16}, make([]byte, 31), append(make([]byte, 32), 1), make([]byte, 2000)} {
+		c.entries[addr(1)].HandlePacket(c.now, data, &cellOutput{c, addr(1)})
+		c.entries[addr(1)].HandleFrame(c.now, data)
+		c.agents[addr(11)].HandleFrame(c.now, data, &cellOutput{c, addr(11)})
+		c.agents[addr(11)].HandleHost(c.now, data, &cellOutput{c, addr(11)})
+		must.SliceEmpty(t, c.queue)
+	}
+}
--- /dev/null
+++ b/datagram/harness_test.go
@@ -0,0 +1,303 @@
+package datagram_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/datagram"
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/platform"
+)
+
+const (
+	peerPort    = 7720
+	servicePort = 8443
+	lifetime    = time.Minute
+)
+
+// cell is a small fleet of cores in virtual time: entries, agents and hosts
+// that share one catalog. Packets arrive at once and in order.
+type cell struct {
+	t       *testing.T
+	now     time.Duration
+	current *catalog.Catalog
+	tracker *catalog.Tracker
+	entries map[[4]byte]*datagram.Entry
+	agents  map[[4]byte]*datagram.Agent
+	hosts   map[[4]byte]*host
+	// cut holds machines that receive nothing.
+	cut map[[4]byte]bool
+	// toRequester holds what requesters received, decoded.
+	toRequester []flow.Packet
+	// frames counts the frames between processes, by kind.
+	frames map[flow.Kind]int
+	queue  []func()
+}
+
+// host is a backend server that holds flows and returns what it does not hold.
+type host struct {
+	service string
+	flows   map[flow.Key]uint32
+	// strays counts packets of flows that the host does not hold.
+	strays map[flow.Key]int
+	taken  int
+	// down hosts read nothing; refusing ones return openings.
+	down, refusing bool
+	seq            uint32
+}
+
+func addr(n byte) [4]byte { return [4]byte{10, 0, 0, n} }
+
+func newCell(t *testing.T) *cell {
+	return &cell{
+		t: t, now: time.Second, entries: make(map[[4]byte]*datagram.Entry), agents: make(map[[4]byte]*datagram.Agent),
+		hosts: make(map[[4]byte]*host), cut: make(map[[4]byte]bool), frames: make(map[flow.Kind]int),
+	}
+}
+
+func quiet() *datagram.Events {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return datagram.NewEvents(logrus.NewEntry(log))
+}
+
+func (c *cell) catalog() *catalog.Catalog { return c.current }
+
+// entryKnows starts an entry that holds an older catalog.
+func (c *cell) entryKnows(n byte, old *catalog.Catalog) {
+	c.newEntry(n, func() *catalog.Catalog { return old })
+}
+
+func (c *cell) addEntry(n byte) {
+	c.newEntry(n, c.catalog)
+}
+
+func (c *cell) newEntry(n byte, known datagram.CatalogFunc) {
+	c.entries[addr(n)] = datagram.NewEntry(datagram.EntryConfig{
+		Zone: "a", Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, PeerPort: peerPort, FlowLifetime: lifetime,
+		Codec: platform.Codec{}, Catalog: known, Events: quiet(),
+	})
+}
+
+func (c *cell) addHost(n byte, service string) *host {
+	h := &host{service: service, flows: make(map[flow.Key]uint32), strays: make(map[flow.Key]int), seq: uint32(n) << 24}
+	c.hosts[addr(n)] = h
+	c.startAgent(n, false)
+	return h
+}
+
+// startAgent starts the agent of a host anew, without what it knew.
+func (c *cell) startAgent(n byte, restarted bool) {
+	c.agents[addr(n)] = datagram.NewAgent(datagram.AgentConfig{
+		Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
+		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, Started: time.UnixMilli(1_000_000),
+		Codec: platform.Codec{}, Catalog: c.catalog, Events: quiet(),
+	})
+	if restarted {
+		c.agents[addr(n)].Start(c.current, &cellOutput{c, addr(n)})
+		c.drain()
+	}
+}
+
+// declare publishes a catalog with one route, to the targets, and all hosts.
+func (c *cell) declare(version int64, edit func(values *[]catalog.Value), targets ...string) {
+	split := ""
+	for i, target := range targets {
+		if i > 0 {
+			split += ","
+		}
+		split += fmt.Sprintf(`{"backend":%q,"weight":1}`, target)
+	}
+	values := []catalog.Value{{Key: "op/config", Revision: version, Data: []byte(fmt.Sprintf(
+		`{"version":%d,"routes":[{"name":"r","vhost":"198.18.0.1","prefix":"/%d/","route_type":"idempotent","target_latency_ms":100,
+		"priority":2,"traffic_split":[%s]}],"services":[{"name":"s","max_conns":2000},{"name":"u","max_conns":2000}],
+		"limits":{"idle_timeout_ms":15000}}`, version, servicePort, split))}}
+	for a, h := range c.hosts {
+		values = append(values, catalog.Value{
+			Key: fmt.Sprintf("servers/h%d", a[3]), Revision: version,
+			Data: []byte(fmt.Sprintf(`{"backend":%q,"address":"10.0.0.%d:8080","zone":"a","concurrency":2,"state":"ready","born":1}`,
+				h.service, a[3])),
+		})
+	}
+	if edit != nil {
+		edit(&values)
+	}
+	var changes []catalog.Change
+	for _, v := range values {
+		v.Read = c.now
+		change, err := platform.Decode(v)
+		must.NoError(c.t, err)
+		changes = append(changes, change)
+	}
+	before := c.current
+	if c.tracker == nil {
+		c.tracker = catalog.NewTracker()
+	}
+	c.tracker.Replace(version, changes, c.now)
+	c.current = c.tracker.Current()
+	if before != nil {
+		for a, agent := range c.agents {
+			agent.KeepersChanged(before, c.current, &cellOutput{c, a})
+		}
+	}
+	c.drain()
+}
+
+// confirm tells that the catalog is still current.
+func (c *cell) confirm() {
+	c.tracker.Apply(c.tracker.Revision(), nil, c.now)
+	c.current = c.tracker.Current()
+}
+
+// cellOutput delivers what a core of a machine sends.
+type cellOutput struct {
+	c    *cell
+	from [4]byte
+}
+
+func (o *cellOutput) ToRequester(_ [4]byte, packet []byte) {
+	var p flow.Packet
+	must.True(o.c.t, platform.Codec{}.Decode(packet, &p))
+	o.c.toRequester = append(o.c.toRequester, p)
+}
+
+func (o *cellOutput) ToNode(to flow.Endpoint, f *flow.Frame, packet []byte) {
+	data := append(f.Append(nil), packet...)
+	o.c.frames[f.Kind]++
+	o.c.queue = append(o.c.queue, func() {
+		switch {
+		case o.c.cut[to.Addr]:
+		case o.c.entries[to.Addr] != nil:
+			o.c.entries[to.Addr].HandleFrame(o.c.now, data)
+		case o.c.agents[to.Addr] != nil:
+			o.c.agents[to.Addr].HandleFrame(o.c.now, data, &cellOutput{o.c, to.Addr})
+		}
+	})
+}
+
+func (o *cellOutput) ToHost(packet []byte) {
+	data := append([]byte(nil), packet...)
+	o.c.queue = append(o.c.queue, func() { o.c.hosts[o.from].receive(o.c, o.from, data) })
+}
+
+func (c *cell) drain() {
+	for len(c.queue) > 0 {
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		next()
+	}
+}
+
+// receive does what the platform says of hosts.
+func (h *host) receive(c *cell, at [4]byte, data []byte) {
+	var p flow.Packet
+	must.True(c.t, platform.Codec{}.Decode(data, &p))
+	if h.down {
+		return
+	}
+	key := p.FromRequester()
+	answer := func(flags byte, size int) {
+		c.agents[at].HandleHost(c.now, packet(flags, p.Dst, p.Src, h.flows[key], p.Seq, size), &cellOutput{c, at})
+	}
+	_, held := h.flows[key]
+	switch {
+	case p.Opening() && !h.refusing:
+		if !held {
+			h.seq += 1000
+			h.flows[key] = h.seq
+			h.taken++
+		}
+		answer(syn|ack, 0)
+	case held && p.Fin:
+		answer(ack|fin, 0)
+	case held && p.Size > 0:
+		answer(ack, 100)
+	case held:
+	default:
+		if !p.Opening() {
+			h.strays[key]++
+		}
+		data[0] |= bounced
+		c.agents[at].HandleHost(c.now, data, &cellOutput{c, at})
+	}
+}
+
+// Bits of a packet's flags.
+const (
+	bounced = 2
+	ack     = 4
+	rst     = 8
+	syn     = 16
+	fin     = 128
+)
+
+// packet builds a packet as one of the ends writes it.
+func packet(flags byte, from, to flow.Endpoint, seq, ackSeq uint32, size int) []byte {
+	data := platform.Codec{}.AppendReset(nil, from, to, seq)
+	data[0] = flags
+	data[22], data[23] = byte(size), byte(size>>8)
+	for i := range 4 {
+		data[28+i] = byte(ackSeq >> (8 * i))
+	}
+	return append(data, make([]byte, size)...)
+}
+
+// requester is the end that opens a flow.
+type requester struct {
+	c    *cell
+	at   flow.Endpoint
+	via  byte
+	seen int
+}
+
+func (c *cell) requester(port uint16, via byte) *requester {
+	return &requester{c: c, at: flow.Endpoint{Addr: [4]byte{100, 64, 0, 1}, Port: port}, via: via}
+}
+
+func service() flow.Endpoint { return flow.Endpoint{Addr: [4]byte{198, 18, 0, 1}, Port: servicePort} }
+
+func (r *requester) key() flow.Key { return flow.Key{Requester: r.at, Service: service()} }
+
+// send sends a packet through an entry and returns what came back.
+func (r *requester) send(flags byte, ackSeq uint32, size int) []flow.Packet {
+	r.c.toRequester = nil
+	entry := addr(r.via)
+	r.c.entries[entry].HandlePacket(r.c.now, packet(flags, r.at, service(), 1, ackSeq, size), &cellOutput{r.c, entry})
+	r.c.drain()
+	return r.c.toRequester
+}
+
+// open opens the flow and returns the address of its host.
+func (r *requester) open() [4]byte {
+	answers := r.send(syn, 0, 0)
+	must.Len(r.c.t, 1, answers)
+	must.True(r.c.t, answers[0].Syn && answers[0].Ack)
+	r.send(ack, answers[0].Seq+1, 0)
+	return r.c.holder(r.key())
+}
+
+func (c *cell) holder(key flow.Key) [4]byte {
+	for a, h := range c.hosts {
+		if _, held := h.flows[key]; held {
+			return a
+		}
+	}
+	c.t.Fatalf("no host holds %v", key)
+	return [4]byte{}
+}
+
+func (c *cell) strays() int {
+	n := 0
+	for _, h := range c.hosts {
+		for _, s := range h.strays {
+			n += s
+		}
+	}
+	return n
+}
