--- /dev/null
+++ b/flow/example_test.go
@@ -0,0 +1,18 @@
+package flow_test
+
+import (
+	"fmt"
+
+	"github.com/turmericrock/turmericrock/flow"
+)
+
+// A frame travels before the packet that it carries.
+func ExampleFrame() {
+	f := flow.Frame{Kind: flow.Deliver, Service: 7, Origin: flow.Endpoint{Addr: [4]byte{10, 0, 0, 1}, Port: 7720}}
+	datagram := append(f.Append(nil), "packet"...)
+
+	var read flow.Frame
+	packet, ok := read.Parse(datagram)
+	fmt.Println(ok, read.Origin, string(packet))
+	// Output: true 10.0.0.1:7720 packet
+}
--- /dev/null
+++ b/steering/steering_test.go
@@ -0,0 +1,242 @@
+package steering_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/placement"
+	"github.com/turmericrock/turmericrock/steering"
+)
+
+// newCatalog returns a catalog with a service of hosts in the zones.
+func newCatalog(zones ...string) (*catalog.Catalog, *catalog.Service) {
+	s := &catalog.Service{Name: "s"}
+	c := &catalog.Catalog{Hosts: make(map[[4]byte]*catalog.Host), Evacuated: make(map[string]bool)}
+	for n, zone := range zones {
+		h := &catalog.Host{ID: fmt.Sprint(n), Service: "s", Zone: zone, Slots: 2, Addr: flow.Endpoint{Addr: [4]byte{10, 0, 0, byte(n + 1)}}}
+		s.Hosts = append(s.Hosts, h)
+		c.Hosts[h.Addr.Addr] = h
+		c.Agents = append(c.Agents, h.Addr.Addr)
+	}
+	return c, s
+}
+
+func TestNearHostIsTakenUntilItCarriesMore(t *testing.T) {
+	c, s := newCatalog("a", "b")
+	loads := steering.NewLoads()
+	o := steering.Opening{Zone: "a", Now: time.Second}
+	must.Eq(t, "0", steering.ChooseHost(c, s, loads, o).ID)
+	loads.Report(s.Hosts[0].Addr.Addr, 4, 4, o.Now)
+	loads.Report(s.Hosts[1].Addr.Addr, 0, 0, o.Now)
+	must.Eq(t, "1", steering.ChooseHost(c, s, loads, o).ID)
+}
+
+func TestUnusableHostsAreNotTaken(t *testing.T) {
+	c, s := newCatalog("a", "a", "b")
+	s.Hosts[0].Draining = true
+	c.Evacuated["b"] = true
+	loads := steering.NewLoads()
+	for hash := range uint64(100) {
+		must.Eq(t, "1", steering.ChooseHost(c, s, loads, steering.Opening{Hash: hash, Zone: "b"}).ID)
+	}
+	avoid := func(a [4]byte) bool { return a == s.Hosts[1].Addr.Addr }
+	must.Nil(t, steering.ChooseHost(c, s, loads, steering.Opening{Zone: "a", Avoid: avoid}))
+}
+
+func TestSilentHostIsLeftAloneUntilItAnswers(t *testing.T) {
+	c, s := newCatalog("a", "a")
+	loads := steering.NewLoads()
+	silent := s.Hosts[0].Addr.Addr
+	loads.Silent(silent, time.Second)
+	choose := func(now time.Duration) int {
+		n := 0
+		for hash := range uint64(100) {
+			if steering.ChooseHost(c, s, loads, steering.Opening{Hash: hash, Zone: "a", Now: now}).Addr.Addr == silent {
+				n++
+			}
+		}
+		return n
+	}
+	must.Eq(t, 0, choose(1500*time.Millisecond))
+	must.Positive(t, choose(2100*time.Millisecond))
+	loads.Silent(silent, 2100*time.Millisecond)
+	must.Eq(t, 0, choose(4*time.Second), must.Sprint("the second silence counts longer"))
+	loads.Report(silent, 0, 0, 4*time.Second)
+	must.Positive(t, choose(4*time.Second))
+}
+
+func TestKeepersAreAgreedOnAndMoveLittle(t *testing.T) {
+	c, _ := newCatalog("a", "a", "a", "a", "a", "a", "a", "a", "a", "a")
+	fewer := &catalog.Catalog{Agents: c.Agents[:9]}
+	moved := 0
+	for hash := range uint64(1000) {
+		hash = placement.Mix(hash + 1)
+		first, second, ok := steering.Keepers(c, hash)
+		must.True(t, ok)
+		must.NotEq(t, first, second)
+		left, right, _ := steering.Keepers(fewer, hash)
+		if first != left || second != right {
+			moved++
+		}
+	}
+	must.Between(t, 130, moved, 280)
+	_, _, ok := steering.Keepers(&catalog.Catalog{}, 1)
+	must.False(t, ok)
+}
+
+// The load is a restart: all requesters reconnect within a second.
+func TestColdHostKeepsToItsLimitInEverySecond(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, rate := range []float64{0.5, 4, 20, 60} {
+		limit := steering.ColdLimit(rate, 1.5, 5)
+		var gate steering.ColdGate
+		var taken []time.Duration
+		now := time.Second
+		for range 5000 {
+			now += time.Duration(random.IntN(4000)) * time.Microsecond
+			if gate.Admit(now, limit) {
+				taken = append(taken, now)
+			}
+		}
+		for i := range taken {
+			if i+limit < len(taken) {
+				must.Greater(t, time.Second, taken[i+limit]-taken[i], must.Sprint("rate ", rate))
+			}
+		}
+		must.LessEq(t, rate*1.5+5, float64(limit))
+	}
+}
+
+func TestOpeningsBeforeAHostWasKnownToBeColdCount(t *testing.T) {
+	var gate steering.ColdGate
+	for range 10 {
+		gate.Count(time.Second)
+	}
+	must.False(t, gate.Admit(1500*time.Millisecond, 10))
+	must.True(t, gate.Admit(2500*time.Millisecond, 10))
+}
+
+func TestAdmission(t *testing.T) {
+	const target = 100 * time.Millisecond
+	cases := map[string]struct {
+		pressure steering.Pressure
+		priority int
+		others   bool
+		want     steering.Verdict
+	}{
+		"free slot":             {steering.Pressure{Busy: 1, Slots: 2, Service: 90 * time.Millisecond}, 2, true, steering.Accept},
+		"short queue":           {steering.Pressure{Busy: 3, Slots: 2, Service: 15 * time.Millisecond}, 2, true, steering.Accept},
+		"queue, others":         {steering.Pressure{Busy: 6, Slots: 2, Service: 15 * time.Millisecond}, 2, true, steering.PassOn},
+		"queue, no others":      {steering.Pressure{Busy: 6, Slots: 2, Service: 15 * time.Millisecond}, 2, false, steering.Accept},
+		"late, no others":       {steering.Pressure{Busy: 9, Slots: 2, Service: 15 * time.Millisecond}, 2, false, steering.Refuse},
+		"late, but urgent":      {steering.Pressure{Busy: 9, Slots: 2, Service: 15 * time.Millisecond}, 1, false, steering.Accept},
+		"far too late, urgent":  {steering.Pressure{Busy: 20, Slots: 2, Service: 15 * time.Millisecond}, 0, false, steering.Refuse},
+		"nothing measured yet":  {steering.Pressure{Busy: 9, Slots: 2}, 2, false, steering.Accept},
+		"no objective declared": {steering.Pressure{Busy: 99, Slots: 2, Service: time.Second}, 2, true, steering.Accept},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			target := target
+			if name == "no objective declared" {
+				target = 0
+			}
+			must.Eq(t, c.want, c.pressure.Admit(target, c.priority, c.others))
+		})
+	}
+}
+
+// The load is a burst of 1.4 times what the hosts serve, each request on a new
+// flow that comes back twice when it is turned away: with admission the share
+// in time is a multiple of what the host's own queue gives.
+func TestBurstIsServedInTimeForTheMost(t *testing.T) {
+	withAdmission := replayBurst(true)
+	without := replayBurst(false)
+	must.Greater(t, 0.55, withAdmission)
+	must.Greater(t, 1.5*without, withAdmission)
+}
+
+// replayBurst plays a burst on one host of 2 slots and a queue of 8, with
+// requests of 15 ms and an objective of 60 ms, and returns the share in time.
+func replayBurst(admit bool) float64 {
+	const (
+		slots, queue = 2, 8
+		work         = 15 * time.Millisecond
+		target       = 60 * time.Millisecond
+		retryAfter   = 20 * time.Millisecond
+		requests     = 2000
+	)
+	gap := work * 10 / (14 * slots) // 1.4 times what is served
+	var free [slots]time.Duration
+	var done []time.Duration
+	type try struct {
+		at, first time.Duration
+		left      int
+	}
+	var tries []try
+	for n := range requests {
+		at := time.Duration(n) * gap
+		tries = append(tries, try{at, at, 2})
+	}
+	inTime := 0
+	for i := 0; i < len(tries); i++ {
+		for j := i; j > 0 && tries[j].at < tries[j-1].at; j-- {
+			tries[j], tries[j-1] = tries[j-1], tries[j]
+		}
+		now := tries[i]
+		busy := 0
+		for _, d := range done {
+			if d > now.at {
+				busy++
+			}
+		}
+		p := steering.Pressure{Busy: busy, Slots: slots, Service: work}
+		if busy >= slots+queue || admit && p.Admit(target, 2, false) == steering.Refuse {
+			if now.left > 0 {
+				again := try{now.at + retryAfter, now.first, now.left - 1}
+				at := i + 1
+				for at < len(tries) && tries[at].at < again.at {
+					at++
+				}
+				tries = append(tries[:at], append([]try{again}, tries[at:]...)...)
+			}
+			continue
+		}
+		slot := 0
+		if free[1] < free[0] {
+			slot = 1
+		}
+		end := max(now.at, free[slot]) + work
+		free[slot] = end
+		done = append(done, end)
+		if end-now.first <= target {
+			inTime++
+		}
+	}
+	return float64(inTime) / requests
+}
+
+func TestServiceTimeFollowsTheHost(t *testing.T) {
+	var s steering.ServiceTime
+	must.Zero(t, s.Mean())
+	for range 100 {
+		s.Observe(15 * time.Millisecond)
+	}
+	must.Between(t, 14*time.Millisecond, s.Mean(), 16*time.Millisecond)
+	for range 100 {
+		s.Observe(75 * time.Millisecond)
+	}
+	must.Between(t, 70*time.Millisecond, s.Mean(), 76*time.Millisecond)
+}
+
+// Example of a decision on a new flow.
+func ExamplePressure_Admit() {
+	p := steering.Pressure{Busy: 6, Slots: 2, Service: 15 * time.Millisecond}
+	fmt.Println(p.Latency(), p.Admit(100*time.Millisecond, 2, true) == steering.PassOn)
+	// Output: 52.5ms true
+}
