Keep openings away from hosts that refuse them

After a power failure three hosts returned every opening for two seconds. With no load they drew most openings, and a frame named only the last two hosts in vain, so that openings went around and were refused. A frame names five; an agent that passes an opening on tells the entry, and the agents before it, that its host refuses. Ruled out: the limit of cold hosts, which is not set there.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -136,7 +136,7 @@
 	case flow.Deliver, flow.Find, flow.Probe:
 		a.handlePacket(now, &f, packet, out)
 	case flow.Owned:
-		a.loads.Report(f.Owner, int(f.Flows), int(f.Busy), now)
+		learnLoad(a.loads, &f, now)
 		a.records[f.Key] = &record{owner: f.Owner, seen: now}
 	case flow.Closed:
 		if r := a.records[f.Key]; r != nil && r.owner == f.Owner {
@@ -146,6 +146,8 @@
 		a.absent(now, f.Key, f.Owner, out)
 	case flow.Hello:
 		a.tellStarted(f.Owner, out)
+	case flow.Load:
+		learnLoad(a.loads, &f, now)
 	default:
 		a.config.Events.Drop(DropMalformed)
 	}
@@ -367,8 +369,7 @@
 // reports false.
 func (a *Agent) passOn(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, reason string, out Output) bool {
 	key := p.FromRequester()
-	load := a.report(flow.Load, flow.Key{})
-	out.ToNode(f.Origin, &load, nil)
+	a.tellLoad(f, reason, out)
 	next := *f
 	next.Hops++
 	next.AddAvoid(a.config.Self.Addr)
@@ -386,6 +387,21 @@
 	return true
 }
 
+// tellLoad tells the entry, and the agents that passed the opening on before,
+// how loaded the host is, so that they leave it alone.
+func (a *Agent) tellLoad(f *flow.Frame, reason string, out Output) {
+	load := a.report(flow.Load, flow.Key{})
+	if reason != reasonBusy {
+		load.Busy = flow.Refusing
+	}
+	out.ToNode(f.Origin, &load, nil)
+	for _, agent := range f.Avoid {
+		if agent != ([4]byte{}) {
+			out.ToNode(flow.Endpoint{Addr: agent, Port: a.config.Self.Port}, &load, nil)
+		}
+	}
+}
+
 // refuse tells the requester at once that its flow is not opened: none of its
 // requests has run.
 func (a *Agent) refuse(f *flow.Frame, p *flow.Packet, reason string, out Output) {
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericrock/turmericrock/catalog"
 	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
 )
 
 // Output sends what a core has decided. The packet is only lent.
@@ -38,5 +39,14 @@
 	pendingLinger = 3 * time.Second
 )
 
+// learnLoad notes what an owner tells of its load.
+func learnLoad(loads *steering.Loads, f *flow.Frame, now time.Duration) {
+	if f.Busy == flow.Refusing {
+		loads.Refusing(f.Owner, now)
+		return
+	}
+	loads.Report(f.Owner, int(f.Flows), int(f.Busy), now)
+}
+
 // reasonBusy is why an opening is passed on that the host could still take.
 const reasonBusy = "busy"
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -167,14 +167,14 @@
 	defer e.mu.Unlock()
 	switch f.Kind {
 	case flow.Owned:
-		e.loads.Report(f.Owner, int(f.Flows), int(f.Busy), now)
+		learnLoad(e.loads, &f, now)
 		if o := e.owners[f.Key]; o != nil {
 			o.agent, o.answered = f.Owner, true
 			return
 		}
 		e.owners[f.Key] = &owner{agent: f.Owner, answered: true, seen: now}
 	case flow.Load:
-		e.loads.Report(f.Owner, int(f.Flows), int(f.Busy), now)
+		learnLoad(e.loads, &f, now)
 	case flow.Closed:
 		if o := e.owners[f.Key]; o != nil && o.agent == f.Owner {
 			delete(e.owners, f.Key)
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -391,3 +391,21 @@
 		must.SliceEmpty(t, c.queue)
 	}
 }
+
+// Hosts that had just started returned all openings for two seconds. They had
+// no load, so that each opening went from one of them to the next and around.
+func TestOpeningFindsTheOneHostThatTakesIt(t *testing.T) {
+	c := newServiceCell(t)
+	for n := byte(11); n <= 13; n++ {
+		c.hosts[addr(n)].refusing = true
+	}
+	for port := uint16(1000); port < 1100; port++ {
+		r := c.requester(port, 1)
+		must.Eq(t, addr(14), r.open())
+	}
+	deliveries := c.frames[flow.Deliver]
+	for port := uint16(2000); port < 2100; port++ {
+		c.requester(port, 1).open()
+	}
+	must.Less(t, 250, c.frames[flow.Deliver]-deliveries, must.Sprint("hosts that refuse are left alone for a while"))
+}
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -2,14 +2,25 @@
 
 import (
 	"encoding/binary"
+	"slices"
 )
 
 // FrameSize is the size of a frame's header in bytes. A packet follows it in
 // frames of the kinds Deliver, Find and Probe.
-const FrameSize = 36
+const FrameSize = 48
 
 const frameMagic = 0x74
 
+// maxAvoid is how many agents a frame names that could not take its packet.
+const maxAvoid = 5
+
+// Refusing is the value of Busy by which an owner tells that its host refuses
+// new flows.
+const Refusing = 1<<16 - 1
+
+// offsetAvoid is where the agents to avoid stand in a frame.
+const offsetAvoid = 28
+
 // Kind tells what a frame asks for.
 type Kind uint8
 
@@ -45,7 +56,7 @@
 	// Origin is the entry that received the packet; answers go there.
 	Origin Endpoint
 	// Avoid holds agents that could not take the packet. Zero is no agent.
-	Avoid [2][4]byte
+	Avoid [maxAvoid][4]byte
 	// Asker is the agent that a Probe is answered to.
 	Asker [4]byte
 	// Key names the flow in Owned, Closed and Absent.
@@ -70,9 +81,10 @@
 		binary.LittleEndian.PutUint64(b[8:], f.Config)
 		copy(b[16:], f.Origin.Addr[:])
 		binary.LittleEndian.PutUint16(b[20:], f.Origin.Port)
-		copy(b[24:], f.Avoid[0][:])
-		copy(b[28:], f.Avoid[1][:])
-		copy(b[32:], f.Asker[:])
+		copy(b[24:], f.Asker[:])
+		for i := range f.Avoid {
+			copy(b[offsetAvoid+4*i:], f.Avoid[i][:])
+		}
 	case Owned, Closed, Load, Absent, Hello:
 		f.Key.put(b[4:])
 		copy(b[16:], f.Owner[:])
@@ -96,8 +108,10 @@
 		f.Service = binary.LittleEndian.Uint32(data[4:])
 		f.Config = binary.LittleEndian.Uint64(data[8:])
 		f.Origin = Endpoint{Addr: [4]byte(data[16:20]), Port: binary.LittleEndian.Uint16(data[20:])}
-		f.Avoid = [2][4]byte{[4]byte(data[24:28]), [4]byte(data[28:32])}
-		f.Asker = [4]byte(data[32:36])
+		f.Asker = [4]byte(data[24:28])
+		for i := range f.Avoid {
+			f.Avoid[i] = [4]byte(data[offsetAvoid+4*i:])
+		}
 	case Owned, Closed, Load, Absent, Hello:
 		f.Key = keyFrom(data[4:])
 		f.Owner = [4]byte(data[16:20])
@@ -113,7 +127,7 @@
 
 // Avoids reports whether the packet has been at the agent in vain.
 func (f *Frame) Avoids(agent [4]byte) bool {
-	return f.Avoid[0] == agent || f.Avoid[1] == agent
+	return slices.Contains(f.Avoid[:], agent)
 }
 
 // AddAvoid notes an agent that could not take the packet. The oldest note is
@@ -122,5 +136,6 @@
 	if f.Avoids(agent) {
 		return
 	}
-	f.Avoid[1], f.Avoid[0] = f.Avoid[0], agent
+	copy(f.Avoid[1:], f.Avoid[:])
+	f.Avoid[0] = agent
 }
--- a/flow/frame_test.go
+++ b/flow/frame_test.go
@@ -16,7 +16,7 @@
 func TestFramesAreReadAsWritten(t *testing.T) {
 	carrying := flow.Frame{
 		Hops: 3, Service: 77, Config: 1 << 40, Origin: flow.Endpoint{Addr: [4]byte{10, 0, 0, 1}, Port: 7720},
-		Avoid: [2][4]byte{{10, 0, 0, 2}, {10, 0, 0, 3}}, Asker: [4]byte{10, 0, 0, 4},
+		Avoid: [5][4]byte{{10, 0, 0, 2}, {10, 0, 0, 3}, {10, 0, 0, 4}, {10, 0, 0, 5}, {10, 0, 0, 6}}, Asker: [4]byte{10, 0, 0, 7},
 	}
 	telling := flow.Frame{Key: exampleKey, Owner: [4]byte{10, 0, 0, 5}, Flows: 9, Busy: 4, Service: 77, Started: 123456}
 	for kind, frame := range map[flow.Kind]flow.Frame{
@@ -49,13 +49,14 @@
 
 func TestFrameAvoidsTheLatestAgents(t *testing.T) {
 	var f flow.Frame
-	for n := byte(1); n <= 3; n++ {
+	for n := byte(1); n <= 6; n++ {
 		f.AddAvoid([4]byte{10, 0, 0, n})
 		f.AddAvoid([4]byte{10, 0, 0, n})
 	}
 	must.False(t, f.Avoids([4]byte{10, 0, 0, 1}))
-	must.True(t, f.Avoids([4]byte{10, 0, 0, 2}))
-	must.True(t, f.Avoids([4]byte{10, 0, 0, 3}))
+	for n := byte(2); n <= 6; n++ {
+		must.True(t, f.Avoids([4]byte{10, 0, 0, n}))
+	}
 }
 
 func FuzzFrame(f *testing.F) {
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -25,6 +25,8 @@
 	// first; it doubles up to suspectMax with each further silence.
 	suspectBase = time.Second
 	suspectMax  = 8 * time.Second
+	// refusingLinger is how long a host is left alone that refused a flow.
+	refusingLinger = 500 * time.Millisecond
 	// loadAge is how long a report of load counts in full.
 	loadAge = 2 * time.Second
 )
@@ -36,6 +38,8 @@
 	Reported time.Duration
 	// placed counts the flows sent there since the report.
 	placed int
+	// refusingUntil is until when the host is taken to refuse new flows.
+	refusingUntil time.Duration
 	// suspectUntil is until when the host is left alone, and silences how
 	// often in a row it did not answer.
 	suspectUntil time.Duration
@@ -75,6 +79,15 @@
 	l.get(agent).placed++
 }
 
+// Refusing notes that the host refuses new flows, as one that is starting does
+// although it has no load.
+func (l *Loads) Refusing(agent [4]byte, now time.Duration) {
+	load := l.get(agent)
+	load.refusingUntil = now + refusingLinger
+	load.placed = 0
+	load.suspectUntil, load.silences = 0, 0
+}
+
 // Silent notes that the host did not answer an opening.
 func (l *Loads) Silent(agent [4]byte, now time.Duration) {
 	load := l.get(agent)
@@ -119,7 +132,12 @@
 	return best
 }
 
-const suspectPenalty = 1000
+// Hosts that refuse or do not answer are taken last, the silent ones after the
+// others.
+const (
+	refusingPenalty = 100
+	suspectPenalty  = 1000
+)
 
 func hostCost(h *catalog.Host, loads *Loads, o *Opening) float64 {
 	slots := float64(max(1, h.Slots))
@@ -130,6 +148,9 @@
 		if o.Now < load.suspectUntil {
 			cost += suspectPenalty
 		}
+		if o.Now < load.refusingUntil {
+			cost += refusingPenalty
+		}
 	}
 	if h.Zone != o.Zone {
 		cost += zonePenalty
