Keep flows near: unknown hosts carry a share of the usual load

Half of all openings left their zone, in calm too: an entry takes a host of which it has heard nothing for an empty one. It now counts as carrying 0.3 of what the others carry; downloads stay in their zone until it carries 2 requests a slot more; an agent that passes an opening on looks at all zones alike.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -32,6 +32,8 @@
 	Priority int
 	// Retryable tells whether a request may run more than once.
 	Retryable bool
+	// Bulk tells that the route's flows carry much data.
+	Bulk bool
 	// Former are services that earlier versions sent flows to; open flows may
 	// still be there.
 	Former []string
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -430,11 +430,7 @@
 		return nil
 	}
 	f.Service = service.Tag
-	zone := ""
-	if own := c.Hosts[a.config.Self.Addr]; own != nil {
-		zone = own.Zone
-	}
-	return steering.ChooseHost(c, service, a.loads, steering.Opening{Hash: hash, Zone: zone, Avoid: f.Avoids, Now: now})
+	return steering.ChooseHost(c, service, a.loads, steering.Opening{Hash: hash, Avoid: f.Avoids, Now: now})
 }
 
 // unsure reports whether the host may hold flows that the agent does not know.
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -88,7 +88,7 @@
 		e.deliver(c, service, o.agent, key, data, out)
 		return
 	}
-	opening := steering.Opening{Hash: hash, Zone: e.config.Zone, Now: now}
+	opening := steering.Opening{Hash: hash, Zone: e.config.Zone, Bulk: route.Bulk, Now: now}
 	if o != nil {
 		// The copy of an opening shows that its first agent did not answer.
 		e.loads.Silent(o.agent, now)
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -19,6 +19,8 @@
 	// zonePenalty is the cost of leaving the requester's zone: a host of
 	// another zone is taken once the near ones carry this much more.
 	zonePenalty = 0.6
+	// bulkZonePenalty is added for flows that carry much data.
+	bulkZonePenalty = 2.0
 	// coldPenalty is the cost of a host that is still warming up.
 	coldPenalty = 0.5
 	// suspectBase is how long a host that did not answer is left alone, at
@@ -27,6 +29,9 @@
 	suspectMax  = 8 * time.Second
 	// refusingLinger is how long a host is left alone that refused a flow.
 	refusingLinger = 500 * time.Millisecond
+	// unknownShare is the share of the usual load that a host is taken to carry
+	// of which nothing is known.
+	unknownShare = 0.3
 	// loadAge is how long a report of load counts in full.
 	loadAge = 2 * time.Second
 )
@@ -110,6 +115,8 @@
 	Hash uint64
 	// Zone is the zone that the requester is in.
 	Zone string
+	// Bulk tells that the flow carries much data.
+	Bulk bool
 	// Avoid reports hosts that could not take the flow.
 	Avoid func(agent [4]byte) bool
 	Now   time.Duration
@@ -118,13 +125,14 @@
 // ChooseHost returns the host with the least load that may take the flow, near
 // hosts first, or nil. Suspected hosts are taken only when there are no others.
 func ChooseHost(c *catalog.Catalog, s *catalog.Service, loads *Loads, o Opening) *catalog.Host {
+	usual := unknownShare * loads.usual(s, o.Now)
 	var best *catalog.Host
 	bestCost := 0.0
 	for _, h := range s.Hosts {
 		if !c.Usable(h) || o.Avoid != nil && o.Avoid(h.Addr.Addr) {
 			continue
 		}
-		cost := hostCost(h, loads, &o)
+		cost := hostCost(h, loads, &o, usual)
 		if best == nil || cost < bestCost {
 			best, bestCost = h, cost
 		}
@@ -132,6 +140,29 @@
 	return best
 }
 
+// usual returns the mean cost of the hosts that have reported lately. A host
+// of which nothing is known is taken to carry a share of it: a host that seems
+// empty would draw flows from all zones, one that seems as loaded as the others
+// would get none in a burst.
+func (l *Loads) usual(s *catalog.Service, now time.Duration) float64 {
+	sum, n := 0.0, 0
+	for _, h := range s.Hosts {
+		if load := l.hosts[h.Addr.Addr]; load != nil && now-load.Reported < loadAge {
+			sum += load.cost(h)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// cost returns the load of a host per slot.
+func (load *Load) cost(h *catalog.Host) float64 {
+	return (flowWeight*float64(load.Flows+load.placed) + busyWeight*float64(load.Busy+load.placed)) / float64(max(1, h.Slots))
+}
+
 // Hosts that refuse or do not answer are taken last, the silent ones after the
 // others.
 const (
@@ -139,12 +170,14 @@
 	suspectPenalty  = 1000
 )
 
-func hostCost(h *catalog.Host, loads *Loads, o *Opening) float64 {
-	slots := float64(max(1, h.Slots))
-	cost := 0.0
+func hostCost(h *catalog.Host, loads *Loads, o *Opening, usual float64) float64 {
+	cost := usual
 	if load := loads.hosts[h.Addr.Addr]; load != nil {
-		cost += flowWeight * float64(load.Flows+load.placed) / slots
-		cost += busyWeight * float64(load.Busy+load.placed) / slots
+		if o.Now-load.Reported < loadAge {
+			cost = load.cost(h)
+		} else {
+			cost += busyWeight * float64(load.placed) / float64(max(1, h.Slots))
+		}
 		if o.Now < load.suspectUntil {
 			cost += suspectPenalty
 		}
@@ -154,6 +187,9 @@
 	}
 	if h.Zone != o.Zone {
 		cost += zonePenalty
+		if o.Bulk {
+			cost += bulkZonePenalty
+		}
 	}
 	if h.Cold(o.Now) {
 		cost += coldPenalty
