--- a/steering/admission.go
+++ b/steering/admission.go
@@ -9,6 +9,10 @@
 	// refuseShare is the share from which on a new flow is refused when no other
 	// host can take it: its requests, and those that wait already, would be late.
 	refuseShare = 0.7
+	// mostTurns is how many times the time in service a request may take before
+	// its flow is refused, however long the target latency is: hosts queue few
+	// requests and turn the others away.
+	mostTurns = 4.0
 	// urgentShare is added to refuseShare for each step by which a route is more
 	// urgent than the least urgent ones, so that those are refused first.
 	urgentShare = 0.1
@@ -54,7 +58,8 @@
 	if target <= 0 || p.Busy < p.Slots {
 		return Accept
 	}
-	share := p.Latency().Seconds() / target.Seconds()
+	limit := min(target.Seconds(), mostTurns/refuseShare*p.Service.Seconds())
+	share := p.Latency().Seconds() / limit
 	urgency := max(0, leastUrgent-priority)
 	switch {
 	case others && share > passOnShare:
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -134,9 +134,10 @@
 		"short queue":           {steering.Pressure{Busy: 3, Slots: 2, Service: 15 * time.Millisecond}, 2, true, steering.Accept},
 		"queue, others":         {steering.Pressure{Busy: 6, Slots: 2, Service: 15 * time.Millisecond}, 2, true, steering.PassOn},
 		"queue, no others":      {steering.Pressure{Busy: 6, Slots: 2, Service: 15 * time.Millisecond}, 2, false, steering.Accept},
-		"late, no others":       {steering.Pressure{Busy: 9, Slots: 2, Service: 15 * time.Millisecond}, 2, false, steering.Refuse},
-		"late, but urgent":      {steering.Pressure{Busy: 9, Slots: 2, Service: 15 * time.Millisecond}, 1, false, steering.Accept},
+		"late, no others":       {steering.Pressure{Busy: 8, Slots: 2, Service: 15 * time.Millisecond}, 2, false, steering.Refuse},
+		"late, but urgent":      {steering.Pressure{Busy: 8, Slots: 2, Service: 15 * time.Millisecond}, 1, false, steering.Accept},
 		"far too late, urgent":  {steering.Pressure{Busy: 20, Slots: 2, Service: 15 * time.Millisecond}, 0, false, steering.Refuse},
+		"queue of the host":     {steering.Pressure{Busy: 9, Slots: 2, Service: time.Millisecond}, 1, false, steering.Refuse},
 		"nothing measured yet":  {steering.Pressure{Busy: 9, Slots: 2}, 2, false, steering.Accept},
 		"no objective declared": {steering.Pressure{Busy: 99, Slots: 2, Service: time.Second}, 2, true, steering.Accept},
 	}
