Serve metrics, queue the logs, and trace one flow through many logs

Lines go through a bounded queue that never blocks and counts what it drops; each placing at an entry is a line with the inputs that decided it.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -107,6 +107,8 @@
 	cold     steering.ColdGate
 	loads    *steering.Loads
 	service  steering.ServiceTime
+	// answered holds how long requests waited for the host's first answer.
+	answered *Latency
 }
 
 // NewAgent returns an agent that knows no flows.
@@ -119,6 +121,7 @@
 		trials:   make(map[flow.Key]*trial),
 		searches: make(map[flow.Key]*search),
 		loads:    steering.NewLoads(),
+		answered: NewLatency("request_answer"),
 	}
 }
 
@@ -592,6 +595,7 @@
 	if p.Size > 0 && fl.busy {
 		fl.busy = false
 		a.busy--
+		a.answered.Observe(now - fl.asked)
 		if fl.unqueued {
 			a.service.Observe(now - fl.asked)
 		}
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -31,6 +31,8 @@
 	mu     sync.Mutex
 	owners map[flow.Key]*owner
 	loads  *steering.Loads
+	// opened holds how long openings waited for the word of their agent.
+	opened *Latency
 }
 
 // owner is what an entry knows of the agent of a flow.
@@ -38,13 +40,13 @@
 	agent [4]byte
 	// answered tells that the agent has confirmed the flow.
 	answered bool
-	// seen is when the flow's last packet came.
-	seen time.Duration
+	// seen is when the flow's last packet came, placed when its agent was chosen.
+	seen, placed time.Duration
 }
 
 // NewEntry returns an entry that knows no flows.
 func NewEntry(config EntryConfig) *Entry {
-	return &Entry{config: config, owners: make(map[flow.Key]*owner), loads: steering.NewLoads()}
+	return &Entry{config: config, owners: make(map[flow.Key]*owner), loads: steering.NewLoads(), opened: NewLatency("opening_answer")}
 }
 
 // HandlePacket forwards a packet from a requester.
@@ -85,7 +87,7 @@
 	o := e.owners[key]
 	if o != nil && o.answered {
 		o.seen = now
-		e.deliver(c, service, o.agent, key, data, out)
+		e.deliver(c, service, o.agent, data, out)
 		return
 	}
 	opening := steering.Opening{Hash: hash, Zone: e.config.Zone, Bulk: route.Bulk, Now: now}
@@ -107,11 +109,14 @@
 	}
 	agent := host.Addr.Addr
 	e.loads.Placed(agent)
-	e.owners[key] = &owner{agent: agent, seen: now}
-	e.deliver(c, service, agent, key, data, out)
+	e.owners[key] = &owner{agent: agent, seen: now, placed: now}
+	flows, busy, age := e.loads.Known(agent, now)
+	e.config.Events.Note(EventPlaced, key, "agent", flow.Endpoint{Addr: agent}.AddrPort().Addr(), "service", service.Name,
+		"agent_zone", host.Zone, "flows", flows, "busy", busy, "load_age_ms", age.Milliseconds(), "revision", c.Revision)
+	e.deliver(c, service, agent, data, out)
 }
 
-func (e *Entry) deliver(c *catalog.Catalog, service *catalog.Service, agent [4]byte, _ flow.Key, data []byte, out Output) {
+func (e *Entry) deliver(c *catalog.Catalog, service *catalog.Service, agent [4]byte, data []byte, out Output) {
 	f := flow.Frame{Kind: flow.Deliver, Config: c.Config.Version, Origin: e.config.Self}
 	if service != nil {
 		f.Service = service.Tag
@@ -140,7 +145,7 @@
 	}
 	if o := e.owners[key]; o != nil {
 		o.seen = now
-		e.deliver(c, service, o.agent, key, data, out)
+		e.deliver(c, service, o.agent, data, out)
 		return
 	}
 	keeper, _, ok := steering.Keepers(c, hash)
@@ -169,9 +174,13 @@
 	case flow.Owned:
 		learnLoad(e.loads, &f, now)
 		if o := e.owners[f.Key]; o != nil {
+			if !o.answered {
+				e.opened.Observe(now - o.placed)
+			}
 			o.agent, o.answered = f.Owner, true
 			return
 		}
+		e.config.Events.Note(EventFound, f.Key, "agent", flow.Endpoint{Addr: f.Owner}.AddrPort().Addr())
 		e.owners[f.Key] = &owner{agent: f.Owner, answered: true, seen: now}
 	case flow.Load:
 		learnLoad(e.loads, &f, now)
--- a/datagram/events.go
+++ b/datagram/events.go
@@ -34,6 +34,8 @@
 
 // The decisions that are logged.
 const (
+	EventPlaced      Event = "flow_placed"
+	EventFound       Event = "flow_found"
 	EventOpened      Event = "flow_opened"
 	EventRefused     Event = "flow_refused"
 	EventPassedOn    Event = "flow_passed_on"
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -35,10 +35,6 @@
 	Peers netip.AddrPort
 	// FromHost is where the host's packets arrive, Host where it reads.
 	FromHost, Host netip.AddrPort
-	// Ready is the address of the routers' check.
-	Ready string
-	// Control is where starting processes ask, or empty.
-	Control string
 }
 
 // Node gives a core its sockets.
@@ -50,25 +46,25 @@
 	OnRequester, OnPeer, OnHost Handler
 	// Expire is called about once a second.
 	Expire func(now time.Duration)
-	// PeerHandler answers other processes, over TCP at the address of frames.
-	PeerHandler http.Handler
-	// IsReady tells whether the routers may send packets.
-	IsReady func() bool
+	// Servers answer over TCP while the node runs.
+	Servers []Server
 	Now     func() time.Duration
 	Log     *logrus.Entry
 	Events  *Events
 
 	peers, requesters, host *net.UDPConn
-	servers                 []httpServer
 }
 
 // Run serves until the context ends. The node must listen.
 func (n *Node) Run(ctx context.Context) error {
 	var group sync.WaitGroup
-	for _, s := range n.servers {
+	for _, s := range n.Servers {
+		if s.server == nil {
+			continue
+		}
 		group.Go(func() {
 			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-				n.Log.WithError(err).Error("server_failed")
+				n.Log.WithError(err).WithField("server", s.Name).Error("server_failed")
 			}
 		})
 	}
@@ -80,8 +76,10 @@
 		group.Go(func() { n.read(n.host, n.OnHost) })
 	}
 	n.sweep(ctx)
-	for _, s := range n.servers {
-		_ = s.server.Close()
+	for _, s := range n.Servers {
+		if s.server != nil {
+			_ = s.server.Close() // The process ends.
+		}
 	}
 	for _, c := range []*net.UDPConn{n.peers, n.requesters, n.host} {
 		if c != nil {
@@ -111,26 +109,35 @@
 	return n.listenHTTP()
 }
 
-// httpServer is a server with the listener that it serves.
-type httpServer struct {
+// Server answers HTTP calls at an address. Without an address it is left out.
+type Server struct {
+	Name    string
+	Address string
+	Handler http.Handler
+	// Optional servers that cannot listen are logged and left out.
+	Optional bool
+
 	server   *http.Server
 	listener net.Listener
 }
 
 func (n *Node) listenHTTP() error {
-	handlers := map[string]http.Handler{
-		n.Sockets.Ready:          http.HandlerFunc(n.serveReady),
-		n.Sockets.Peers.String(): n.PeerHandler,
-		n.Sockets.Control:        n.PeerHandler,
-	}
-	delete(handlers, "")
-	for address, handler := range handlers {
-		listener, err := net.Listen("tcp4", address)
+	for i := range n.Servers {
+		s := &n.Servers[i]
+		if s.Address == "" {
+			continue
+		}
+		var err error
+		s.listener, err = net.Listen("tcp4", s.Address)
+		if err != nil && s.Optional {
+			n.Log.WithError(err).WithField("server", s.Name).Warn("server_left_out")
+			s.listener = nil
+			continue
+		}
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-		n.servers = append(n.servers, httpServer{server: server, listener: listener})
+		s.server = &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout}
 	}
 	return nil
 }
@@ -140,12 +147,6 @@
 	return &output{node: n, scratch: make([]byte, 0, maxDatagram+flow.FrameSize)}
 }
 
-func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.IsReady() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
--- /dev/null
+++ b/datagram/stats.go
@@ -0,0 +1,90 @@
+package datagram
+
+import (
+	"sync"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/turmericrock/turmericrock/internal/metrics"
+)
+
+const (
+	// latencyMost is the longest time that a histogram tells apart.
+	latencyMost = time.Minute
+	// latencyDigits is how many digits of a time a histogram keeps.
+	latencyDigits = 2
+)
+
+// latencyQuantiles are the quantiles that are exported, by cause.
+var latencyQuantiles = []struct {
+	name  string
+	value float64
+}{{"p50", 50}, {"p90", 90}, {"p99", 99}, {"p999", 99.9}}
+
+// Latency is a histogram of times. It is safe for concurrent use.
+type Latency struct {
+	name string
+	mu   sync.Mutex
+	hist *hdr.Histogram
+}
+
+// NewLatency returns an empty histogram, exported under a name.
+func NewLatency(name string) *Latency {
+	return &Latency{name: name, hist: hdr.New(1, latencyMost.Microseconds(), latencyDigits)}
+}
+
+// Observe notes a time. Times beyond the longest count as the longest.
+func (l *Latency) Observe(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	us := min(max(1, took.Microseconds()), latencyMost.Microseconds())
+	if err := l.hist.RecordValue(us); err != nil {
+		panic(err) // The value lies in the range by construction.
+	}
+}
+
+// Collect implements metrics.Source.
+func (l *Latency) Collect(emit func(metrics.Sample)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	emit(metrics.Sample{Name: l.name + "_count", Value: l.hist.TotalCount()})
+	for _, q := range latencyQuantiles {
+		emit(metrics.Sample{Name: l.name + "_us", Cause: q.name, Value: l.hist.ValueAtPercentile(q.value), Gauge: true})
+	}
+	emit(metrics.Sample{Name: l.name + "_us", Cause: "max", Value: l.hist.Max(), Gauge: true})
+}
+
+// Collect implements metrics.Source: what was dropped, by reason, and the
+// decisions that were taken.
+func (e *Events) Collect(emit func(metrics.Sample)) {
+	for i := range e.drops {
+		emit(metrics.Sample{Name: "datagrams", Cause: dropNames[i], Value: e.drops[i].Load()})
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for event, b := range e.budget {
+		emit(metrics.Sample{Name: "decisions", Cause: string(event), Value: b.total})
+	}
+}
+
+// Collect implements metrics.Source.
+func (a *Agent) Collect(emit func(metrics.Sample)) {
+	a.mu.Lock()
+	flows, busy, records, service := a.open, a.busy, len(a.records), a.service.Mean()
+	a.mu.Unlock()
+	emit(metrics.Sample{Name: "flows", Value: int64(flows), Gauge: true})
+	emit(metrics.Sample{Name: "requests_in_service", Value: int64(busy), Gauge: true})
+	emit(metrics.Sample{Name: "keeper_records", Value: int64(records), Gauge: true})
+	emit(metrics.Sample{Name: "service_time_us", Cause: "mean", Value: service.Microseconds(), Gauge: true})
+	a.answered.Collect(emit)
+}
+
+// Collect implements metrics.Source.
+func (e *Entry) Collect(emit func(metrics.Sample)) {
+	e.mu.Lock()
+	owners := len(e.owners)
+	e.mu.Unlock()
+	emit(metrics.Sample{Name: "cached_owners", Value: int64(owners), Gauge: true})
+	e.opened.Collect(emit)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,6 +38,7 @@
 	commander.Register(newBundleCommand(out, err), groupOperators)
 	commander.Register(newStatusCommand(out, err), groupOperators)
 	commander.Register(newAuditCommand(out, err), groupOperators)
+	commander.Register(newTraceCommand(out, err), groupOperators)
 	commander.Register(newVersionCommand(out, err), groupOperators)
 	commander.Register(newCallCommand(out, err), groupCallers)
 	parseErr := flags.Parse(asHelp(args[1:]))
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -19,6 +20,8 @@
 	"github.com/turmericrock/turmericrock/datagram"
 	"github.com/turmericrock/turmericrock/flow"
 	"github.com/turmericrock/turmericrock/internal/logging"
+	"github.com/turmericrock/turmericrock/internal/metrics"
+	"github.com/turmericrock/turmericrock/internal/ops"
 	"github.com/turmericrock/turmericrock/platform"
 )
 
@@ -40,8 +43,10 @@
 
 type datagramCommand struct {
 	settings string
-	out      io.Writer
-	start    func(*datagramNode) *datagram.Node
+	// metricsPort is where metrics are served, or 0.
+	metricsPort uint
+	out         io.Writer
+	start       func(*datagramNode) *datagram.Node
 	// linger is how long the process serves on after SIGTERM.
 	linger time.Duration
 }
@@ -62,8 +67,9 @@
 
 func (c *datagramCommand) command(name, synopsis, help string, err io.Writer) *command {
 	return &command{
-		name: name, synopsis: synopsis, usage: "[-settings FILE]", help: help, err: err,
+		name: name, synopsis: synopsis, usage: "[-settings FILE] [-metrics-port PORT]", help: help, err: err,
 		flags: func(f *flag.FlagSet) {
+			f.UintVar(&c.metricsPort, "metrics-port", 0, "TCP `port` of /metrics at the machine's address; 0 serves none")
 			f.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsEnv), "`file` with the platform's settings")
 		},
 		run: c.run,
@@ -79,6 +85,8 @@
 	now      func() time.Duration
 	started  time.Time
 	stopping atomic.Bool
+	// sources count what happens.
+	sources []metrics.Source
 	// changed is called with the snapshot before, which may be nil, and the
 	// new one.
 	changed func(old, c *catalog.Catalog)
@@ -95,7 +103,9 @@
 	if err != nil {
 		return err
 	}
-	logger, err := logging.New(c.out, logrus.InfoLevel.String())
+	lines := logging.NewQueue(c.out)
+	defer lines.Close()
+	logger, err := logging.New(lines, logrus.InfoLevel.String())
 	if err != nil {
 		return err
 	}
@@ -110,7 +120,14 @@
 		started:  started,
 	}
 	log.WithField("version", Version()).Info("started")
-	return n.run(ctx, c.start(n), c.linger)
+	node := c.start(n)
+	if c.metricsPort != 0 {
+		address := netip.AddrPortFrom(loaded.IP, uint16(c.metricsPort)).String()
+		node.Servers = append(node.Servers, datagram.Server{
+			Name: "metrics", Address: address, Handler: ops.MetricsHandler(n.sources), Optional: true,
+		})
+	}
+	return n.run(ctx, node, c.linger)
 }
 
 func (n *datagramNode) run(ctx context.Context, node *datagram.Node, linger time.Duration) error {
@@ -178,11 +195,24 @@
 	return &datagram.Node{
 		Sockets: datagram.Sockets{
 			Peers: n.self(), FromHost: n.settings.FromHost, Host: n.settings.Host,
-			Ready: n.settings.Ready, Control: n.settings.Control,
 		},
 		RequesterPort: n.settings.Packets.Port(),
-		PeerHandler:   catalog.PeerHandler(n.tracker, n.now),
-		IsReady:       n.ready, Now: n.now, Log: n.log, Events: n.events,
+		Servers:       n.servers(),
+		Now:           n.now, Log: n.log, Events: n.events,
+	}
+}
+
+func (n *datagramNode) servers() []datagram.Server {
+	peers := catalog.PeerHandler(n.tracker, n.now)
+	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return []datagram.Server{
+		{Name: "ready", Address: n.settings.Ready, Handler: ready},
+		{Name: "peers", Address: n.self().String(), Handler: peers},
+		{Name: "control", Address: n.settings.Control, Handler: peers},
 	}
 }
 
@@ -192,6 +222,7 @@
 		FlowLifetime: n.settings.FlowLifetime,
 		Codec:        platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
+	n.sources = []metrics.Source{n.events, e}
 	node := n.node()
 	node.Sockets.Requesters = n.settings.Packets
 	node.OnRequester = e.HandlePacket
@@ -207,6 +238,7 @@
 		Restarted: !n.settings.FirstStart, Started: n.started,
 		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
+	n.sources = []metrics.Source{n.events, a}
 	node := n.node()
 	n.changed = func(old, c *catalog.Catalog) {
 		if old == nil {
--- /dev/null
+++ b/internal/cli/trace.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const traceHelp = `Prints what the logs of many processes say of one flow, in order of time. A flow is
+named by the requester's address and port, or by the whole key of the log lines,
+REQUESTER>SERVICE. Clocks of machines may differ: a line that follows from another
+machine's is not moved, so that small steps back show the skew.
+
+Examples:
+  turmericrock trace 100.64.0.7:40001 entry-1.log agent-*.log
+  turmericrock trace '100.64.0.7:40001>198.18.0.1:443' logs/*`
+
+func newTraceCommand(out, err io.Writer) *command {
+	return &command{
+		name: "trace", synopsis: "tell the story of one flow from many logs", usage: "FLOW LOG...", help: traceHelp, err: err,
+		run: func(_ context.Context, args []string) error {
+			if len(args) < 2 {
+				return &UsageError{Reason: "a flow and at least one log are required; see turmericrock help trace"}
+			}
+			return trace(out, args[0], args[1:])
+		},
+	}
+}
+
+var (
+	traceTime = regexp.MustCompile(`time="([^"]+)"`)
+	traceFlow = regexp.MustCompile(`flow="([^"]+)"`)
+)
+
+// traceLine is one line of a log.
+type traceLine struct {
+	at   time.Time
+	text string
+}
+
+// maxLine is the longest line of a log that is read, in bytes.
+const maxLine = 1 << 20
+
+func trace(out io.Writer, id string, paths []string) error {
+	var lines []traceLine
+	for _, path := range paths {
+		found, err := traceFile(id, path)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	slices.SortStableFunc(lines, func(a, b traceLine) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	for i, line := range lines {
+		since := time.Duration(0)
+		if i > 0 {
+			since = line.at.Sub(lines[i-1].at)
+		}
+		if _, err := fmt.Fprintf(out, "%+10.3fms %s\n", since.Seconds()*1000, line.text); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
+func traceFile(id, path string) ([]traceLine, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = file.Close() }()
+	var lines []traceLine
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		flow := traceFlow.FindStringSubmatch(scanner.Text())
+		if flow == nil || flow[1] != id && !strings.HasPrefix(flow[1], id+">") {
+			continue
+		}
+		line := traceLine{text: scanner.Text()}
+		if stamp := traceTime.FindStringSubmatch(line.text); stamp != nil {
+			// A line without a readable time stays in the order of its file, first.
+			line.at, _ = time.Parse(time.RFC3339Nano, stamp[1])
+		}
+		lines = append(lines, line)
+	}
+	return lines, errors.WithStack(scanner.Err())
+}
--- /dev/null
+++ b/internal/logging/queue_test.go
@@ -0,0 +1,50 @@
+package logging_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/internal/logging"
+)
+
+func TestQueueWritesAllLinesInOrder(t *testing.T) {
+	var out bytes.Buffer
+	q := logging.NewQueue(&out)
+	for range 100 {
+		_, err := q.Write([]byte("line\n"))
+		must.NoError(t, err)
+	}
+	q.Close()
+	must.Eq(t, strings.Repeat("line\n", 100), out.String())
+	must.Zero(t, q.Dropped())
+}
+
+// stuck is an output that does not take anything until it is released.
+type stuck struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.Buffer.Write(p)
+}
+
+func TestStuckOutputBlocksNobody(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	q := logging.NewQueue(out)
+	begin := time.Now()
+	for range 5000 {
+		_, err := q.Write([]byte("line\n"))
+		must.NoError(t, err)
+	}
+	must.Less(t, time.Second, time.Since(begin))
+	must.Positive(t, q.Dropped())
+	close(out.release)
+	q.Close()
+	must.StrContains(t, out.String(), "msg=log_lines_dropped")
+}
--- /dev/null
+++ b/internal/ops/handler.go
@@ -0,0 +1,25 @@
+package ops
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/turmericrock/turmericrock/internal/metrics"
+)
+
+// MetricsHandler serves the samples of sources as text. It sets the exporter up
+// with the first request, so that a process starts without it.
+func MetricsHandler(sources []metrics.Source) http.Handler {
+	start := sync.OnceValues(func() (*exporter, error) { return newExporter(sources) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		exporter, err := start()
+		if err == nil {
+			err = exporter.refresh()
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		exporter.handler.ServeHTTP(w, r)
+	})
+}
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -79,6 +79,12 @@
 	load.suspectUntil, load.silences = 0, 0
 }
 
+// Known returns what is known of a host's load, and how old it is.
+func (l *Loads) Known(agent [4]byte, now time.Duration) (flows, busy int, age time.Duration) {
+	load := l.get(agent)
+	return load.Flows, load.Busy, now - load.Reported
+}
+
 // Placed notes a flow that was sent to the host.
 func (l *Loads) Placed(agent [4]byte) {
 	l.get(agent).placed++
