Soak the real programs under faults, and take no flow over from its owner

An owner now says whether the requester confirmed the flow, which goes before an accepted copy, and only packets that can be of the host's flow count as lost by it.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -65,6 +65,8 @@
 type record struct {
 	owner [4]byte
 	seen  time.Duration
+	// open tells that the requester has confirmed the flow there.
+	open bool
 }
 
 // trial is a packet that the host was given although the flow is unknown.
@@ -140,7 +142,9 @@
 		a.handlePacket(now, &f, packet, out)
 	case flow.Owned:
 		learnLoad(a.loads, &f, now)
-		a.records[f.Key] = &record{owner: f.Owner, seen: now}
+		if r := a.records[f.Key]; r == nil || f.Open || !r.open {
+			a.records[f.Key] = &record{owner: f.Owner, seen: now, open: f.Open}
+		}
 	case flow.Closed:
 		if r := a.records[f.Key]; r != nil && r.owner == f.Owner {
 			delete(a.records, f.Key)
@@ -172,7 +176,7 @@
 	}
 	key := p.FromRequester()
 	if fl := a.flows[key]; fl != nil && a.holds(fl, &p) {
-		a.fromRequester(now, fl, key, f, &p)
+		a.fromRequester(now, fl, key, f, &p, out)
 		a.setOrigin(fl, key, f.Origin, out)
 		out.ToHost(data)
 		return
@@ -193,7 +197,10 @@
 // an opening may have reached two hosts; the requester's acknowledgement tells
 // which of them it took.
 func (a *Agent) holds(fl *ownedFlow, p *flow.Packet) bool {
-	if fl.state != flowAccepted || !p.Ack || p.Rst {
+	switch {
+	case fl.state == flowOpening:
+		return p.Opening()
+	case fl.state != flowAccepted || !p.Ack || p.Rst:
 		return true
 	}
 	return p.AckSeq-fl.hostSeq <= ackWindow
@@ -203,10 +210,12 @@
 // accepted, in bytes.
 const ackWindow = 1 << 17
 
-func (a *Agent) fromRequester(now time.Duration, fl *ownedFlow, key flow.Key, f *flow.Frame, p *flow.Packet) {
+func (a *Agent) fromRequester(now time.Duration, fl *ownedFlow, key flow.Key, f *flow.Frame, p *flow.Packet, out Output) {
 	fl.seen = now
 	if p.Ack && fl.state == flowAccepted {
 		fl.state = flowOpen
+		fl.origin = f.Origin
+		a.announce(key, f.Origin, true, out)
 		a.config.Events.Note(EventOpened, key, "entry", f.Origin.AddrPort().Addr(), "flows", a.open, "busy", a.busy)
 	}
 	if p.Size > 0 && !fl.busy {
@@ -241,12 +250,13 @@
 	}
 	fl.origin = origin
 	if fl.state == flowAccepted || fl.state == flowOpen {
-		a.tellOwned(origin, key, out)
+		a.tellOwned(origin, key, fl.state == flowOpen, out)
 	}
 }
 
-func (a *Agent) tellOwned(to flow.Endpoint, key flow.Key, out Output) {
+func (a *Agent) tellOwned(to flow.Endpoint, key flow.Key, open bool, out Output) {
 	f := a.report(flow.Owned, key)
+	f.Open = open
 	out.ToNode(to, &f, nil)
 }
 
@@ -499,14 +509,14 @@
 	a.flows[key] = fl
 	a.open++
 	a.config.Events.Note(EventAdopted, key, "entry", origin.AddrPort().Addr())
-	a.announce(key, origin, out)
+	a.announce(key, origin, true, out)
 	return fl
 }
 
 // announce tells the entry and the keepers of a flow that this agent owns it.
-func (a *Agent) announce(key flow.Key, origin flow.Endpoint, out Output) {
+func (a *Agent) announce(key flow.Key, origin flow.Endpoint, open bool, out Output) {
 	if origin != (flow.Endpoint{}) {
-		a.tellOwned(origin, key, out)
+		a.tellOwned(origin, key, open, out)
 	}
 	c := a.config.Catalog()
 	if c == nil {
@@ -516,15 +526,15 @@
 	if !ok {
 		return
 	}
-	a.tellKeeper(first, key, out)
+	a.tellKeeper(first, key, open, out)
 	if second != first {
-		a.tellKeeper(second, key, out)
+		a.tellKeeper(second, key, open, out)
 	}
 }
 
-func (a *Agent) tellKeeper(keeper [4]byte, key flow.Key, out Output) {
+func (a *Agent) tellKeeper(keeper [4]byte, key flow.Key, open bool, out Output) {
 	if keeper != a.config.Self.Addr {
-		a.tellOwned(flow.Endpoint{Addr: keeper, Port: a.config.Self.Port}, key, out)
+		a.tellOwned(flow.Endpoint{Addr: keeper, Port: a.config.Self.Port}, key, open, out)
 	}
 }
 
@@ -590,7 +600,7 @@
 	fl.seen = now
 	if p.Syn && p.Ack && fl.state == flowOpening {
 		fl.state, fl.hostSeq = flowAccepted, p.Seq
-		a.announce(key, fl.origin, out)
+		a.announce(key, fl.origin, false, out)
 	}
 	if p.Size > 0 && fl.busy {
 		fl.busy = false
@@ -622,7 +632,7 @@
 		a.passOn(now, &frame, p, data, "host_full", out)
 		return
 	}
-	if fl != nil {
+	if fl != nil && a.holds(fl, p) {
 		// The host has lost the flow, most likely by a restart.
 		a.forget(key, fl)
 		lost := a.report(flow.Closed, key)
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -38,8 +38,9 @@
 // owner is what an entry knows of the agent of a flow.
 type owner struct {
 	agent [4]byte
-	// answered tells that the agent has confirmed the flow.
-	answered bool
+	// answered tells that the agent has accepted the flow, open that it said the
+	// requester has confirmed it there.
+	answered, open bool
 	// seen is when the flow's last packet came, placed when its agent was chosen.
 	seen, placed time.Duration
 }
@@ -177,11 +178,13 @@
 			if !o.answered {
 				e.opened.Observe(now - o.placed)
 			}
-			o.agent, o.answered = f.Owner, true
+			if f.Open || !o.open {
+				o.agent, o.answered, o.open = f.Owner, true, f.Open
+			}
 			return
 		}
 		e.config.Events.Note(EventFound, f.Key, "agent", flow.Endpoint{Addr: f.Owner}.AddrPort().Addr())
-		e.owners[f.Key] = &owner{agent: f.Owner, answered: true, seen: now}
+		e.owners[f.Key] = &owner{agent: f.Owner, answered: true, open: f.Open, seen: now}
 	case flow.Load:
 		learnLoad(e.loads, &f, now)
 	case flow.Closed:
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -409,3 +409,63 @@
 	}
 	must.Less(t, 250, c.frames[flow.Deliver]-deliveries, must.Sprint("hosts that refuse are left alone for a while"))
 }
+
+// An entry that was paused woke up with an old copy of an opening and placed it
+// at a second host. That host's agent then took the flow for its own, and reset
+// it when its host gave the requester's packets back.
+func TestLateCopyOfAnOpeningDoesNotTakeTheFlowOver(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprint("restarted ", restarted), func(t *testing.T) {
+			c := newServiceCell(t)
+			if restarted {
+				c.restartAll()
+			}
+			for port := uint16(1000); port < 1100; port++ {
+				r := c.requester(port, 1)
+				own := r.open()
+				acked := c.hosts[own].flows[r.key()] + 1
+				for n := byte(11); n <= 14; n++ {
+					f := flow.Frame{Kind: flow.Deliver, Service: catalog.Tag("s"), Config: 1, Origin: flow.Endpoint{Addr: addr(2), Port: peerPort}}
+					if addr(n) != own {
+						opening := packet(syn, r.at, service(), 1, 0, 0)
+						c.agents[addr(n)].HandleFrame(c.now, append(f.Append(nil), opening...), &cellOutput{c, addr(n)})
+						c.drain()
+						break
+					}
+				}
+				for _, via := range []byte{1, 2} {
+					r.via = via
+					answers := r.send(ack, acked, 50)
+					must.Len(t, 1, answers)
+					must.False(t, answers[0].Rst)
+				}
+			}
+		})
+	}
+}
+
+// A host that was down took an opening in silence, a copy was accepted by
+// another host, and the first entry went on sending to the first agent: that
+// one reset the flow when its host, back again, returned the packet.
+func TestOpeningThatWasNeverAcceptedIsNoFlow(t *testing.T) {
+	c := newServiceCell(t)
+	for port := uint16(1000); port < 1100; port++ {
+		r := c.requester(port, 1)
+		for _, h := range c.hosts {
+			h.down = true
+		}
+		must.Len(t, 0, r.send(syn, 0, 0))
+		for _, h := range c.hosts {
+			h.down = false
+		}
+		r.via = 2
+		own := r.open()
+		acked := c.hosts[own].flows[r.key()] + 1
+		r.via = 1
+		answers := r.send(ack, acked, 50)
+		must.Len(t, 1, answers)
+		must.False(t, answers[0].Rst)
+		c.now += time.Second
+		c.confirm()
+	}
+}
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -43,7 +43,10 @@
 // host is a backend server that holds flows and returns what it does not hold.
 type host struct {
 	service string
-	flows   map[flow.Key]uint32
+	// flows holds the number that the host's side of each flow starts with, open
+	// those that the requester has confirmed.
+	flows map[flow.Key]uint32
+	open  map[flow.Key]bool
 	// strays counts packets of flows that the host does not hold.
 	strays map[flow.Key]int
 	taken  int
@@ -86,7 +89,7 @@
 }
 
 func (c *cell) addHost(n byte, service string) *host {
-	h := &host{service: service, flows: make(map[flow.Key]uint32), strays: make(map[flow.Key]int), seq: uint32(n) << 24}
+	h := &host{service: service, flows: make(map[flow.Key]uint32), open: make(map[flow.Key]bool), strays: make(map[flow.Key]int), seq: uint32(n) << 24}
 	c.hosts[addr(n)] = h
 	c.startAgent(n, false)
 	return h
@@ -205,7 +208,11 @@
 	answer := func(flags byte, size int) {
 		c.agents[at].HandleHost(c.now, packet(flags, p.Dst, p.Src, h.flows[key], p.Seq, size), &cellOutput{c, at})
 	}
-	_, held := h.flows[key]
+	seq, held := h.flows[key]
+	if held && !p.Opening() && !h.open[key] {
+		held = p.AckSeq == seq+1
+		h.open[key] = held
+	}
 	switch {
 	case p.Opening() && !h.refusing:
 		if !held {
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -157,7 +157,7 @@
 			continue
 		}
 		if first, second, ok := steering.Keepers(c, key.Hash()); ok && (first == keeper || second == keeper) {
-			a.tellKeeper(keeper, key, out)
+			a.tellKeeper(keeper, key, fl.state != flowAccepted, out)
 		}
 	}
 }
@@ -174,7 +174,7 @@
 		first, second, _ := steering.Keepers(old, hash)
 		for _, keeper := range newKeepers(c, hash) {
 			if keeper != first && keeper != second {
-				a.tellKeeper(keeper, key, out)
+				a.tellKeeper(keeper, key, fl.state != flowAccepted, out)
 			}
 		}
 	}
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -61,6 +61,9 @@
 	Asker [4]byte
 	// Key names the flow in Owned, Closed and Absent.
 	Key Key
+	// Open tells in Owned that the requester has confirmed the flow. Copies of an
+	// opening may be accepted by several hosts, of which one is confirmed.
+	Open bool
 	// Owner is the agent that sends the frame.
 	Owner [4]byte
 	// Flows counts the flows that the owner holds.
@@ -86,6 +89,9 @@
 			copy(b[offsetAvoid+4*i:], f.Avoid[i][:])
 		}
 	case Owned, Closed, Load, Absent, Hello:
+		if f.Open {
+			b[2] = 1
+		}
 		f.Key.put(b[4:])
 		copy(b[16:], f.Owner[:])
 		binary.LittleEndian.PutUint16(b[20:], f.Flows)
@@ -102,9 +108,10 @@
 	if len(data) < FrameSize || data[0] != frameMagic {
 		return nil, false
 	}
-	*f = Frame{Kind: Kind(data[1]), Hops: data[2]}
+	*f = Frame{Kind: Kind(data[1])}
 	switch f.Kind {
 	case Deliver, Find, Probe:
+		f.Hops = data[2]
 		f.Service = binary.LittleEndian.Uint32(data[4:])
 		f.Config = binary.LittleEndian.Uint64(data[8:])
 		f.Origin = Endpoint{Addr: [4]byte(data[16:20]), Port: binary.LittleEndian.Uint16(data[20:])}
@@ -113,6 +120,7 @@
 			f.Avoid[i] = [4]byte(data[offsetAvoid+4*i:])
 		}
 	case Owned, Closed, Load, Absent, Hello:
+		f.Open = data[2] == 1
 		f.Key = keyFrom(data[4:])
 		f.Owner = [4]byte(data[16:20])
 		f.Flows = binary.LittleEndian.Uint16(data[20:])
--- a/flow/frame_test.go
+++ b/flow/frame_test.go
@@ -18,7 +18,7 @@
 		Hops: 3, Service: 77, Config: 1 << 40, Origin: flow.Endpoint{Addr: [4]byte{10, 0, 0, 1}, Port: 7720},
 		Avoid: [5][4]byte{{10, 0, 0, 2}, {10, 0, 0, 3}, {10, 0, 0, 4}, {10, 0, 0, 5}, {10, 0, 0, 6}}, Asker: [4]byte{10, 0, 0, 7},
 	}
-	telling := flow.Frame{Key: exampleKey, Owner: [4]byte{10, 0, 0, 5}, Flows: 9, Busy: 4, Service: 77, Started: 123456}
+	telling := flow.Frame{Open: true, Key: exampleKey, Owner: [4]byte{10, 0, 0, 5}, Flows: 9, Busy: 4, Service: 77, Started: 123456}
 	for kind, frame := range map[flow.Kind]flow.Frame{
 		flow.Deliver: carrying, flow.Find: carrying, flow.Probe: carrying,
 		flow.Owned: telling, flow.Closed: telling, flow.Load: telling, flow.Absent: telling, flow.Hello: telling,
@@ -29,7 +29,6 @@
 		must.True(t, ok)
 		must.Eq(t, frame.Kind, read.Kind)
 		must.Eq(t, "packet", string(rest))
-		frame.Hops = read.Hops
 		must.Eq(t, frame, read)
 	}
 }
--- /dev/null
+++ b/internal/soak/cmd/main.go
@@ -0,0 +1,61 @@
+// Command cmd runs the fault soak of the opaque flows.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/turmericrock/turmericrock/internal/soak"
+)
+
+func main() {
+	binary := flag.String("binary", "bin/turmericrock", "the `program` under test")
+	first := flag.Uint64("seed", uint64(time.Now().Unix()), "first `seed`")
+	count := flag.Int("count", 1, "how many seeds")
+	faults := flag.Duration("faults", 20*time.Second, "how long faults are injected")
+	network := flag.Uint("network", 90, "second byte of the loopback addresses")
+	entries := flag.Int("entries", 3, "entries")
+	hosts := flag.Int("hosts", 8, "hosts with their agents")
+	requesters := flag.Int("requesters", 40, "requesters")
+	verbose := flag.Bool("v", false, "print each fault")
+	flag.Parse()
+	broken := 0
+	for n := range *count {
+		seed := *first + uint64(n)
+		dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		report, err := soak.Run(context.Background(), soak.Config{
+			Binary: *binary, Dir: dir, Seed: seed, Faults: *faults, Network: byte(*network),
+			Entries: *entries, Hosts: *hosts, Requesters: *requesters,
+			Print: func(format string, args ...any) {
+				if *verbose {
+					fmt.Printf(format+"\n", args...)
+				}
+			},
+		})
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		fmt.Printf("seed=%d served=%d failed=%d resets=%d violations=%d\n", seed, report.Served, report.Failed, report.Resets, len(report.Violations))
+		for _, v := range report.Violations {
+			fmt.Println("  " + v.String())
+		}
+		if len(report.Violations) > 0 {
+			broken++
+			fmt.Println("  logs: " + dir)
+		} else if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	fmt.Printf("seeds=%d broken=%d\n", *count, broken)
+	if broken > 0 {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// restartDelay is the time before a process that has ended starts again.
+	restartDelay = 300 * time.Millisecond
+	// grace is the time between SIGTERM and SIGKILL.
+	grace = 6 * time.Second
+)
+
+// process is a program of the system that is started again when it ends.
+type process struct {
+	name, binary, command, settings string
+	log                             *os.File
+
+	mu      sync.Mutex
+	current *exec.Cmd
+	stopped bool
+	done    chan struct{}
+}
+
+func startProcess(binary, command, dir, name string, settings []byte) (*process, error) {
+	p := &process{name: name, binary: binary, command: command, settings: filepath.Join(dir, name+".json"), done: make(chan struct{})}
+	if err := os.WriteFile(p.settings, settings, 0o600); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var err error
+	if p.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := p.start(); err != nil {
+		return nil, err
+	}
+	go p.supervise()
+	return p, nil
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.current = exec.Command(p.binary, p.command, "-settings", p.settings)
+	p.current.Stdout, p.current.Stderr = p.log, p.log
+	return errors.WithStack(p.current.Start())
+}
+
+func (p *process) supervise() {
+	defer close(p.done)
+	for {
+		p.mu.Lock()
+		current := p.current
+		p.mu.Unlock()
+		_ = current.Wait() // How it ended stands in its log.
+		time.Sleep(restartDelay)
+		p.mu.Lock()
+		stopped := p.stopped
+		p.mu.Unlock()
+		if stopped || p.start() != nil {
+			return
+		}
+	}
+}
+
+// signal sends a signal to the process that runs now.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A process that has just ended is started again all the same.
+	_ = p.current.Process.Signal(s)
+}
+
+// term stops the process as the platform does.
+func (p *process) term() {
+	p.mu.Lock()
+	stopping := p.current
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+	time.AfterFunc(grace, func() {
+		_ = stopping.Process.Kill() // It has ended long since, mostly.
+	})
+}
+
+// stop ends the process for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.done
+	_ = p.log.Close() // All of it is written by the process itself.
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,263 @@
+// Package soak runs the real programs of the opaque flows as processes on
+// loopback, between stand-ins of requesters, routers, hosts and store. It
+// injects faults from outside, by a seed, and checks the promises from what
+// requesters and hosts see.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/internal/standin/store"
+)
+
+// Config configures a run.
+type Config struct {
+	// Binary is the program under test, Dir the folder of its logs.
+	Binary, Dir string
+	Seed        uint64
+	// Faults is how long faults are injected.
+	Faults time.Duration
+	// Entries, Hosts and Requesters are how many there are of each.
+	Entries, Hosts, Requesters int
+	// Network is the second byte of the loopback addresses, so that runs beside
+	// each other keep apart.
+	Network byte
+	// Print is told of each fault.
+	Print func(format string, args ...any)
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Served, Failed, Resets int
+	Violations             []Violation
+}
+
+// Ports of all machines.
+const (
+	portPackets  = 17172
+	portReady    = 17167
+	portControl  = 17166
+	portPeers    = 17170
+	portOutbound = 17162
+	portHost     = 17165
+)
+
+// Services of the run, with their routes.
+var services = []struct {
+	name string
+	port uint16
+}{{"desk", 8080}, {"gallery", 8443}}
+
+var virtual = [4]byte{198, 18, 0, 1}
+
+// run is a run in progress.
+type run struct {
+	Config
+	ctx        context.Context
+	random     *rand.Rand
+	checks     *checks
+	store      *store.Store
+	router     *router
+	entries    []*process
+	agents     []*process
+	hosts      []*host
+	requesters []*requester
+	version    int
+	born       int64
+}
+
+func (r *run) address(kind, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, r.Network, byte(kind), byte(n + 1)})
+}
+
+// Kinds of addresses.
+const (
+	kindEntry = iota + 1
+	kindHost
+	kindRequester
+)
+
+func zone(n int) string { return string(rune('a' + n%2)) }
+
+// Run runs the system under faults.
+func Run(ctx context.Context, config Config) (Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &run{
+		Config: config, ctx: ctx, checks: newChecks(), store: store.New(), born: time.Now().UnixMilli(),
+		random: rand.New(rand.NewPCG(config.Seed, 1)),
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return Report{}, errors.WithStack(err)
+	}
+	server := &http.Server{Handler: r.store, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }() // Ends with Close.
+	defer func() { _ = server.Close() }()
+	defer r.stop()
+	if err := r.start(listener.Addr().String()); err != nil {
+		return Report{}, err
+	}
+	r.await("first answers")
+	r.inject()
+	r.heal()
+	r.await("answers after the last fault")
+	r.checks.mu.Lock()
+	defer r.checks.mu.Unlock()
+	return Report{Served: r.checks.served, Failed: r.checks.failed, Resets: r.checks.resets, Violations: r.checks.violations}, nil
+}
+
+func (r *run) start(storeAddress string) error {
+	for _, s := range services {
+		r.checks.route[flow.Endpoint{Addr: virtual, Port: s.port}] = s.name
+	}
+	r.declare()
+	var addresses []netip.Addr
+	for n := range r.Entries {
+		addresses = append(addresses, r.address(kindEntry, n))
+		p, err := startProcess(r.Binary, "datagram-entry", r.Dir, fmt.Sprintf("entry-%d", n), r.settings(kindEntry, n, storeAddress))
+		if err != nil {
+			return err
+		}
+		r.entries = append(r.entries, p)
+	}
+	for n := range r.Hosts {
+		at := r.address(kindHost, n)
+		h, err := startHost(services[n%2].name, uint32(n+1), netip.AddrPortFrom(at, portHost), netip.AddrPortFrom(at, portOutbound), r.checks)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		r.hosts = append(r.hosts, h)
+		r.register(n, "ready")
+		p, err := startProcess(r.Binary, "datagram-agent", r.Dir, fmt.Sprintf("agent-%d", n), r.settings(kindHost, n, storeAddress))
+		if err != nil {
+			return err
+		}
+		r.agents = append(r.agents, p)
+	}
+	var err error
+	if r.router, err = newRouter(addresses, portPackets, portReady); err != nil {
+		return errors.WithStack(err)
+	}
+	go r.router.run(r.ctx)
+	return r.startRequesters()
+}
+
+func (r *run) startRequesters() error {
+	for n := range r.Requesters {
+		at := r.address(kindRequester, n)
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(at, portPackets)))
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		s := services[n%2]
+		q := &requester{
+			at: at, port: portPackets, router: r.router, checks: r.checks, conn: conn, inbox: make(chan []byte, 64),
+			random: rand.New(rand.NewPCG(r.Seed, uint64(n)+2)), service: flow.Endpoint{Addr: virtual, Port: s.port}, want: s.name,
+		}
+		r.requesters = append(r.requesters, q)
+		go q.run(r.ctx)
+	}
+	return nil
+}
+
+// stop ends all processes that the run started.
+func (r *run) stop() {
+	var group sync.WaitGroup
+	for _, p := range append(r.entries, r.agents...) {
+		group.Go(p.stop)
+	}
+	group.Wait()
+	for _, h := range r.hosts {
+		_ = h.conn.Close() // Nothing reads it any more.
+	}
+}
+
+// await checks that each requester is answered within the recovery bound.
+func (r *run) await(what string) {
+	begin := time.Now()
+	waiting := append([]*requester(nil), r.requesters...)
+	for len(waiting) > 0 && time.Since(begin) < recoveryBound && r.ctx.Err() == nil {
+		var left []*requester
+		for _, q := range waiting {
+			if q.lastServed.Load() < begin.UnixNano() {
+				left = append(left, q)
+			}
+		}
+		waiting = left
+		sleep(r.ctx, 20*time.Millisecond)
+	}
+	r.Print("%s: %v", what, time.Since(begin).Round(time.Millisecond))
+	if len(waiting) > 0 {
+		r.checks.mu.Lock()
+		defer r.checks.mu.Unlock()
+		r.checks.violated("RECOVER", "%s: %d of %d requesters not answered within %v", what, len(waiting), len(r.requesters), recoveryBound)
+	}
+}
+
+// declare writes the next version of the configuration.
+func (r *run) declare() {
+	r.version += 1 + int(r.version)%3
+	var routes, declared []map[string]any
+	for _, s := range services {
+		routes = append(routes, map[string]any{
+			"name": "r-" + s.name, "vhost": netip.AddrFrom4(virtual).String(), "prefix": fmt.Sprintf("/%d/", s.port),
+			"route_type": "idempotent", "timeout_ms": 2000 + r.version, "target_latency_ms": 200, "priority": 2, "backend": s.name,
+		})
+		declared = append(declared, map[string]any{"name": s.name, "health_path": "/health", "max_conns": 2000})
+	}
+	r.put("op/config", map[string]any{
+		"version": r.version, "routes": routes, "services": declared, "limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+}
+
+// register writes what a host says of itself.
+func (r *run) register(n int, state string) {
+	r.put(fmt.Sprintf("servers/h%d", n), map[string]any{
+		"backend": services[n%2].name, "address": netip.AddrPortFrom(r.address(kindHost, n), portHost).String(), "zone": zone(n / 2),
+		"version": "v1", "concurrency": 5, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": r.born,
+	})
+}
+
+func (r *run) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // The values are built from plain types.
+	}
+	r.store.Put(key, data)
+}
+
+func (r *run) settings(kind, n int, storeAddress string) []byte {
+	ip := r.address(kind, n)
+	at := func(port uint16) string { return netip.AddrPortFrom(ip, port).String() }
+	settings := map[string]any{
+		"node_name": fmt.Sprintf("node-%d-%d", kind, n), "ip": ip.String(), "zone": zone(n / 2), "internal_ports": []int{portPeers, portPeers + 9},
+		"seeds":    []string{netip.AddrPortFrom(r.address(kindEntry, 0), portControl).String()},
+		"bounds":   map[string]any{"flow_lifetime_s": 60, "cold_overage": 1.5, "cold_slack": 5, "grace_s": 6},
+		"platform": map[string]any{"address": storeAddress},
+	}
+	listen := map[string]string{"datagram_listen": at(portPackets), "ready": at(portReady)}
+	if kind == kindEntry {
+		listen["control"] = at(portControl)
+	} else {
+		listen["outbound"] = at(portOutbound)
+		settings["app"], settings["backend"] = at(portHost), services[n%2].name
+	}
+	settings["listen_addrs"] = listen
+	data, err := json.Marshal(settings)
+	if err != nil {
+		panic(err) // The values are built from plain types.
+	}
+	return data
+}
