--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -109,6 +109,10 @@
 	cold     steering.ColdGate
 	loads    *steering.Loads
 	service  steering.ServiceTime
+	// packet and frame are those in work: they would be allocated anew for each
+	// packet otherwise, since interfaces take them.
+	packet flow.Packet
+	frame  flow.Frame
 	// answered holds how long requests waited for the host's first answer.
 	answered *Latency
 }
@@ -129,19 +133,19 @@
 
 // HandleFrame takes a frame from another process.
 func (a *Agent) HandleFrame(now time.Duration, data []byte, out Output) {
-	var f flow.Frame
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f := &a.frame
 	packet, ok := f.Parse(data)
 	if !ok {
 		a.config.Events.Drop(DropMalformed)
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	switch f.Kind {
 	case flow.Deliver, flow.Find, flow.Probe:
-		a.handlePacket(now, &f, packet, out)
+		a.handlePacket(now, f, packet, out)
 	case flow.Owned:
-		learnLoad(a.loads, &f, now)
+		learnLoad(a.loads, f, now)
 		if r := a.records[f.Key]; r == nil || f.Open || !r.open {
 			a.records[f.Key] = &record{owner: f.Owner, seen: now, open: f.Open}
 		}
@@ -154,15 +158,15 @@
 	case flow.Hello:
 		a.tellStarted(f.Owner, out)
 	case flow.Load:
-		learnLoad(a.loads, &f, now)
+		learnLoad(a.loads, f, now)
 	default:
 		a.config.Events.Drop(DropMalformed)
 	}
 }
 
 func (a *Agent) handlePacket(now time.Duration, f *flow.Frame, data []byte, out Output) {
-	var p flow.Packet
-	if !a.config.Codec.Decode(data, &p) {
+	p := &a.packet
+	if !a.config.Codec.Decode(data, p) {
 		a.config.Events.Drop(DropMalformed)
 		return
 	}
@@ -171,12 +175,12 @@
 		return
 	}
 	if p.Opening() {
-		a.opening(now, f, &p, data, out)
+		a.opening(now, f, p, data, out)
 		return
 	}
 	key := p.FromRequester()
-	if fl := a.flows[key]; fl != nil && a.holds(fl, &p) {
-		a.fromRequester(now, fl, key, f, &p, out)
+	if fl := a.flows[key]; fl != nil && a.holds(fl, p) {
+		a.fromRequester(now, fl, key, f, p, out)
 		a.setOrigin(fl, key, f.Origin, out)
 		out.ToHost(data)
 		return
--- /dev/null
+++ b/datagram/bench_test.go
@@ -0,0 +1,48 @@
+package datagram_test
+
+import (
+	"testing"
+
+	"github.com/turmericrock/turmericrock/flow"
+)
+
+// discard takes what a core sends.
+type discard struct{}
+
+func (discard) ToRequester([4]byte, []byte)               {}
+func (discard) ToNode(flow.Endpoint, *flow.Frame, []byte) {}
+func (discard) ToHost([]byte)                             {}
+
+// BenchmarkEntryForward forwards a packet of a known flow, without sockets.
+func BenchmarkEntryForward(b *testing.B) {
+	c, _, data := benchFlow(b)
+	e := c.entries[addr(1)]
+	b.ReportAllocs()
+	for b.Loop() {
+		e.HandlePacket(c.now, data, discard{})
+	}
+}
+
+// BenchmarkAgentDeliver gives the host a packet of a known flow.
+func BenchmarkAgentDeliver(b *testing.B) {
+	c, r, data := benchFlow(b)
+	own := c.holder(r.key())
+	f := flow.Frame{Kind: flow.Deliver, Service: 1, Config: 1, Origin: flow.Endpoint{Addr: addr(1), Port: peerPort}}
+	framed := append(f.Append(nil), data...)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.agents[own].HandleFrame(c.now, framed, discard{})
+	}
+}
+
+func benchFlow(b *testing.B) (*cell, *requester, []byte) {
+	c := newCell(b)
+	c.addEntry(1)
+	for n := byte(11); n <= 14; n++ {
+		c.addHost(n, "s")
+	}
+	c.declare(1, nil, "s")
+	r := c.requester(1000, 1)
+	r.open()
+	return c, r, packet(ack, r.at, service(), 1, 0, 0)
+}
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -16,11 +16,9 @@
 	Self flow.Endpoint
 	// PeerPort is the port of all agents.
 	PeerPort uint16
-	// FlowLifetime is after how long a flow may be forgotten.
-	FlowLifetime time.Duration
-	Codec        flow.Codec
-	Catalog      CatalogFunc
-	Events       *Events
+	Codec    flow.Codec
+	Catalog  CatalogFunc
+	Events   *Events
 }
 
 // Entry forwards requesters' packets to the agents of their flows. It holds a
@@ -31,6 +29,10 @@
 	mu     sync.Mutex
 	owners map[flow.Key]*owner
 	loads  *steering.Loads
+	// packet and frame are those in work: they would be allocated anew for each
+	// packet otherwise, since interfaces take them.
+	packet flow.Packet
+	frame  flow.Frame
 	// opened holds how long openings waited for the word of their agent.
 	opened *Latency
 }
@@ -52,8 +54,10 @@
 
 // HandlePacket forwards a packet from a requester.
 func (e *Entry) HandlePacket(now time.Duration, data []byte, out Output) {
-	var p flow.Packet
-	if !e.config.Codec.Decode(data, &p) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := &e.packet
+	if !e.config.Codec.Decode(data, p) {
 		e.config.Events.Drop(DropMalformed)
 		return
 	}
@@ -66,13 +70,11 @@
 		e.config.Events.Drop(DropNoCatalog)
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	if p.Opening() {
-		e.open(now, c, &p, data, out)
+		e.open(now, c, p, data, out)
 		return
 	}
-	e.follow(now, c, &p, data, out)
+	e.follow(now, c, p, data, out)
 }
 
 // open places a new flow.
@@ -88,7 +90,7 @@
 	o := e.owners[key]
 	if o != nil && o.answered {
 		o.seen = now
-		e.deliver(c, service, o.agent, data, out)
+		e.send(flow.Deliver, c, service, o.agent, data, out)
 		return
 	}
 	opening := steering.Opening{Hash: hash, Zone: e.config.Zone, Bulk: route.Bulk, Now: now}
@@ -114,15 +116,15 @@
 	flows, busy, age := e.loads.Known(agent, now)
 	e.config.Events.Note(EventPlaced, key, "agent", flow.Endpoint{Addr: agent}.AddrPort().Addr(), "service", service.Name,
 		"agent_zone", host.Zone, "flows", flows, "busy", busy, "load_age_ms", age.Milliseconds(), "revision", c.Revision)
-	e.deliver(c, service, agent, data, out)
+	e.send(flow.Deliver, c, service, agent, data, out)
 }
 
-func (e *Entry) deliver(c *catalog.Catalog, service *catalog.Service, agent [4]byte, data []byte, out Output) {
-	f := flow.Frame{Kind: flow.Deliver, Config: c.Config.Version, Origin: e.config.Self}
+func (e *Entry) send(kind flow.Kind, c *catalog.Catalog, service *catalog.Service, agent [4]byte, data []byte, out Output) {
+	e.frame = flow.Frame{Kind: kind, Config: c.Config.Version, Origin: e.config.Self}
 	if service != nil {
-		f.Service = service.Tag
+		e.frame.Service = service.Tag
 	}
-	out.ToNode(flow.Endpoint{Addr: agent, Port: e.config.PeerPort}, &f, data)
+	out.ToNode(flow.Endpoint{Addr: agent, Port: e.config.PeerPort}, &e.frame, data)
 }
 
 // refuseUnknown answers an opening for a route that does not exist. A snapshot
@@ -146,7 +148,7 @@
 	}
 	if o := e.owners[key]; o != nil {
 		o.seen = now
-		e.deliver(c, service, o.agent, data, out)
+		e.send(flow.Deliver, c, service, o.agent, data, out)
 		return
 	}
 	keeper, _, ok := steering.Keepers(c, hash)
@@ -154,12 +156,8 @@
 		e.config.Events.Drop(DropNoAgents)
 		return
 	}
-	f := flow.Frame{Kind: flow.Find, Config: c.Config.Version, Origin: e.config.Self}
-	if service != nil {
-		f.Service = service.Tag
-	}
 	e.config.Events.Count(CountFinds)
-	out.ToNode(flow.Endpoint{Addr: keeper, Port: e.config.PeerPort}, &f, data)
+	e.send(flow.Find, c, service, keeper, data, out)
 }
 
 // HandleFrame takes an agent's answer.
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -24,7 +24,7 @@
 // cell is a small fleet of cores in virtual time: entries, agents and hosts
 // that share one catalog. Packets arrive at once and in order.
 type cell struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Duration
 	current *catalog.Catalog
 	tracker *catalog.Tracker
@@ -57,7 +57,7 @@
 
 func addr(n byte) [4]byte { return [4]byte{10, 0, 0, n} }
 
-func newCell(t *testing.T) *cell {
+func newCell(t testing.TB) *cell {
 	return &cell{
 		t: t, now: time.Second, entries: make(map[[4]byte]*datagram.Entry), agents: make(map[[4]byte]*datagram.Agent),
 		hosts: make(map[[4]byte]*host), cut: make(map[[4]byte]bool), frames: make(map[flow.Kind]int),
@@ -83,7 +83,7 @@
 
 func (c *cell) newEntry(n byte, known datagram.CatalogFunc) {
 	c.entries[addr(n)] = datagram.NewEntry(datagram.EntryConfig{
-		Zone: "a", Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, PeerPort: peerPort, FlowLifetime: lifetime,
+		Zone: "a", Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, PeerPort: peerPort,
 		Codec: platform.Codec{}, Catalog: known, Events: quiet(),
 	})
 }
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -8,16 +8,16 @@
 
 // HandleHost takes a packet that the host on this machine sent.
 func (a *Agent) HandleHost(now time.Duration, data []byte, out Output) {
-	var p flow.Packet
-	if !a.config.Codec.Decode(data, &p) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := &a.packet
+	if !a.config.Codec.Decode(data, p) {
 		a.config.Events.Drop(DropMalformed)
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if p.Returned {
 		a.config.Codec.ClearReturned(data)
-		a.returned(now, &p, data, out)
+		a.returned(now, p, data, out)
 		return
 	}
 	key := p.FromHost()
@@ -31,7 +31,7 @@
 		fl = a.adopt(now, key, origin, out)
 	}
 	if fl != nil {
-		a.fromHost(now, fl, key, &p, out)
+		a.fromHost(now, fl, key, p, out)
 	}
 	out.ToRequester(p.Dst.Addr, data)
 }
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -219,8 +219,7 @@
 func startDatagramEntry(n *datagramNode) *datagram.Node {
 	e := datagram.NewEntry(datagram.EntryConfig{
 		Zone: n.settings.Zone, Self: flow.EndpointOf(n.self()), PeerPort: n.settings.PeerPort,
-		FlowLifetime: n.settings.FlowLifetime,
-		Codec:        platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
+		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
 	n.sources = []metrics.Source{n.events, e}
 	node := n.node()
