--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -469,3 +469,30 @@
 		c.confirm()
 	}
 }
+
+// What an agent says of an accepted copy goes behind what the confirmed owner
+// said, at the entry and at the keepers.
+func TestConfirmedOwnerGoesBeforeAnAcceptedCopy(t *testing.T) {
+	c := newServiceCell(t)
+	for port := uint16(1000); port < 1100; port++ {
+		r := c.requester(port, 1)
+		own := r.open()
+		acked := c.hosts[own].flows[r.key()] + 1
+		for n := byte(11); n <= 14; n++ {
+			if addr(n) == own {
+				continue
+			}
+			f := flow.Frame{Kind: flow.Deliver, Service: catalog.Tag("s"), Config: 1, Origin: flow.Endpoint{Addr: addr(1), Port: peerPort}}
+			c.agents[addr(n)].HandleFrame(c.now, append(f.Append(nil), packet(syn, r.at, service(), 1, 0, 0)...), &cellOutput{c, addr(n)})
+			c.drain()
+			break
+		}
+		finds := c.frames[flow.Find]
+		must.Len(t, 1, r.send(ack, acked, 50))
+		must.Eq(t, finds, c.frames[flow.Find], must.Sprint("the entry still knows the owner"))
+		c.addEntry(2)
+		r.via = 2
+		must.Len(t, 1, r.send(ack, acked, 50))
+	}
+	must.Eq(t, 0, c.frames[flow.Probe], must.Sprint("the keepers still know the owner"))
+}
