Do not wait for agents of removed hosts that do not answer

Entries went on sending to the agent of a machine that was lost, and an agent went on delivering to a host that had ended.

Ruled out: the hosts that are described, since all of them had answered; the age of the list, which was complete from 37.4 s.

An agent of a host that is no longer described is now asked for a sign of life and given up 150 ms later; it is asked as soon as the description goes. A host that is no longer described and does not answer has its flows reset.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -104,6 +104,8 @@
 	trials  map[flow.Key]*trial
 	// searches are the flows whose owner this agent asks all others for.
 	searches map[flow.Key]*search
+	silences silences
+	host     hostSilence
 	busy     int
 	open     int
 	cold     steering.ColdGate
@@ -126,6 +128,7 @@
 		records:  make(map[flow.Key]*record),
 		trials:   make(map[flow.Key]*trial),
 		searches: make(map[flow.Key]*search),
+		silences: make(silences),
 		loads:    steering.NewLoads(),
 		answered: NewLatency("request_answer"),
 	}
@@ -144,6 +147,13 @@
 	switch f.Kind {
 	case flow.Deliver, flow.Find, flow.Probe:
 		a.handlePacket(now, f, packet, out)
+		return
+	case flow.Ping:
+		a.answerPing(f.Owner, out)
+		return
+	}
+	a.silences.heard(f.Owner)
+	switch f.Kind {
 	case flow.Owned:
 		learnLoad(a.loads, f, now)
 		if r := a.records[f.Key]; r == nil || f.Open || !r.open {
@@ -180,9 +190,7 @@
 	}
 	key := p.FromRequester()
 	if fl := a.flows[key]; fl != nil && a.holds(fl, p) {
-		a.fromRequester(now, fl, key, f, p, out)
-		a.setOrigin(fl, key, f.Origin, out)
-		out.ToHost(data)
+		a.deliver(now, fl, key, f, p, data, out)
 		return
 	}
 	switch f.Kind {
@@ -197,6 +205,31 @@
 	}
 }
 
+// deliver gives the host a packet of a flow that it holds.
+func (a *Agent) deliver(now time.Duration, fl *ownedFlow, key flow.Key, f *flow.Frame, p *flow.Packet, data []byte, out Output) {
+	if a.hostGone(now) {
+		a.lose(fl, key, "host_gone", p, out)
+		return
+	}
+	a.fromRequester(now, fl, key, f, p, out)
+	a.setOrigin(fl, key, f.Origin, out)
+	if f.Kind == flow.Probe {
+		a.tellOwned(flow.Endpoint{Addr: f.Asker, Port: a.config.Self.Port}, key, fl.state == flowOpen, out)
+	}
+	a.toHost(now, data, out)
+}
+
+// lose gives up a flow that the host does not hold any more.
+func (a *Agent) lose(fl *ownedFlow, key flow.Key, reason string, p *flow.Packet, out Output) {
+	a.forget(key, fl)
+	lost := a.report(flow.Closed, key)
+	out.ToNode(fl.origin, &lost, nil)
+	a.config.Events.Note(EventLost, key, "reason", reason)
+	if !p.Rst && fl.state != flowClosed {
+		reset(a.config.Codec, p, out)
+	}
+}
+
 // holds reports whether a packet is of the flow that the host holds. Copies of
 // an opening may have reached two hosts; the requester's acknowledgement tells
 // which of them it took.
@@ -286,6 +319,7 @@
 		idle = c.Config.IdleTimeout + idleMargin
 		a.mu.Lock()
 		a.loads.Retain(c)
+		a.silences.expire(c, now)
 		a.mu.Unlock()
 	}
 	a.mu.Lock()
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -29,6 +29,8 @@
 	mu     sync.Mutex
 	owners map[flow.Key]*owner
 	loads  *steering.Loads
+	// silences are of agents that hold flows and are no longer described.
+	silences silences
 	// packet and frame are those in work: they would be allocated anew for each
 	// packet otherwise, since interfaces take them.
 	packet flow.Packet
@@ -49,7 +51,7 @@
 
 // NewEntry returns an entry that knows no flows.
 func NewEntry(config EntryConfig) *Entry {
-	return &Entry{config: config, owners: make(map[flow.Key]*owner), loads: steering.NewLoads(), opened: NewLatency("opening_answer")}
+	return &Entry{config: config, owners: make(map[flow.Key]*owner), loads: steering.NewLoads(), silences: make(silences), opened: NewLatency("opening_answer")}
 }
 
 // HandlePacket forwards a packet from a requester.
@@ -146,7 +148,7 @@
 	if route := c.Config.Routes[key.Service]; route != nil {
 		service = c.Services[route.Pick(hash)]
 	}
-	if o := e.owners[key]; o != nil {
+	if o := e.owners[key]; o != nil && !e.ownerGone(now, c, o, out) {
 		o.seen = now
 		e.send(flow.Deliver, c, service, o.agent, data, out)
 		return
@@ -160,6 +162,18 @@
 	e.send(flow.Find, c, service, keeper, data, out)
 }
 
+// ownerGone reports whether the owner's host is no longer described and its
+// agent does not answer. Keepers know then whether the flow is lost.
+func (e *Entry) ownerGone(now time.Duration, c *catalog.Catalog, o *owner, out Output) bool {
+	if c.Hosts[o.agent] != nil {
+		return false
+	}
+	if e.silences.ask(o.agent, now) {
+		ping(e.config.Self, o.agent, out)
+	}
+	return e.silences.gone(o.agent, now)
+}
+
 // HandleFrame takes an agent's answer.
 func (e *Entry) HandleFrame(now time.Duration, data []byte) {
 	var f flow.Frame
@@ -169,6 +183,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.silences.heard(f.Owner)
 	switch f.Kind {
 	case flow.Owned:
 		learnLoad(e.loads, &f, now)
@@ -203,6 +218,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.loads.Retain(c)
+	e.silences.expire(c, now)
 	for key, o := range e.owners {
 		idle := now - o.seen
 		if idle > c.Config.IdleTimeout+idleMargin || !o.answered && idle > pendingLinger {
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -31,7 +31,7 @@
 	entries map[[4]byte]*datagram.Entry
 	agents  map[[4]byte]*datagram.Agent
 	hosts   map[[4]byte]*host
-	// cut holds machines that receive nothing.
+	// cut holds machines that neither receive nor send.
 	cut map[[4]byte]bool
 	// toRequester holds what requesters received, decoded.
 	toRequester []flow.Packet
@@ -147,6 +147,7 @@
 	if before != nil {
 		for a, agent := range c.agents {
 			agent.KeepersChanged(before, c.current, &cellOutput{c, a})
+			agent.HostsRemoved(c.now, before, c.current, &cellOutput{c, a})
 		}
 	}
 	c.drain()
@@ -175,7 +176,7 @@
 	o.c.frames[f.Kind]++
 	o.c.queue = append(o.c.queue, func() {
 		switch {
-		case o.c.cut[to.Addr]:
+		case o.c.cut[to.Addr] || o.c.cut[o.from]:
 		case o.c.entries[to.Addr] != nil:
 			o.c.entries[to.Addr].HandleFrame(o.c.now, data)
 		case o.c.agents[to.Addr] != nil:
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -6,6 +6,42 @@
 	"github.com/turmericrock/turmericrock/flow"
 )
 
+// hostSilentAfter is after how long without a packet from a host that is no
+// longer described the host is taken to have ended. A host that lives answers or
+// acknowledges within its service time.
+const hostSilentAfter = 600 * time.Millisecond
+
+// hostSilence tells since when the host has left packets unanswered.
+type hostSilence struct {
+	since   time.Duration
+	waiting bool
+}
+
+func (h *hostSilence) given(now time.Duration) {
+	if !h.waiting {
+		h.since, h.waiting = now, true
+	}
+}
+
+func (h *hostSilence) heard() { h.waiting = false }
+
+// toHost gives the host the packet in work. Only data and openings call for an
+// answer.
+func (a *Agent) toHost(now time.Duration, data []byte, out Output) {
+	if a.packet.Size > 0 || a.packet.Opening() {
+		a.host.given(now)
+	}
+	out.ToHost(data)
+}
+
+// hostGone reports whether the host has ended: its description went away while
+// the store was readable, and it does not answer.
+func (a *Agent) hostGone(now time.Duration) bool {
+	c := a.config.Catalog()
+	return a.host.waiting && now-a.host.since >= hostSilentAfter &&
+		c != nil && c.Hosts[a.config.Self.Addr] == nil && listingComplete(now, c)
+}
+
 // HandleHost takes a packet that the host on this machine sent.
 func (a *Agent) HandleHost(now time.Duration, data []byte, out Output) {
 	a.mu.Lock()
@@ -15,6 +51,7 @@
 		a.config.Events.Drop(DropMalformed)
 		return
 	}
+	a.host.heard()
 	if p.Returned {
 		a.config.Codec.ClearReturned(data)
 		a.returned(now, p, data, out)
@@ -73,14 +110,8 @@
 		return
 	}
 	if fl != nil && a.holds(fl, p) {
-		// The host has lost the flow, most likely by a restart.
-		a.forget(key, fl)
-		lost := a.report(flow.Closed, key)
-		out.ToNode(fl.origin, &lost, nil)
-		a.config.Events.Note(EventLost, key, "reason", "host_does_not_hold_flow")
-		if !p.Rst && fl.state != flowClosed {
-			reset(a.config.Codec, p, out)
-		}
+		// Most likely the host has restarted.
+		a.lose(fl, key, "host_does_not_hold_flow", p, out)
 		return
 	}
 	t := a.trials[key]
--- /dev/null
+++ b/datagram/lost_test.go
@@ -0,0 +1,159 @@
+package datagram_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/catalog"
+)
+
+// settled is after how long the list of hosts is taken to be complete.
+const settled = 3 * time.Second
+
+// without removes the description of a host.
+func (c *cell) without(host [4]byte) {
+	c.declare(c.tracker.Revision()+1, func(values *[]catalog.Value) {
+		*values = slices.DeleteFunc(*values, func(v catalog.Value) bool { return v.Key == fmt.Sprintf("servers/h%d", host[3]) })
+	}, "s")
+}
+
+// flowsOf opens flows until the host of the first of them holds several, and
+// returns that host and its flows.
+func (c *cell) flowsOf(most uint16) ([4]byte, []*requester) {
+	var own [4]byte
+	var flows []*requester
+	for port := uint16(1000); port < 1000+most; port++ {
+		r := c.requester(port, 1)
+		at := r.open()
+		if own == ([4]byte{}) {
+			own = at
+		}
+		if at == own {
+			flows = append(flows, r)
+		}
+	}
+	must.Greater(c.t, 3, len(flows))
+	return own, flows
+}
+
+// loseMachine cuts the machine off and removes its host's description after
+// the time that this takes.
+func (c *cell) loseMachine(own [4]byte) {
+	c.now += settled
+	c.cut[own] = true
+	c.now += settled
+	c.without(own)
+	c.confirm()
+}
+
+// Requests on flows of a machine that was lost for good timed out one by one:
+// entries went on sending to its agent.
+func TestFlowsOfALostMachineAreReset(t *testing.T) {
+	c := newServiceCell(t)
+	own, flows := c.flowsOf(100)
+	c.loseMachine(own)
+	must.Len(t, 0, flows[0].send(ack, 777, 50))
+	c.now += 200 * time.Millisecond
+	c.confirm()
+	answers := flows[0].send(ack, 777, 50)
+	must.Len(t, 1, answers, must.Sprint("the first flow, with the first copy"))
+	must.True(t, answers[0].Rst)
+	for _, r := range flows[1:] {
+		answers := r.send(ack, 777, 50)
+		must.Len(t, 1, answers, must.Sprint("further flows, at once"))
+		must.True(t, answers[0].Rst)
+	}
+}
+
+// After a loss of power during a release, flows were searched for and given up
+// only 10 s later: the hosts that had just left were waited for.
+func TestFlowsAreResetAfterARestartWhileHostsLeave(t *testing.T) {
+	c := newServiceCell(t)
+	own, flows := c.flowsOf(100)
+	c.loseMachine(own)
+	for _, h := range c.hosts {
+		clear(h.flows)
+		clear(h.open)
+	}
+	c.restartAll()
+	c.now += settled
+	c.confirm()
+	must.Len(t, 0, flows[0].send(ack, 777, 50))
+	c.now += 200 * time.Millisecond
+	c.confirm()
+	answers := flows[0].send(ack, 777, 50)
+	must.Len(t, 1, answers)
+	must.True(t, answers[0].Rst)
+}
+
+// A host that lost the store, but not its requesters, goes on being served.
+func TestFlowsOfALiveHostThatIsNotDescribedAreServed(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarted=%v", restarted), func(t *testing.T) {
+			c := newServiceCell(t)
+			own, flows := c.flowsOf(100)
+			c.now += settled
+			c.without(own)
+			c.now += settled
+			c.confirm()
+			if restarted {
+				c.restartAll()
+			}
+			for range 8 {
+				for _, r := range flows {
+					r.via = 3 - r.via
+					answers := r.send(ack, 777, 50)
+					must.Len(t, 1, answers)
+					must.False(t, answers[0].Rst)
+				}
+				c.now += 700 * time.Millisecond
+				c.confirm()
+			}
+		})
+	}
+}
+
+// An agent that was cut off when it was asked is heard again.
+func TestFlowsAreServedOnceACutAgentIsBack(t *testing.T) {
+	c := newServiceCell(t)
+	own, flows := c.flowsOf(100)
+	c.loseMachine(own)
+	must.Len(t, 0, flows[0].send(ack, 777, 50))
+	c.cut[own] = false
+	c.now += 2 * time.Second
+	c.confirm()
+	for range 2 {
+		for _, r := range flows {
+			r.send(ack, 777, 50)
+		}
+		c.now += 200 * time.Millisecond
+		c.confirm()
+	}
+	for _, r := range flows[1:] {
+		answers := r.send(ack, 777, 50)
+		must.Len(t, 1, answers)
+		must.False(t, answers[0].Rst)
+	}
+}
+
+// A host that ended without a word left its agent delivering packets to nobody.
+func TestFlowsOfAHostThatEndedAreReset(t *testing.T) {
+	c := newServiceCell(t)
+	own, flows := c.flowsOf(100)
+	c.now += settled
+	c.hosts[own].down = true
+	must.Len(t, 0, flows[0].send(ack, 777, 50))
+	c.now += time.Second
+	c.confirm()
+	must.Len(t, 0, flows[0].send(ack, 777, 50), must.Sprint("the host is described, so that it may live"))
+	c.without(own)
+	for _, r := range flows {
+		answers := r.send(ack, 777, 50)
+		must.Len(t, 1, answers)
+		must.True(t, answers[0].Rst)
+	}
+}
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -16,7 +16,7 @@
 		if fl.state != flowOpening {
 			fl.seen = now
 			a.setOrigin(fl, key, f.Origin, out)
-			out.ToHost(data)
+			a.toHost(now, data, out)
 			return
 		}
 		a.forget(key, fl)
@@ -43,7 +43,7 @@
 	}
 	a.flows[key] = &ownedFlow{state: flowOpening, origin: f.Origin, opening: *f, seen: now}
 	a.open++
-	out.ToHost(data)
+	a.toHost(now, data, out)
 }
 
 // unfit returns why the host may not take an opening, or "".
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/turmericrock/turmericrock/catalog"
 	"github.com/turmericrock/turmericrock/flow"
 	"github.com/turmericrock/turmericrock/steering"
 )
@@ -60,7 +61,7 @@
 		t.frame = *f
 		t.count++
 	}
-	out.ToHost(data)
+	a.toHost(now, data, out)
 	return true
 }
 
@@ -110,6 +111,10 @@
 	}
 	self := a.config.Self
 	if r := a.records[key]; r != nil && r.owner != self.Addr && !f.Avoids(r.owner) {
+		if c.Hosts[r.owner] == nil {
+			a.askUnlisted(now, c, r.owner, &next, key, data, out)
+			return
+		}
 		next.Kind = flow.Deliver
 		next.AddAvoid(self.Addr)
 		out.ToNode(flow.Endpoint{Addr: r.owner, Port: self.Port}, &next, data)
@@ -126,3 +131,16 @@
 	}
 	a.search(now, c, &next, key, data, out)
 }
+
+// askUnlisted brings a packet to an owner whose host is no longer described, or
+// asks all others once the owner has ended.
+func (a *Agent) askUnlisted(now time.Duration, c *catalog.Catalog, owner [4]byte, f *flow.Frame, key flow.Key, data []byte, out Output) {
+	a.silences.ask(owner, now)
+	if a.silences.gone(owner, now) {
+		a.search(now, c, f, key, data, out)
+		return
+	}
+	probe := *f
+	probe.Kind, probe.Asker = flow.Probe, a.config.Self.Addr
+	out.ToNode(flow.Endpoint{Addr: owner, Port: a.config.Self.Port}, &probe, data)
+}
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -56,17 +56,25 @@
 	case s.packets >= searchPackets:
 		a.config.Events.Drop(DropNoOwner)
 		return
+	case !a.config.Codec.Decode(data, &s.packet):
+		return
 	}
 	s.packets++
 	probe := *f
 	probe.Kind, probe.Asker = flow.Probe, a.config.Self.Addr
 	for _, agent := range agents {
+		if c.Hosts[agent] == nil {
+			a.silences.ask(agent, now)
+		}
 		if agent != a.config.Self.Addr {
 			out.ToNode(flow.Endpoint{Addr: agent, Port: a.config.Self.Port}, &probe, data)
 			continue
 		}
 		a.answerProbe(now, key, &probe, data, out)
 	}
+	if s.packets > 1 {
+		a.conclude(now, key, s, out)
+	}
 }
 
 // mayHold returns the agents of the hosts that the flow may have been sent to.
@@ -97,6 +105,7 @@
 		return
 	}
 	if a.unsure(now) && !a.mayTry(f, key) && !a.hostIsYoung() {
+		a.answerPing(f.Asker, out)
 		a.config.Events.Drop(DropNoOwner)
 		return
 	}
@@ -113,28 +122,40 @@
 	out.ToNode(flow.Endpoint{Addr: asker, Port: a.config.Self.Port}, &f, nil)
 }
 
-// absent notes an agent's answer. Once all have answered, the requester is
-// told at once that its flow is gone, so that it need not wait for its timeout.
+// absent notes an agent's answer.
 func (a *Agent) absent(now time.Duration, key flow.Key, agent [4]byte, out Output) {
+	if r := a.records[key]; r != nil && r.owner == agent {
+		delete(a.records, key)
+	}
 	s := a.searches[key]
 	if s == nil || !s.missing[agent] {
 		return
 	}
 	delete(s.missing, agent)
-	if len(s.missing) > 0 {
-		return
-	}
+	a.conclude(now, key, s, out)
+}
+
+// conclude tells the requester that its flow is gone once every agent has
+// answered or ended, so that it need not wait for its timeout.
+func (a *Agent) conclude(now time.Duration, key flow.Key, s *search, out Output) {
 	c := a.config.Catalog()
-	if c == nil || now-c.SteadySince < listingSettle || now-c.Confirmed > listingAge {
+	if c == nil || !listingComplete(now, c) || s.packet.Rst {
 		return
 	}
-	if s.packet.Rst {
-		return
+	for agent := range s.missing {
+		if c.Hosts[agent] != nil || !a.silences.gone(agent, now) {
+			return
+		}
 	}
 	a.config.Events.Note(EventLost, key, "reason", "no_host_holds_flow", "list_age_ms", (now - c.Confirmed).Milliseconds())
 	reset(a.config.Codec, &s.packet, out)
 }
 
+// listingComplete reports whether every host that lives is described.
+func listingComplete(now time.Duration, c *catalog.Catalog) bool {
+	return now-c.SteadySince >= listingSettle && now-c.Confirmed <= listingAge
+}
+
 // Start tells all other keepers that this agent knows no flows.
 func (a *Agent) Start(c *catalog.Catalog, out Output) {
 	hello := a.report(flow.Hello, flow.Key{})
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -42,6 +42,8 @@
 	Absent
 	// Hello tells that a keeper has started and knows no flows.
 	Hello
+	// Ping asks an agent for its Load, as a sign of life.
+	Ping
 )
 
 // Frame is the header of a datagram between processes.
@@ -64,7 +66,7 @@
 	// Open tells in Owned that the requester has confirmed the flow. Copies of an
 	// opening may be accepted by several hosts, of which one is confirmed.
 	Open bool
-	// Owner is the agent that sends the frame.
+	// Owner is the agent that sends the frame; a Ping may come from an entry.
 	Owner [4]byte
 	// Flows counts the flows that the owner holds.
 	Flows uint16
@@ -88,7 +90,7 @@
 		for i := range f.Avoid {
 			copy(b[offsetAvoid+4*i:], f.Avoid[i][:])
 		}
-	case Owned, Closed, Load, Absent, Hello:
+	case Owned, Closed, Load, Absent, Hello, Ping:
 		if f.Open {
 			b[2] = 1
 		}
@@ -119,7 +121,7 @@
 		for i := range f.Avoid {
 			f.Avoid[i] = [4]byte(data[offsetAvoid+4*i:])
 		}
-	case Owned, Closed, Load, Absent, Hello:
+	case Owned, Closed, Load, Absent, Hello, Ping:
 		f.Open = data[2] == 1
 		f.Key = keyFrom(data[4:])
 		f.Owner = [4]byte(data[16:20])
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -245,7 +245,9 @@
 			return
 		}
 		if !slices.Equal(old.Agents, c.Agents) {
-			a.KeepersChanged(old, c, node.NewOutput())
+			out := node.NewOutput()
+			a.KeepersChanged(old, c, out)
+			a.HostsRemoved(node.Now(), old, c, out)
 		}
 	}
 	node.OnPeer = a.HandleFrame
