--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -152,7 +152,7 @@
 		a.answerPing(f.Owner, out)
 		return
 	}
-	a.silences.heard(f.Owner)
+	a.silences.sign(f.Owner, now)
 	switch f.Kind {
 	case flow.Owned:
 		learnLoad(a.loads, f, now)
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -183,7 +183,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.silences.heard(f.Owner)
+	e.silences.sign(f.Owner, now)
 	switch f.Kind {
 	case flow.Owned:
 		learnLoad(e.loads, &f, now)
--- a/datagram/events.go
+++ b/datagram/events.go
@@ -42,6 +42,7 @@
 	EventAdopted     Event = "flow_adopted"
 	EventLost        Event = "flow_lost"
 	EventProbed      Event = "flow_probed"
+	EventUnsettled   Event = "flow_unsettled"
 	EventAgentSilent Event = "agent_silent"
 )
 
--- a/datagram/lost_test.go
+++ b/datagram/lost_test.go
@@ -14,6 +14,9 @@
 // settled is after how long the list of hosts is taken to be complete.
 const settled = 3 * time.Second
 
+// askAgain is how long a sign of life counts.
+const askAgain = 300 * time.Millisecond
+
 // without removes the description of a host.
 func (c *cell) without(host [4]byte) {
 	c.declare(c.tracker.Revision()+1, func(values *[]catalog.Value) {
@@ -157,3 +160,62 @@
 		must.True(t, answers[0].Rst)
 	}
 }
+
+// An agent that restarted beside a host that had ended tried every packet at
+// the host and told nobody, so that no flow was given up.
+func TestFlowsAreResetAfterARestartBesideAHostThatEnded(t *testing.T) {
+	c := newServiceCell(t)
+	own, flows := c.flowsOf(100)
+	c.now += settled
+	c.hosts[own].down = true
+	c.without(own)
+	c.restartAll()
+	c.now += settled
+	c.confirm()
+	flows[0].send(ack, 777, 50)
+	for range 4 {
+		c.now += 200 * time.Millisecond
+		c.confirm()
+		flows[1].send(ack, 777, 50)
+	}
+	for _, r := range flows[2:] {
+		answers := r.send(ack, 777, 50)
+		must.Len(t, 1, answers)
+		must.True(t, answers[0].Rst)
+	}
+}
+
+// An agent that answered while it was stopping was taken to live for another
+// second.
+func TestFlowsAreResetOnceAnAgentHasStopped(t *testing.T) {
+	c := newServiceCell(t)
+	own, flows := c.flowsOf(100)
+	for _, h := range c.hosts {
+		clear(h.flows)
+		clear(h.open)
+	}
+	c.now += settled
+	c.without(own)
+	c.now += 50 * time.Millisecond
+	c.cut[own] = true
+	c.restartAll()
+	c.now += settled
+	c.cut[own] = false
+	c.confirm()
+	for _, r := range flows {
+		must.Len(t, 1, r.send(ack, 777, 50), must.Sprint("the agent answers"))
+	}
+	c.cut[own] = true
+	c.now += askAgain
+	c.confirm()
+	for _, r := range flows {
+		r.send(ack, 777, 50)
+	}
+	c.now += 200 * time.Millisecond
+	c.confirm()
+	for _, r := range flows {
+		answers := r.send(ack, 777, 50)
+		must.Len(t, 1, answers)
+		must.True(t, answers[0].Rst)
+	}
+}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -43,7 +43,7 @@
 // host returns what it does not hold. It reports false if the host does not
 // hold the flow.
 func (a *Agent) try(now time.Duration, key flow.Key, f *flow.Frame, data []byte, out Output) bool {
-	if !a.unsure(now) || !a.mayTry(f, key) {
+	if !a.unsure(now) || !a.mayTry(f, key) || a.hostGone(now) {
 		return false
 	}
 	t := a.trials[key]
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -42,6 +42,7 @@
 func (a *Agent) search(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, data []byte, out Output) {
 	agents := a.mayHold(now, c, key)
 	s := a.searches[key]
+	a.noteUnsettled(now, c, key, s)
 	switch {
 	case s == nil || now-s.at >= searchInterval:
 		s = &search{at: now, missing: make(map[[4]byte]bool)}
@@ -77,6 +78,22 @@
 	}
 }
 
+// noteUnsettled logs which agent a search still waits for when its flow comes
+// again.
+func (a *Agent) noteUnsettled(now time.Duration, c *catalog.Catalog, key flow.Key, s *search) {
+	if s == nil {
+		return
+	}
+	for agent := range s.missing {
+		if a.silences.gone(agent, now) {
+			continue
+		}
+		a.config.Events.Note(EventUnsettled, key, "reason", "no_answer", "agent", flow.Endpoint{Addr: agent}.AddrPort().Addr(),
+			"described", c.Hosts[agent] != nil, "left", len(s.missing), "age_ms", (now - s.at).Milliseconds())
+		return
+	}
+}
+
 // mayHold returns the agents of the hosts that the flow may have been sent to.
 func (a *Agent) mayHold(now time.Duration, c *catalog.Catalog, key flow.Key) [][4]byte {
 	route := c.Config.Routes[key.Service]
@@ -101,11 +118,14 @@
 // the host does not hold it. An agent that can tell neither stays silent, so
 // that the flow is not given up.
 func (a *Agent) answerProbe(now time.Duration, key flow.Key, f *flow.Frame, data []byte, out Output) {
+	if c := a.config.Catalog(); c != nil && c.Hosts[a.config.Self.Addr] == nil {
+		// The asking agent would take silence for the end of this one.
+		a.answerPing(f.Asker, out)
+	}
 	if a.try(now, key, f, data, out) {
 		return
 	}
 	if a.unsure(now) && !a.mayTry(f, key) && !a.hostIsYoung() {
-		a.answerPing(f.Asker, out)
 		a.config.Events.Drop(DropNoOwner)
 		return
 	}
@@ -139,13 +159,19 @@
 // answered or ended, so that it need not wait for its timeout.
 func (a *Agent) conclude(now time.Duration, key flow.Key, s *search, out Output) {
 	c := a.config.Catalog()
-	if c == nil || !listingComplete(now, c) || s.packet.Rst {
+	if c == nil || s.packet.Rst {
 		return
 	}
 	for agent := range s.missing {
-		if c.Hosts[agent] != nil || !a.silences.gone(agent, now) {
-			return
+		if c.Hosts[agent] == nil && a.silences.gone(agent, now) {
+			continue
 		}
+		return
+	}
+	if !listingComplete(now, c) {
+		a.config.Events.Note(EventUnsettled, key, "reason", "hosts_may_be_missing", "list_age_ms", (now - c.Confirmed).Milliseconds(),
+			"steady_ms", (now - c.SteadySince).Milliseconds())
+		return
 	}
 	a.config.Events.Note(EventLost, key, "reason", "no_host_holds_flow", "list_age_ms", (now - c.Confirmed).Milliseconds())
 	reset(a.config.Codec, &s.packet, out)
--- a/datagram/silence.go
+++ b/datagram/silence.go
@@ -12,8 +12,10 @@
 	// have ended whose host is no longer described: many round trips between
 	// zones, and less than a requester waits before it sends a packet again.
 	silentAfter = 150 * time.Millisecond
-	// pingInterval is the least time between two questions to one agent.
+	// pingInterval is the time between questions to an agent that is silent.
 	pingInterval = time.Second
+	// askAgainAfter is how long a sign of life counts.
+	askAgainAfter = 300 * time.Millisecond
 	// silenceLinger is after how long an agent that was not asked again is
 	// forgotten.
 	silenceLinger = 10 * time.Second
@@ -25,32 +27,34 @@
 type silences map[[4]byte]*silence
 
 type silence struct {
-	// since is when the first of the questions that were left unanswered was
-	// sent, asked when the latest was.
-	since, asked time.Duration
-	answered     bool
+	// since is when the first question was sent that has not been answered,
+	// asked when the latest was, and heard when the agent last gave a sign of
+	// life.
+	since, asked, heard time.Duration
+	unanswered          bool
 }
 
 // ask reports whether the agent is to be asked now for a sign of life.
 func (s silences) ask(agent [4]byte, now time.Duration) bool {
 	q := s[agent]
+	if q == nil {
+		q = &silence{heard: -askAgainAfter}
+		s[agent] = q
+	}
 	switch {
-	case q == nil:
-		s[agent] = &silence{since: now, asked: now}
-		return true
-	case now-q.asked < pingInterval:
+	case q.unanswered && now-q.asked < pingInterval, !q.unanswered && now-q.heard < askAgainAfter:
 		return false
-	case q.answered:
-		q.since, q.answered = now, false
+	case !q.unanswered:
+		q.since, q.unanswered = now, true
 	}
 	q.asked = now
 	return true
 }
 
-// heard notes a sign of life.
-func (s silences) heard(agent [4]byte) {
+// sign notes a sign of life.
+func (s silences) sign(agent [4]byte, now time.Duration) {
 	if q := s[agent]; q != nil {
-		q.answered = true
+		q.heard, q.unanswered = now, false
 	}
 }
 
@@ -58,7 +62,7 @@
 // that it is taken to have ended.
 func (s silences) gone(agent [4]byte, now time.Duration) bool {
 	q := s[agent]
-	return q != nil && !q.answered && now-q.since >= silentAfter
+	return q != nil && q.unanswered && now-q.since >= silentAfter
 }
 
 // expire forgets agents that are described again or were not asked for long.
