Say that a host has ended, and ask the other keeper when one is silent

An entry asked the first keeper again with each copy of a packet.

Ruled out: the age of the list (2 of 1,100 lines), agents that restarted.

An agent that is stopped, and finds that nothing listens at its host's address, tells the other agents. A question to a keeper that is left unanswered goes to the other one, which searches itself.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -105,6 +105,7 @@
 	// searches are the flows whose owner this agent asks all others for.
 	searches map[flow.Key]*search
 	silences silences
+	finds    finds
 	host     hostSilence
 	busy     int
 	open     int
@@ -129,6 +130,7 @@
 		trials:   make(map[flow.Key]*trial),
 		searches: make(map[flow.Key]*search),
 		silences: make(silences),
+		finds:    make(finds),
 		loads:    steering.NewLoads(),
 		answered: NewLatency("request_answer"),
 	}
@@ -152,7 +154,7 @@
 		a.answerPing(f.Owner, out)
 		return
 	}
-	a.silences.sign(f.Owner, now)
+	a.silences.sign(f, now)
 	switch f.Kind {
 	case flow.Owned:
 		learnLoad(a.loads, f, now)
@@ -169,6 +171,8 @@
 		a.tellStarted(f.Owner, out)
 	case flow.Load:
 		learnLoad(a.loads, f, now)
+	case flow.Ended:
+		a.silences.end(f, now)
 	default:
 		a.config.Events.Drop(DropMalformed)
 	}
@@ -320,6 +324,7 @@
 		a.mu.Lock()
 		a.loads.Retain(c)
 		a.silences.expire(c, now)
+		a.finds.expire(now)
 		a.mu.Unlock()
 	}
 	a.mu.Lock()
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -31,6 +31,7 @@
 	loads  *steering.Loads
 	// silences are of agents that hold flows and are no longer described.
 	silences silences
+	finds    finds
 	// packet and frame are those in work: they would be allocated anew for each
 	// packet otherwise, since interfaces take them.
 	packet flow.Packet
@@ -51,7 +52,7 @@
 
 // NewEntry returns an entry that knows no flows.
 func NewEntry(config EntryConfig) *Entry {
-	return &Entry{config: config, owners: make(map[flow.Key]*owner), loads: steering.NewLoads(), silences: make(silences), opened: NewLatency("opening_answer")}
+	return &Entry{config: config, owners: make(map[flow.Key]*owner), loads: steering.NewLoads(), silences: make(silences), finds: make(finds), opened: NewLatency("opening_answer")}
 }
 
 // HandlePacket forwards a packet from a requester.
@@ -122,7 +123,13 @@
 }
 
 func (e *Entry) send(kind flow.Kind, c *catalog.Catalog, service *catalog.Service, agent [4]byte, data []byte, out Output) {
+	e.sendAvoiding(kind, c, service, agent, [4]byte{}, data, out)
+}
+
+// sendAvoiding sends a packet to an agent and names one that did not answer.
+func (e *Entry) sendAvoiding(kind flow.Kind, c *catalog.Catalog, service *catalog.Service, agent, silent [4]byte, data []byte, out Output) {
 	e.frame = flow.Frame{Kind: kind, Config: c.Config.Version, Origin: e.config.Self}
+	e.frame.Avoid[0] = silent
 	if service != nil {
 		e.frame.Service = service.Tag
 	}
@@ -153,13 +160,17 @@
 		e.send(flow.Deliver, c, service, o.agent, data, out)
 		return
 	}
-	keeper, _, ok := steering.Keepers(c, hash)
+	first, second, ok := steering.Keepers(c, hash)
 	if !ok {
 		e.config.Events.Drop(DropNoAgents)
 		return
 	}
 	e.config.Events.Count(CountFinds)
-	e.send(flow.Find, c, service, keeper, data, out)
+	keeper, other := first, [4]byte{}
+	if e.finds.unanswered(key, now)%2 == 1 {
+		keeper, other = second, first
+	}
+	e.sendAvoiding(flow.Find, c, service, keeper, other, data, out)
 }
 
 // ownerGone reports whether the owner's host is no longer described and its
@@ -171,7 +182,7 @@
 	if e.silences.ask(o.agent, now) {
 		ping(e.config.Self, o.agent, out)
 	}
-	return e.silences.gone(o.agent, now)
+	return e.silences.gone(c, o.agent, now)
 }
 
 // HandleFrame takes an agent's answer.
@@ -183,7 +194,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.silences.sign(f.Owner, now)
+	e.silences.sign(&f, now)
 	switch f.Kind {
 	case flow.Owned:
 		learnLoad(e.loads, &f, now)
@@ -197,6 +208,7 @@
 			return
 		}
 		e.config.Events.Note(EventFound, f.Key, "agent", flow.Endpoint{Addr: f.Owner}.AddrPort().Addr())
+		delete(e.finds, f.Key)
 		e.owners[f.Key] = &owner{agent: f.Owner, answered: true, open: f.Open, seen: now}
 	case flow.Load:
 		learnLoad(e.loads, &f, now)
@@ -219,6 +231,7 @@
 	defer e.mu.Unlock()
 	e.loads.Retain(c)
 	e.silences.expire(c, now)
+	e.finds.expire(now)
 	for key, o := range e.owners {
 		idle := now - o.seen
 		if idle > c.Config.IdleTimeout+idleMargin || !o.answered && idle > pendingLinger {
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -97,9 +97,14 @@
 
 // startAgent starts the agent of a host anew, without what it knew.
 func (c *cell) startAgent(n byte, restarted bool) {
+	c.startAgentAt(n, restarted, time.UnixMilli(1_000_000))
+}
+
+// startAgentAt starts an agent by its machine's time of day.
+func (c *cell) startAgentAt(n byte, restarted bool, started time.Time) {
 	c.agents[addr(n)] = datagram.NewAgent(datagram.AgentConfig{
 		Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
-		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, Started: time.UnixMilli(1_000_000),
+		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, Started: started,
 		Codec: platform.Codec{}, Catalog: c.catalog, Events: quiet(),
 	})
 	if restarted {
--- a/datagram/lost_test.go
+++ b/datagram/lost_test.go
@@ -219,3 +219,88 @@
 		must.True(t, answers[0].Rst)
 	}
 }
+
+// While the hosts of a service left one after the other, there was always one
+// that was still described and whose agent had stopped, so that no flow was
+// given up.
+func TestFlowsAreResetWhenAHostHasEnded(t *testing.T) {
+	c := newServiceCell(t)
+	own, flows := c.flowsOf(100)
+	c.now += settled
+	c.confirm()
+	c.agents[own].HostEnded(&cellOutput{c, own})
+	c.drain()
+	c.cut[own] = true
+	// The agent that has stopped was a keeper of some of the flows.
+	for _, r := range flows {
+		answers := r.send(ack, 777, 50)
+		if len(answers) == 0 {
+			c.now += 200 * time.Millisecond
+			answers = r.send(ack, 777, 50)
+		}
+		must.Len(t, 1, answers)
+		must.True(t, answers[0].Rst)
+		c.confirm()
+	}
+}
+
+// An agent that was replaced beside a new host at the same address is heard,
+// and late frames of the agent before it count for nothing.
+func TestAgentIsBackAfterItsHostHasEnded(t *testing.T) {
+	c := newServiceCell(t)
+	own, flows := c.flowsOf(100)
+	c.now += settled
+	c.confirm()
+	late := c.agents[own]
+	late.HostEnded(&cellOutput{c, own})
+	c.drain()
+	late.Start(c.current, &cellOutput{c, own})
+	c.drain()
+	c.cut[own] = true
+	must.Len(t, 1, flows[0].send(ack, 777, 50), must.Sprint("the flow is lost all the same"))
+	c.cut[own] = false
+	c.startAgentAt(own[3], true, time.UnixMilli(5_000_000))
+	for _, r := range flows[1:] {
+		r.via = 2
+		answers := r.send(ack, 777, 50)
+		must.Len(t, 1, answers)
+		must.False(t, answers[0].Rst, must.Sprint("the host holds the flow"))
+	}
+}
+
+// A keeper that had ended was asked again with each copy of a packet, by entries
+// and by the other keeper.
+func TestFlowIsFoundWithoutOneOfItsKeepers(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarted=%v", restarted), func(t *testing.T) {
+			c := newServiceCell(t)
+			var flows []*requester
+			for port := uint16(1000); port < 1100; port++ {
+				r := c.requester(port, 1)
+				r.open()
+				flows = append(flows, r)
+			}
+			if restarted {
+				c.restartAll()
+			}
+			dead := addr(11)
+			c.cut[dead] = true
+			for _, r := range flows {
+				if c.holder(r.key()) == dead {
+					continue
+				}
+				r.via = 2
+				answers := r.send(ack, 777, 50)
+				for _, pause := range []time.Duration{200, 400} {
+					if len(answers) == 0 {
+						c.now += pause * time.Millisecond
+						c.confirm()
+						answers = r.send(ack, 777, 50)
+					}
+				}
+				must.Len(t, 1, answers)
+				must.False(t, answers[0].Rst)
+			}
+		})
+	}
+}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -111,7 +111,7 @@
 	}
 	self := a.config.Self
 	if r := a.records[key]; r != nil && r.owner != self.Addr && !f.Avoids(r.owner) {
-		if c.Hosts[r.owner] == nil {
+		if c.Hosts[r.owner] == nil || a.silences.gone(c, r.owner, now) {
 			a.askUnlisted(now, c, r.owner, &next, key, data, out)
 			return
 		}
@@ -122,6 +122,9 @@
 	}
 	first, second, _ := steering.Keepers(c, key.Hash())
 	next.AddAvoid(self.Addr)
+	if a.finds.unanswered(key, now) > 0 {
+		first, second = self.Addr, self.Addr
+	}
 	for _, keeper := range [2][4]byte{first, second} {
 		if keeper != self.Addr && !next.Avoids(keeper) {
 			next.Kind = flow.Find
@@ -136,7 +139,7 @@
 // asks all others once the owner has ended.
 func (a *Agent) askUnlisted(now time.Duration, c *catalog.Catalog, owner [4]byte, f *flow.Frame, key flow.Key, data []byte, out Output) {
 	a.silences.ask(owner, now)
-	if a.silences.gone(owner, now) {
+	if a.silences.gone(c, owner, now) {
 		a.search(now, c, f, key, data, out)
 		return
 	}
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -85,7 +85,7 @@
 		return
 	}
 	for agent := range s.missing {
-		if a.silences.gone(agent, now) {
+		if a.silences.gone(c, agent, now) {
 			continue
 		}
 		a.config.Events.Note(EventUnsettled, key, "reason", "no_answer", "agent", flow.Endpoint{Addr: agent}.AddrPort().Addr(),
@@ -163,7 +163,7 @@
 		return
 	}
 	for agent := range s.missing {
-		if c.Hosts[agent] == nil && a.silences.gone(agent, now) {
+		if a.silences.gone(c, agent, now) {
 			continue
 		}
 		return
--- a/datagram/silence.go
+++ b/datagram/silence.go
@@ -32,16 +32,27 @@
 	// life.
 	since, asked, heard time.Duration
 	unanswered          bool
+	// ended is when the agent said that its host has ended, and 0 otherwise;
+	// process is the start of the agent that said so.
+	ended   time.Duration
+	process uint32
 }
 
-// ask reports whether the agent is to be asked now for a sign of life.
-func (s silences) ask(agent [4]byte, now time.Duration) bool {
+func (s silences) get(agent [4]byte) *silence {
 	q := s[agent]
 	if q == nil {
 		q = &silence{heard: -askAgainAfter}
 		s[agent] = q
 	}
+	return q
+}
+
+// ask reports whether the agent is to be asked now for a sign of life.
+func (s silences) ask(agent [4]byte, now time.Duration) bool {
+	q := s.get(agent)
 	switch {
+	case q.ended != 0:
+		return false
 	case q.unanswered && now-q.asked < pingInterval, !q.unanswered && now-q.heard < askAgainAfter:
 		return false
 	case !q.unanswered:
@@ -51,24 +62,36 @@
 	return true
 }
 
-// sign notes a sign of life.
-func (s silences) sign(agent [4]byte, now time.Duration) {
-	if q := s[agent]; q != nil {
-		q.heard, q.unanswered = now, false
+// sign notes a frame from an agent: a sign of life, unless the process has said
+// that its host has ended.
+func (s silences) sign(f *flow.Frame, now time.Duration) {
+	q := s[f.Owner]
+	if q == nil || q.ended != 0 && f.Started <= q.process {
+		return
 	}
+	q.heard, q.unanswered, q.ended = now, false, 0
+}
+
+// end notes an agent's word that its host has ended.
+func (s silences) end(f *flow.Frame, now time.Duration) {
+	q := s.get(f.Owner)
+	q.ended, q.process = now, f.Started
 }
 
-// gone reports whether the agent has left a question unanswered for so long
-// that it is taken to have ended.
-func (s silences) gone(agent [4]byte, now time.Duration) bool {
+// gone reports whether the agent has ended: by its own word, or since its host
+// is no longer described and it leaves questions unanswered.
+func (s silences) gone(c *catalog.Catalog, agent [4]byte, now time.Duration) bool {
 	q := s[agent]
-	return q != nil && q.unanswered && now-q.since >= silentAfter
+	if q == nil {
+		return false
+	}
+	return q.ended != 0 || c.Hosts[agent] == nil && q.unanswered && now-q.since >= silentAfter
 }
 
 // expire forgets agents that are described again or were not asked for long.
 func (s silences) expire(c *catalog.Catalog, now time.Duration) {
 	for agent, q := range s {
-		if now-q.asked > silenceLinger || c.Hosts[agent] != nil {
+		if now-max(q.asked, q.ended) > silenceLinger || c.Hosts[agent] != nil && q.ended == 0 {
 			delete(s, agent)
 		}
 	}
@@ -97,3 +120,26 @@
 		}
 	}
 }
+
+// HostEnded tells the other agents and the entries of open flows that the host
+// has ended, so that its flows are given up before its description goes.
+func (a *Agent) HostEnded(out Output) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for key, fl := range a.flows {
+		if fl.state != flowClosed && fl.origin != (flow.Endpoint{}) {
+			lost := a.report(flow.Closed, key)
+			out.ToNode(fl.origin, &lost, nil)
+		}
+	}
+	c := a.config.Catalog()
+	if c == nil {
+		return
+	}
+	ended := a.report(flow.Ended, flow.Key{})
+	for _, agent := range c.Agents {
+		if agent != a.config.Self.Addr {
+			out.ToNode(flow.Endpoint{Addr: agent, Port: a.config.Self.Port}, &ended, nil)
+		}
+	}
+}
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -44,6 +44,8 @@
 	Hello
 	// Ping asks an agent for its Load, as a sign of life.
 	Ping
+	// Ended tells that the host beside the agent has ended, with all its flows.
+	Ended
 )
 
 // Frame is the header of a datagram between processes.
@@ -90,7 +92,7 @@
 		for i := range f.Avoid {
 			copy(b[offsetAvoid+4*i:], f.Avoid[i][:])
 		}
-	case Owned, Closed, Load, Absent, Hello, Ping:
+	case Owned, Closed, Load, Absent, Hello, Ping, Ended:
 		if f.Open {
 			b[2] = 1
 		}
@@ -121,7 +123,7 @@
 		for i := range f.Avoid {
 			f.Avoid[i] = [4]byte(data[offsetAvoid+4*i:])
 		}
-	case Owned, Closed, Load, Absent, Hello, Ping:
+	case Owned, Closed, Load, Absent, Hello, Ping, Ended:
 		f.Open = data[2] == 1
 		f.Key = keyFrom(data[4:])
 		f.Owner = [4]byte(data[16:20])
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -76,6 +77,9 @@
 	}
 }
 
+// hostDialTimeout bounds the attempt to reach the host on the same machine.
+const hostDialTimeout = 100 * time.Millisecond
+
 // datagramNode is what both roles start from.
 type datagramNode struct {
 	settings *platform.Settings
@@ -90,6 +94,8 @@
 	// changed is called with the snapshot before, which may be nil, and the
 	// new one.
 	changed func(old, c *catalog.Catalog)
+	// leaving is called when the process is told to stop, and may be nil.
+	leaving func()
 }
 
 func (c *datagramCommand) run(ctx context.Context, args []string) error {
@@ -142,6 +148,9 @@
 	context.AfterFunc(signalled, func() {
 		n.stopping.Store(true)
 		n.log.WithField("linger_ms", linger.Milliseconds()).Info("stopping")
+		if n.leaving != nil {
+			n.leaving()
+		}
 		time.AfterFunc(linger, end)
 	})
 	var last *catalog.Catalog
@@ -230,6 +239,16 @@
 	return node
 }
 
+// hostEnded reports whether nothing listens any more at the host's address. The
+// platform stops an agent after its host, but also to replace the agent alone.
+func hostEnded(host netip.AddrPort) bool {
+	conn, err := net.DialTimeout("tcp4", host.String(), hostDialTimeout)
+	if err == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func startDatagramAgent(n *datagramNode) *datagram.Node {
 	a := datagram.NewAgent(datagram.AgentConfig{
 		Self: flow.EndpointOf(n.self()), Service: n.settings.Service, FlowLifetime: n.settings.FlowLifetime,
@@ -250,6 +269,13 @@
 			a.HostsRemoved(node.Now(), old, c, out)
 		}
 	}
+	n.leaving = func() {
+		ended := hostEnded(n.settings.Host)
+		n.log.WithField("host_ended", ended).Info("leaving")
+		if ended {
+			a.HostEnded(node.NewOutput())
+		}
+	}
 	node.OnPeer = a.HandleFrame
 	node.OnHost = a.HandleHost
 	node.Expire = a.Expire
