Let a starting node wait for its peers before the platform's word counts

What the platform alone tells is now held until a settled peer that is not ahead, or all peers that the node polls, have answered, or JoinWait is over; the time until the node acts is the same.

TestStartingNodeWaitsForItsPeersWord failed before. The set-up of TestPeerThatHasJustStartedDoesNotVouch answers the poll before the configuration is read, since it is not taken before that any more; what it checks is the same.

--- a/dissemination/adopt.go
+++ b/dissemination/adopt.go
@@ -9,6 +9,9 @@
 // adopt assembles and offers what was fetched.
 func (r *Replica) adopt(now time.Time) {
 	p := r.pending
+	if !r.mayAdopt(now, p) {
+		return
+	}
 	r.pending = nil
 	config, err := r.builder.Assemble(*p.manifest, r.values.parts, !r.full())
 	if err != nil {
--- a/dissemination/evidence.go
+++ b/dissemination/evidence.go
@@ -64,7 +64,11 @@
 	if r.adoptedAt.IsZero() {
 		return true
 	}
-	if !r.peersAsked && now.Sub(r.adoptedAt) > r.config.JoinWait {
+	waited := r.adoptedAt
+	if !r.offeredAt.IsZero() {
+		waited = r.offeredAt
+	}
+	if !r.peersAsked && now.Sub(waited) > r.config.JoinWait {
 		r.peersAsked = true
 	}
 	return r.peersAsked
--- a/dissemination/link.go
+++ b/dissemination/link.go
@@ -21,6 +21,8 @@
 
 	nextPoll  time.Time
 	lastProbe uint64
+	// answered tells that the other side has answered a poll.
+	answered bool
 	// heardAt is when the peer last answered a poll or, inbound, polled.
 	heardAt time.Time
 	// echo is the latest probe of the other side.
--- a/dissemination/replica.go
+++ b/dissemination/replica.go
@@ -35,6 +35,9 @@
 	zoneNames []string
 	zonesOf   *fleet.Config
 	place     ownPlace
+	// offeredAt is when the platform first told a node without a configuration
+	// of one.
+	offeredAt time.Time
 	// adoptedAt is when the first configuration was adopted.
 	adoptedAt time.Time
 	// peersAsked is set once a peer answered a poll with a configuration that
@@ -142,6 +145,7 @@
 	r.checkLinks(now)
 	r.releaseRetained(now)
 	r.checkPending(now)
+	r.checkStart(now)
 	r.chooseLinks(now)
 	r.poll(now)
 	r.scheduleReads(now)
--- a/dissemination/settle_test.go
+++ b/dissemination/settle_test.go
@@ -24,6 +24,8 @@
 	link    dissemination.LinkID
 	peer    fleet.VM
 	probe   uint64
+	// told is when the manifest was first read.
+	told time.Time
 }
 
 func newHand(t *testing.T) *hand {
@@ -51,6 +53,9 @@
 	for _, action := range h.replica.Take() {
 		switch action := action.(type) {
 		case dissemination.Read:
+			if action.Key == platform.KeyManifest && h.told.IsZero() {
+				h.told = h.now
+			}
 			value := platform.Value{Key: action.Key, Version: 1, Data: h.values[action.Key]}
 			h.replica.Handle(h.now, dissemination.ReadDone{Key: action.Key, Started: h.now, Value: value})
 		case dissemination.Dial:
@@ -71,7 +76,7 @@
 
 func TestPeerThatHasJustStartedDoesNotVouch(t *testing.T) {
 	h := newHand(t)
-	for h.link == 0 || h.holder.Config() == nil {
+	for h.link == 0 {
 		h.step()
 	}
 	hello := dissemination.Hello{Protocol: dissemination.Protocol, ID: h.peer.ID, Zone: h.peer.Zone}
@@ -79,6 +84,9 @@
 	h.step()
 	must.Positive(t, h.probe)
 	h.answer(false)
+	for h.holder.Config() == nil {
+		h.step()
+	}
 	must.False(t, h.replica.Current(h.now))
 	h.answer(true)
 	must.True(t, h.replica.Current(h.now))
--- /dev/null
+++ b/dissemination/starting_test.go
@@ -0,0 +1,37 @@
+package dissemination_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A restarted entry had the older revision of a platform that went back in
+// force until the link to its first peer stood.
+func TestStartingNodeWaitsForItsPeersWord(t *testing.T) {
+	f := started(t, 14)
+	old := f.Platform.Values()
+	must.NoError(t, f.SetZoneOut(2, true))
+	f.Advance(2 * time.Second)
+	f.allAt(2)
+	f.Platform.Serve(old)
+	for _, n := range f.Nodes() {
+		n.Kill()
+		n.Start(0)
+		for range 4000 {
+			f.Advance(time.Millisecond)
+			must.NotEq(t, 1, n.Holder.Revision(), must.Sprintf("%s", n.VM.ID))
+		}
+		must.Eq(t, 2, n.Holder.Revision(), must.Sprintf("%s", n.VM.ID))
+	}
+}
+
+// Where no peer answers, the platform's word is taken after JoinWait.
+func TestStartingNodeTakesThePlatformsWordWhenAlone(t *testing.T) {
+	h := newHand(t)
+	for h.holder.Config() == nil {
+		h.step()
+	}
+	must.Between(t, 2*time.Second, h.now.Sub(h.told), 2200*time.Millisecond)
+}
--- a/dissemination/state.go
+++ b/dissemination/state.go
@@ -141,12 +141,12 @@
 }
 
 func (r *Replica) confirm(now time.Time, l *link, state State, asked time.Time) {
-	l.heardAt = maxTime(l.heardAt, asked)
+	l.heardAt, l.answered = maxTime(l.heardAt, asked), true
 	if l.vm.ID != "" {
 		r.answered(r.peer(l.vm))
 	}
 	r.noteHeard(l.hello.Zone, asked)
-	if state.Settled && state.Revision != 0 && state.Revision <= r.holder.Revision() {
+	if state.Settled && state.Revision != 0 && state.Revision <= max(r.holder.Revision(), r.offered()) {
 		r.peersAsked = true
 	}
 	if state.Revision == r.holder.Revision() && bytes.Equal(state.Digest, r.digest()) {
