Refuse an opening that the only host cannot serve in time

Where no other host could take an opening, an overloaded host accepted it without a look at the limit for refusals.

--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -52,7 +52,9 @@
 	taken  int
 	// down hosts read nothing; refusing ones return openings.
 	down, refusing bool
-	seq            uint32
+	// service is how long a request takes.
+	takes time.Duration
+	seq   uint32
 }
 
 func addr(n byte) [4]byte { return [4]byte{10, 0, 0, n} }
@@ -230,6 +232,7 @@
 	case held && p.Fin:
 		answer(ack|fin, 0)
 	case held && p.Size > 0:
+		c.now += h.takes
 		answer(ack, 100)
 	case held:
 	default:
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -28,12 +28,14 @@
 		a.passOn(now, f, p, data, reason, out)
 		return
 	}
-	switch a.admit(c, f, key) {
-	case steering.PassOn:
+	verdict := a.admit(c, key, f.Hops < passOnHops)
+	if verdict == steering.PassOn {
 		if a.passOn(now, f, p, data, reasonBusy, out) {
 			return
 		}
-	case steering.Refuse:
+		verdict = a.admit(c, key, false)
+	}
+	if verdict == steering.Refuse {
 		a.refuse(f, p, "overloaded", out)
 		return
 	}
@@ -90,8 +92,9 @@
 	return 1
 }
 
-// admit decides whether the host has room for one more flow.
-func (a *Agent) admit(c *catalog.Catalog, f *flow.Frame, key flow.Key) steering.Verdict {
+// admit decides whether the host has room for one more flow. Others tells
+// whether another host may take it.
+func (a *Agent) admit(c *catalog.Catalog, key flow.Key, others bool) steering.Verdict {
 	if c == nil {
 		return steering.Accept
 	}
@@ -100,7 +103,7 @@
 		return steering.Accept
 	}
 	pressure := steering.Pressure{Busy: a.busy, Slots: a.slots(), Service: a.service.Mean()}
-	return pressure.Admit(route.TargetLatency, route.Priority, f.Hops < passOnHops)
+	return pressure.Admit(route.TargetLatency, route.Priority, others)
 }
 
 // takeCold reports whether the limit of a cold host leaves room for one more
--- /dev/null
+++ b/datagram/openings_test.go
@@ -0,0 +1,43 @@
+package datagram_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// overload gives the hosts requests that they do not answer.
+func (c *cell) overload(first uint16, requests int) {
+	var flows []*requester
+	for port := first; port < first+uint16(requests); port++ {
+		r := c.requester(port, 1)
+		r.open()
+		flows = append(flows, r)
+	}
+	for _, h := range c.hosts {
+		h.takes = 40 * time.Millisecond
+	}
+	for range 40 {
+		flows[0].send(ack, 777, 50)
+	}
+	for _, h := range c.hosts {
+		h.down = true
+	}
+	for _, r := range flows {
+		r.send(ack, 777, 50)
+	}
+}
+
+// An opening that no other host can take was accepted by a host that could not
+// serve it in time.
+func TestOpeningIsRefusedByTheOnlyHostWhenItIsOverloaded(t *testing.T) {
+	c := newCell(t)
+	c.addEntry(1)
+	c.addHost(11, "s")
+	c.declare(1, nil, "s")
+	c.overload(1000, 20)
+	answers := c.requester(2000, 1).send(syn, 0, 0)
+	must.Len(t, 1, answers)
+	must.True(t, answers[0].Rst)
+}
