--- a/catalog/source.go
+++ b/catalog/source.go
@@ -35,6 +35,9 @@
 	// Changes returns what has changed after a revision. It waits up to wait for
 	// a change. It fails with a HistoryLostError.
 	Changes(ctx context.Context, after int64, wait time.Duration) (Reading, error)
+	// HostChanges returns what has changed of hosts after a revision. It fails
+	// with a HistoryLostError.
+	HostChanges(ctx context.Context, after int64) (Reading, error)
 }
 
 // Decoder turns a value into a change. A host's value that cannot be used
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -205,7 +205,7 @@
 		if next == after || next == forgotten {
 			break
 		}
-		reading, err := s.Store.Changes(ctx, next, 0)
+		reading, err := s.Store.HostChanges(ctx, next)
 		var lost *HistoryLostError
 		switch {
 		case errors.As(err, &lost):
