--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -20,10 +20,12 @@
 	peerWait = 600 * time.Millisecond
 	// peerMaxAge is how old the store's word may be at a reader.
 	peerMaxAge = 1600 * time.Millisecond
-	// historyStride is how many revisions are looked back on at first, and
-	// historyCalls how often the store is asked.
-	historyStride = 16
-	historyCalls  = 8
+	// historyReach is how many revisions are looked back on at first. Where the
+	// store has forgotten them, it is divided by historyStep, down to
+	// historyLeast.
+	historyReach = 512
+	historyStep  = 4
+	historyLeast = 2
 	// peerBackoff is how long a reader that failed is left alone.
 	peerBackoff = 2 * time.Second
 )
@@ -190,20 +192,15 @@
 	}).Info("history_read")
 }
 
-// history returns all changes that the store remembers, up to a revision, and
-// the revision after which they begin. The store tells only whether it
-// remembers what came after one revision, so that the oldest is searched for.
+// history returns what the store remembers of hosts up to a revision, and the
+// revision after which it begins. The store tells only whether it remembers what
+// came after one revision, so that the reach is searched for.
 func (s *Syncer) history(ctx context.Context, revision int64) (changes []Change, after int64) {
 	forgotten, after := int64(-1), revision
-	for range historyCalls {
-		// Strides grow until the store has forgotten, then halve.
-		next := after - max(historyStride, 2*(revision-after))
-		if forgotten >= 0 {
-			next = (forgotten + after) / 2
-		}
-		next = max(0, next)
-		if next == after || next == forgotten {
-			break
+	for reach := int64(historyReach); reach >= historyLeast && after == revision; reach /= historyStep {
+		next := max(0, revision-reach)
+		if next == forgotten {
+			continue
 		}
 		reading, err := s.Store.HostChanges(ctx, next)
 		var lost *HistoryLostError
@@ -212,12 +209,19 @@
 			forgotten = next
 		case err != nil:
 			s.Log.WithError(err).Info("history_failed")
-			return changes, after
+			return nil, revision
 		default:
 			changes, after = reading.Changes, next
 		}
 	}
-	return changes, after
+	if forgotten < 0 || after == revision {
+		return changes, after
+	}
+	between := (forgotten + after) / 2
+	if reading, err := s.Store.HostChanges(ctx, between); err == nil {
+		return reading.Changes, between
+	}
+	return changes, after // What lies further back is forgotten, or not to be had.
 }
 
 // fromSeeds asks the seeds for what they know, however old it is: it is better
--- a/catalog/sync_test.go
+++ b/catalog/sync_test.go
@@ -210,3 +210,28 @@
 		})
 	}
 }
+
+// Each agent asked for the history eight times at its start, which is priced.
+func TestHistoryTakesFewCalls(t *testing.T) {
+	for _, remembered := range []int{5, 40, 300, 2000} {
+		t.Run(fmt.Sprintf("remembered=%d", remembered), func(t *testing.T) {
+			s, url, port := newFleet(t)
+			for version := range 1000 {
+				putConfig(s, 2+version)
+			}
+			if remembered < 1000 {
+				s.Compact()
+				for version := range remembered {
+					putConfig(s, 2000+version)
+				}
+			}
+			n := startNode(t, "127.0.9.9", port, url)
+			eventually(t, configBound, "first snapshot", func() bool { return n.version() > 1 })
+			steady := func() bool { return now()-n.tracker.Current().SteadySince > 30*time.Second }
+			if remembered > 8 {
+				eventually(t, configBound, "complete list", steady)
+			}
+			must.LessEq(t, 7, s.Calls("/api/kv-watch"), must.Sprint("with two watches for changes"))
+		})
+	}
+}
