--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -20,6 +20,8 @@
 	peerWait = 600 * time.Millisecond
 	// peerMaxAge is how old the store's word may be at a reader.
 	peerMaxAge = 1600 * time.Millisecond
+	// historyCalls is how often the store is asked for its history.
+	historyCalls = 9
 	// historyReach is how many revisions are looked back on at first. Where the
 	// store has forgotten them, it is divided by historyStep, down to
 	// historyLeast.
@@ -194,34 +196,38 @@
 
 // history returns what the store remembers of hosts up to a revision, and the
 // revision after which it begins. The store tells only whether it remembers what
-// came after one revision, so that the reach is searched for.
+// came after one revision, so that the reach is searched for, until it explains
+// every host that went away.
 func (s *Syncer) history(ctx context.Context, revision int64) (changes []Change, after int64) {
-	forgotten, after := int64(-1), revision
-	for reach := int64(historyReach); reach >= historyLeast && after == revision; reach /= historyStep {
-		next := max(0, revision-reach)
-		if next == forgotten {
-			continue
+	forgotten, after, reach := int64(-1), revision, int64(historyReach)
+	for range historyCalls {
+		next := (forgotten + after) / 2
+		for after == revision && reach >= historyLeast {
+			next = max(0, revision-reach)
+			reach /= historyStep
+			if next > forgotten {
+				break
+			}
+		}
+		if next <= forgotten || next >= after {
+			break
 		}
 		reading, err := s.Store.HostChanges(ctx, next)
 		var lost *HistoryLostError
 		switch {
 		case errors.As(err, &lost):
 			forgotten = next
+			continue
 		case err != nil:
 			s.Log.WithError(err).Info("history_failed")
-			return nil, revision
-		default:
-			changes, after = reading.Changes, next
+			return changes, after
+		}
+		changes, after = reading.Changes, next
+		if forgotten < 0 || s.Tracker.explains(changes) {
+			break
 		}
 	}
-	if forgotten < 0 || after == revision {
-		return changes, after
-	}
-	between := (forgotten + after) / 2
-	if reading, err := s.Store.HostChanges(ctx, between); err == nil {
-		return reading.Changes, between
-	}
-	return changes, after // What lies further back is forgotten, or not to be had.
+	return changes, after
 }
 
 // fromSeeds asks the seeds for what they know, however old it is: it is better
