--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -58,6 +58,7 @@
 
 	synced  bool
 	failing bool
+	start   startBackoff
 	// suspended holds until when a reader is left alone.
 	suspended map[string]time.Duration
 }
@@ -87,6 +88,7 @@
 		s.fail(err)
 		if !s.synced {
 			s.fromSeeds(ctx)
+			return s.start.delay()
 		}
 		return retryInterval
 	}
