--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -11,7 +11,7 @@
 const minReaders = 2
 
 // agentsPerReader is how many agents one reader serves, at most.
-const agentsPerReader = 100
+const agentsPerReader = 25
 
 // Readers returns the agents that read the store for all others, of different
 // zones where there are several. Every process with the same list of hosts
