Take the word of an agent only from its own address

Owned, Closed, Load, Absent, Hello, Ping and Ended tell of their sender, and any sender was believed. The address that a datagram came from must be the one that the frame names. Packets of requesters are taken from any process, since the store does not list entries.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// HandleFrame takes a frame from another process.
-func (a *Agent) HandleFrame(now time.Duration, data []byte, out Output) {
+// HandleFrame takes a frame that came from another process's address.
+func (a *Agent) HandleFrame(now time.Duration, from [4]byte, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f := &a.frame
@@ -146,6 +146,10 @@
 		a.config.Events.Drop(DropMalformed)
 		return
 	}
+	if !f.SentBy(from) {
+		a.config.Events.Drop(DropForged)
+		return
+	}
 	switch f.Kind {
 	case flow.Deliver, flow.Find, flow.Probe:
 		a.handlePacket(now, f, packet, out)
--- a/datagram/bench_test.go
+++ b/datagram/bench_test.go
@@ -31,7 +31,7 @@
 	framed := append(f.Append(nil), data...)
 	b.ReportAllocs()
 	for b.Loop() {
-		c.agents[own].HandleFrame(c.now, framed, discard{})
+		c.agents[own].HandleFrame(c.now, addr(1), framed, discard{})
 	}
 }
 
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -185,13 +185,17 @@
 	return e.silences.gone(c, o.agent, now)
 }
 
-// HandleFrame takes an agent's answer.
-func (e *Entry) HandleFrame(now time.Duration, data []byte) {
+// HandleFrame takes an agent's answer, which came from the address.
+func (e *Entry) HandleFrame(now time.Duration, from [4]byte, data []byte) {
 	var f flow.Frame
 	if _, ok := f.Parse(data); !ok {
 		e.config.Events.Drop(DropMalformed)
 		return
 	}
+	if !f.SentBy(from) {
+		e.config.Events.Drop(DropForged)
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.silences.sign(&f, now)
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -376,7 +376,7 @@
 		c.entries[addr(1)].HandlePacket(c.now, forged, &cellOutput{c, addr(1)})
 		must.SliceEmpty(t, c.queue, must.Sprint("the entry passes nothing on"))
 		f := flow.Frame{Kind: flow.Deliver, Service: catalog.Tag("s"), Config: 1}
-		c.agents[own].HandleFrame(c.now, append(f.Append(nil), forged...), &cellOutput{c, own})
+		c.agents[own].HandleFrame(c.now, addr(1), append(f.Append(nil), forged...), &cellOutput{c, own})
 		must.SliceEmpty(t, c.queue, must.Sprint("the agent passes nothing on"))
 	}
 }
@@ -385,8 +385,8 @@
 	c := newServiceCell(t)
 	for _, data := range [][]byte{nil, {16}, make([]byte, 31), append(make([]byte, 32), 1), make([]byte, 2000)} {
 		c.entries[addr(1)].HandlePacket(c.now, data, &cellOutput{c, addr(1)})
-		c.entries[addr(1)].HandleFrame(c.now, data)
-		c.agents[addr(11)].HandleFrame(c.now, data, &cellOutput{c, addr(11)})
+		c.entries[addr(1)].HandleFrame(c.now, addr(2), data)
+		c.agents[addr(11)].HandleFrame(c.now, addr(2), data, &cellOutput{c, addr(11)})
 		c.agents[addr(11)].HandleHost(c.now, data, &cellOutput{c, addr(11)})
 		must.SliceEmpty(t, c.queue)
 	}
@@ -428,7 +428,7 @@
 					f := flow.Frame{Kind: flow.Deliver, Service: catalog.Tag("s"), Config: 1, Origin: flow.Endpoint{Addr: addr(2), Port: peerPort}}
 					if addr(n) != own {
 						opening := packet(syn, r.at, service(), 1, 0, 0)
-						c.agents[addr(n)].HandleFrame(c.now, append(f.Append(nil), opening...), &cellOutput{c, addr(n)})
+						c.agents[addr(n)].HandleFrame(c.now, addr(1), append(f.Append(nil), opening...), &cellOutput{c, addr(n)})
 						c.drain()
 						break
 					}
@@ -483,7 +483,7 @@
 				continue
 			}
 			f := flow.Frame{Kind: flow.Deliver, Service: catalog.Tag("s"), Config: 1, Origin: flow.Endpoint{Addr: addr(1), Port: peerPort}}
-			c.agents[addr(n)].HandleFrame(c.now, append(f.Append(nil), packet(syn, r.at, service(), 1, 0, 0)...), &cellOutput{c, addr(n)})
+			c.agents[addr(n)].HandleFrame(c.now, addr(1), append(f.Append(nil), packet(syn, r.at, service(), 1, 0, 0)...), &cellOutput{c, addr(n)})
 			c.drain()
 			break
 		}
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -185,9 +185,9 @@
 		switch {
 		case o.c.cut[to.Addr] || o.c.cut[o.from]:
 		case o.c.entries[to.Addr] != nil:
-			o.c.entries[to.Addr].HandleFrame(o.c.now, data)
+			o.c.entries[to.Addr].HandleFrame(o.c.now, o.from, data)
 		case o.c.agents[to.Addr] != nil:
-			o.c.agents[to.Addr].HandleFrame(o.c.now, data, &cellOutput{o.c, to.Addr})
+			o.c.agents[to.Addr].HandleFrame(o.c.now, o.from, data, &cellOutput{o.c, to.Addr})
 		}
 	})
 }
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -26,6 +26,9 @@
 // Handler takes a datagram.
 type Handler func(now time.Duration, data []byte, out Output)
 
+// FrameHandler takes a datagram that came from another process's address.
+type FrameHandler func(now time.Duration, from [4]byte, data []byte, out Output)
+
 // Sockets are the addresses of a node. Those that are not valid are not used.
 type Sockets struct {
 	// Requesters is where packets of requesters arrive; its port is also that
@@ -43,7 +46,8 @@
 	// RequesterPort is the port that requesters receive at.
 	RequesterPort uint16
 	// OnRequester, OnPeer and OnHost take what arrives.
-	OnRequester, OnPeer, OnHost Handler
+	OnRequester, OnHost Handler
+	OnPeer              FrameHandler
 	// Expire is called about once a second.
 	Expire func(now time.Duration)
 	// Servers answer over TCP while the node runs.
@@ -70,10 +74,10 @@
 	}
 	group.Go(func() { n.read(n.peers, n.OnPeer) })
 	if n.requesters != nil {
-		group.Go(func() { n.read(n.requesters, n.OnRequester) })
+		group.Go(func() { n.read(n.requesters, anySender(n.OnRequester)) })
 	}
 	if n.host != nil {
-		group.Go(func() { n.read(n.host, n.OnHost) })
+		group.Go(func() { n.read(n.host, anySender(n.OnHost)) })
 	}
 	n.sweep(ctx)
 	for _, s := range n.Servers {
@@ -161,11 +165,16 @@
 	}
 }
 
-func (n *Node) read(conn *net.UDPConn, handle Handler) {
+// anySender returns a handler that does not look at the sender's address.
+func anySender(handle Handler) FrameHandler {
+	return func(now time.Duration, _ [4]byte, data []byte, out Output) { handle(now, data, out) }
+}
+
+func (n *Node) read(conn *net.UDPConn, handle FrameHandler) {
 	buffer := make([]byte, maxDatagram)
 	out := n.NewOutput()
 	for {
-		size, _, err := conn.ReadFromUDPAddrPort(buffer)
+		size, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -173,7 +182,7 @@
 			n.Log.WithError(err).Debug("read_failed")
 			continue
 		}
-		handle(n.Now(), buffer[:size], out)
+		handle(n.Now(), from.Addr().Unmap().As4(), buffer[:size], out)
 	}
 }
 
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -137,6 +137,18 @@
 	return data[FrameSize:], true
 }
 
+// SentBy reports whether the frame may come from the address. What a frame tells
+// of its sender counts only from the sender; packets of requesters are passed on
+// by any process.
+func (f *Frame) SentBy(from [4]byte) bool {
+	switch f.Kind {
+	case Deliver, Find, Probe:
+		return true
+	default:
+		return f.Owner == from
+	}
+}
+
 // Avoids reports whether the packet has been at the agent in vain.
 func (f *Frame) Avoids(agent [4]byte) bool {
 	return slices.Contains(f.Avoid[:], agent)
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -234,7 +234,7 @@
 	node := n.node()
 	node.Sockets.Requesters = n.settings.Packets
 	node.OnRequester = e.HandlePacket
-	node.OnPeer = func(now time.Duration, data []byte, _ datagram.Output) { e.HandleFrame(now, data) }
+	node.OnPeer = func(now time.Duration, from [4]byte, data []byte, _ datagram.Output) { e.HandleFrame(now, from, data) }
 	node.Expire = e.Expire
 	return node
 }
