--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -87,12 +87,7 @@
 // moves some records. They were once left behind.
 func TestKeepersThatJoinAreTold(t *testing.T) {
 	c := newServiceCell(t)
-	var flows []*requester
-	for port := uint16(1000); port < 1200; port++ {
-		r := c.requester(port, 1)
-		r.open()
-		flows = append(flows, r)
-	}
+	flows := c.openFlows(1000, 200)
 	for n := byte(21); n <= 24; n++ {
 		c.addHost(n, "s")
 	}
@@ -124,12 +119,7 @@
 
 func TestFlowsAreFoundAfterAllProcessesWereKilled(t *testing.T) {
 	c := newServiceCell(t)
-	var flows []*requester
-	for port := uint16(1000); port < 1200; port++ {
-		r := c.requester(port, 1)
-		r.open()
-		flows = append(flows, r)
-	}
+	flows := c.openFlows(1000, 200)
 	c.restartAll()
 	for _, r := range flows {
 		must.Len(t, 1, r.send(ack, 0, 50))
@@ -154,12 +144,7 @@
 // searches, and was answered only after it had been sent again.
 func TestSearchCarriesAllPacketsInFlight(t *testing.T) {
 	c := newServiceCell(t)
-	var flows []*requester
-	for port := uint16(1000); port < 1050; port++ {
-		r := c.requester(port, 1)
-		r.open()
-		flows = append(flows, r)
-	}
+	flows := c.openFlows(1000, 50)
 	c.restartAll()
 	entry := addr(1)
 	out := &cellOutput{c, entry}
@@ -180,10 +165,8 @@
 	c.restartAll()
 	c.now += 3 * time.Second
 	c.confirm()
-	answers := r.send(ack, 777, 50)
-	must.Len(t, 1, answers)
-	must.True(t, answers[0].Rst)
-	must.Eq(t, 777, answers[0].Seq)
+	r.mustBeReset()
+	must.Eq(t, 777, c.toRequester[0].Seq)
 }
 
 // The list of hosts may lack some that live while readings fail, so that
@@ -238,12 +221,7 @@
 	c.declare(1, nil, "s")
 	c.now += 2 * lifetime
 	c.confirm()
-	var flows []*requester
-	for port := uint16(1000); port < 1050; port++ {
-		r := c.requester(port, 1)
-		r.open()
-		flows = append(flows, r)
-	}
+	flows := c.openFlows(1000, 50)
 	c.now += 5 * time.Second
 	c.declare(2, nil, "u")
 	// The keepers lose what they know, and the owner does not hear of it.
@@ -256,9 +234,7 @@
 	c.confirm()
 	for _, r := range flows {
 		r.via = 2
-		answers := r.send(ack, 777, 50)
-		must.Len(t, 1, answers)
-		must.False(t, answers[0].Rst)
+		r.mustBeServed()
 	}
 	must.Positive(t, c.frames[flow.Probe])
 }
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -297,6 +297,33 @@
 	return r.c.holder(r.key())
 }
 
+// openFlows opens flows from consecutive ports, through the first entry.
+func (c *cell) openFlows(first, count uint16) []*requester {
+	var flows []*requester
+	for port := first; port < first+count; port++ {
+		r := c.requester(port, 1)
+		r.open()
+		flows = append(flows, r)
+	}
+	return flows
+}
+
+// mustBeServed sends a request, which the flow's host is to answer.
+func (r *requester) mustBeServed() {
+	r.c.t.Helper()
+	answers := r.send(ack, 777, 50)
+	must.Len(r.c.t, 1, answers)
+	must.False(r.c.t, answers[0].Rst)
+}
+
+// mustBeReset sends a request of a flow that is lost.
+func (r *requester) mustBeReset() {
+	r.c.t.Helper()
+	answers := r.send(ack, 777, 50)
+	must.Len(r.c.t, 1, answers)
+	must.True(r.c.t, answers[0].Rst)
+}
+
 func (c *cell) holder(key flow.Key) [4]byte {
 	for a, h := range c.hosts {
 		if _, held := h.flows[key]; held {
--- a/datagram/lost_test.go
+++ b/datagram/lost_test.go
@@ -109,9 +109,7 @@
 			for range 8 {
 				for _, r := range flows {
 					r.via = 3 - r.via
-					answers := r.send(ack, 777, 50)
-					must.Len(t, 1, answers)
-					must.False(t, answers[0].Rst)
+					r.mustBeServed()
 				}
 				c.now += 700 * time.Millisecond
 				c.confirm()
@@ -137,9 +135,7 @@
 		c.confirm()
 	}
 	for _, r := range flows[1:] {
-		answers := r.send(ack, 777, 50)
-		must.Len(t, 1, answers)
-		must.False(t, answers[0].Rst)
+		r.mustBeServed()
 	}
 }
 
@@ -155,9 +151,7 @@
 	must.Len(t, 0, flows[0].send(ack, 777, 50), must.Sprint("the host is described, so that it may live"))
 	c.without(own)
 	for _, r := range flows {
-		answers := r.send(ack, 777, 50)
-		must.Len(t, 1, answers)
-		must.True(t, answers[0].Rst)
+		r.mustBeReset()
 	}
 }
 
@@ -179,9 +173,7 @@
 		flows[1].send(ack, 777, 50)
 	}
 	for _, r := range flows[2:] {
-		answers := r.send(ack, 777, 50)
-		must.Len(t, 1, answers)
-		must.True(t, answers[0].Rst)
+		r.mustBeReset()
 	}
 }
 
@@ -214,9 +206,7 @@
 	c.now += 200 * time.Millisecond
 	c.confirm()
 	for _, r := range flows {
-		answers := r.send(ack, 777, 50)
-		must.Len(t, 1, answers)
-		must.True(t, answers[0].Rst)
+		r.mustBeReset()
 	}
 }
 
@@ -274,12 +264,7 @@
 	for _, restarted := range []bool{false, true} {
 		t.Run(fmt.Sprintf("restarted=%v", restarted), func(t *testing.T) {
 			c := newServiceCell(t)
-			var flows []*requester
-			for port := uint16(1000); port < 1100; port++ {
-				r := c.requester(port, 1)
-				r.open()
-				flows = append(flows, r)
-			}
+			flows := c.openFlows(1000, 100)
 			if restarted {
 				c.restartAll()
 			}
--- a/datagram/openings_test.go
+++ b/datagram/openings_test.go
@@ -8,13 +8,8 @@
 )
 
 // overload gives the hosts requests that they do not answer.
-func (c *cell) overload(first uint16, requests int) {
-	var flows []*requester
-	for port := first; port < first+uint16(requests); port++ {
-		r := c.requester(port, 1)
-		r.open()
-		flows = append(flows, r)
-	}
+func (c *cell) overload(first, requests uint16) {
+	flows := c.openFlows(first, requests)
 	for _, h := range c.hosts {
 		h.takes = 40 * time.Millisecond
 	}
