--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -167,7 +167,7 @@
 	}
 	e.config.Events.Count(CountFinds)
 	keeper, other := first, [4]byte{}
-	if e.finds.unanswered(key, now)%2 == 1 {
+	if e.finds.countUnanswered(key, now)%2 == 1 {
 		keeper, other = second, first
 	}
 	e.sendAvoiding(flow.Find, c, service, keeper, other, data, out)
--- a/datagram/finds.go
+++ b/datagram/finds.go
@@ -24,9 +24,9 @@
 	tries int
 }
 
-// unanswered returns how many questions about the flow were left unanswered
-// before this one.
-func (f finds) unanswered(key flow.Key, now time.Duration) int {
+// countUnanswered notes a question about the flow and returns how many were
+// left unanswered before it.
+func (f finds) countUnanswered(key flow.Key, now time.Duration) int {
 	q := f[key]
 	switch {
 	case q == nil:
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -122,7 +122,7 @@
 	}
 	first, second, _ := steering.Keepers(c, key.Hash())
 	next.AddAvoid(self.Addr)
-	if a.finds.unanswered(key, now) > 0 {
+	if a.finds.countUnanswered(key, now) > 0 {
 		first, second = self.Addr, self.Addr
 	}
 	for _, keeper := range [2][4]byte{first, second} {
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -81,7 +81,7 @@
 // noteUnsettled logs which agent a search still waits for when its flow comes
 // again.
 func (a *Agent) noteUnsettled(now time.Duration, c *catalog.Catalog, key flow.Key, s *search) {
-	if s == nil {
+	if s == nil || now-s.at < silentAfter {
 		return
 	}
 	for agent := range s.missing {
