Steer new flows away from hosts that fail with good health

Hosts that reset part of their flows hold few of them, and so drew new ones. Agents follow the outcomes of their host's requests, tell the share that fails in their reports, and entries and agents place new flows elsewhere, with hysteresis, a bound of half of the hosts, and a return by trial.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -56,8 +56,10 @@
 	seen    time.Duration
 	// busy tells that a request is in service, asked since when, and unqueued
 	// that a slot was free then.
-	busy, unqueued    bool
-	asked             time.Duration
+	busy, unqueued bool
+	asked          time.Duration
+	// overdue tells that the request counts as failed.
+	overdue           bool
 	requesterFin, fin bool
 }
 
@@ -112,6 +114,9 @@
 	cold     steering.ColdGate
 	loads    *steering.Loads
 	service  steering.ServiceTime
+	outcomes steering.Outcomes
+	// failing is the share of the host's requests that fail, in 255ths.
+	failing uint8
 	// packet and frame are those in work: they would be allocated anew for each
 	// packet otherwise, since interfaces take them.
 	packet flow.Packet
@@ -264,9 +269,12 @@
 		a.config.Events.Note(EventOpened, key, "entry", f.Origin.AddrPort().Addr(), "flows", a.open, "busy", a.busy)
 	}
 	if p.Size > 0 && !fl.busy {
-		fl.busy, fl.asked, fl.unqueued = true, now, a.busy < a.slots()
+		fl.busy, fl.asked, fl.unqueued, fl.overdue = true, now, a.busy < a.slots(), false
 		a.busy++
 	}
+	if p.Fin || p.Rst {
+		a.checkOverdue(now, fl, key)
+	}
 	if p.Fin {
 		fl.requesterFin = true
 	}
@@ -308,7 +316,8 @@
 func (a *Agent) report(kind flow.Kind, key flow.Key) flow.Frame {
 	return flow.Frame{
 		Kind: kind, Key: key, Owner: a.config.Self.Addr, Service: a.tag, Started: uint32(a.config.Started.Unix()),
-		Flows: uint16(min(a.open, 1<<16-1)), Busy: uint16(min(a.busy, 1<<16-1)),
+		Failing: a.failing,
+		Flows:   uint16(min(a.open, 1<<16-1)), Busy: uint16(min(a.busy, 1<<16-1)),
 	}
 }
 
@@ -335,6 +344,7 @@
 	defer a.mu.Unlock()
 	for key, fl := range a.flows {
 		quiet := now - fl.seen
+		a.checkOverdue(now, fl, key)
 		if fl.state == flowClosed {
 			// Late packets of a closed flow are for its host to answer.
 			quiet -= a.config.FlowLifetime
@@ -343,6 +353,7 @@
 			a.forget(key, fl)
 		}
 	}
+	a.judgeHost(now, flow.Key{})
 	for key, r := range a.records {
 		if now-r.seen > a.config.FlowLifetime+recordLinger {
 			delete(a.records, key)
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -5,6 +5,7 @@
 package datagram
 
 import (
+	"math"
 	"time"
 
 	"github.com/turmericrock/turmericrock/catalog"
@@ -46,6 +47,7 @@
 		return
 	}
 	loads.Report(f.Owner, int(f.Flows), int(f.Busy), now)
+	loads.Failing(f.Owner, float64(f.Failing)/math.MaxUint8)
 }
 
 // reasonBusy is why an opening is passed on that the host could still take.
--- a/datagram/events.go
+++ b/datagram/events.go
@@ -44,6 +44,8 @@
 	EventProbed      Event = "flow_probed"
 	EventUnsettled   Event = "flow_unsettled"
 	EventAgentSilent Event = "agent_silent"
+	EventHostFailing Event = "host_failing"
+	EventHostWell    Event = "host_well"
 )
 
 // eventsPerSecond bounds the lines of each kind of event.
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -52,6 +52,8 @@
 	taken  int
 	// down hosts read nothing; refusing ones return openings.
 	down, refusing bool
+	// failing hosts reset flows instead of answering requests.
+	failing bool
 	// service is how long a request takes.
 	takes time.Duration
 	seq   uint32
@@ -231,6 +233,9 @@
 		answer(syn|ack, 0)
 	case held && p.Fin:
 		answer(ack|fin, 0)
+	case held && p.Size > 0 && h.failing:
+		answer(rst, 0)
+		delete(h.flows, key)
 	case held && p.Size > 0:
 		c.now += h.takes
 		answer(ack, 100)
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -74,6 +74,8 @@
 	Flows uint16
 	// Busy counts the requests in service at the owner.
 	Busy uint16
+	// Failing is the share of the owner's requests that fail, in 255ths.
+	Failing uint8
 	// Started is the owner's start, so that a later process is told apart.
 	Started uint32
 }
@@ -96,6 +98,7 @@
 		if f.Open {
 			b[2] = 1
 		}
+		b[3] = f.Failing
 		f.Key.put(b[4:])
 		copy(b[16:], f.Owner[:])
 		binary.LittleEndian.PutUint16(b[20:], f.Flows)
@@ -125,6 +128,7 @@
 		}
 	case Owned, Closed, Load, Absent, Hello, Ping, Ended:
 		f.Open = data[2] == 1
+		f.Failing = data[3]
 		f.Key = keyFrom(data[4:])
 		f.Owner = [4]byte(data[16:20])
 		f.Flows = binary.LittleEndian.Uint16(data[20:])
--- /dev/null
+++ b/steering/outcomes_test.go
@@ -0,0 +1,132 @@
+package steering_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/steering"
+)
+
+func TestHostIsFailingOnlyWithEnoughFailures(t *testing.T) {
+	cases := []struct {
+		name         string
+		failed, well int
+		failing      bool
+	}{
+		{"calm", 0, 100, false},
+		{"one of many", 1, 99, false},
+		{"too few to judge", 3, 0, false},
+		{"every fifth", 20, 80, true},
+		{"all", 10, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var o steering.Outcomes
+			for n := range c.failed + c.well {
+				o.Observe(n*c.failed/(c.failed+c.well) != (n+1)*c.failed/(c.failed+c.well), time.Second)
+			}
+			must.Eq(t, c.failing, o.Share(time.Second) > 0)
+		})
+	}
+}
+
+// Hysteresis keeps a host from changing sides with each request, and failures
+// fade so that the host is tried again.
+func TestFailingHostIsTriedAgain(t *testing.T) {
+	var o steering.Outcomes
+	now := time.Second
+	for n := range 40 {
+		o.Observe(n%4 == 0, now)
+	}
+	must.Positive(t, o.Share(now))
+	for range 120 {
+		o.Observe(false, now)
+	}
+	must.Positive(t, o.Share(now), must.Sprint("a sixteenth fails still"))
+	must.Eq(t, 0, o.Share(now+20*time.Second), must.Sprint("without requests"))
+	c, s := newCatalog("a", "a", "a")
+	loads := steering.NewLoads()
+	for n, h := range s.Hosts {
+		loads.Report(h.Addr.Addr, 20, n, now)
+	}
+	loads.Failing(s.Hosts[0].Addr.Addr, 0.5)
+	at := steering.Opening{Zone: "a", Now: now}
+	must.Eq(t, "1", steering.ChooseHost(c, s, loads, at).ID)
+	at.Now += 10 * time.Second
+	hosts := make(map[string]bool)
+	for hash := range uint64(200) {
+		at.Hash = hash
+		hosts[steering.ChooseHost(c, s, loads, at).ID] = true
+	}
+	must.True(t, hosts["0"], must.Sprint("it is tried again once its word is old"))
+}
+
+// Where more than half of the hosts fail, none is avoided.
+func TestNoMoreThanHalfOfTheHostsAreSetAside(t *testing.T) {
+	c, s := newCatalog("a", "a", "a", "a")
+	for failing := 1; failing <= 4; failing++ {
+		loads := steering.NewLoads()
+		for n, h := range s.Hosts {
+			loads.Report(h.Addr.Addr, 20, n, time.Second)
+			if n < failing {
+				loads.Failing(h.Addr.Addr, 0.5)
+			}
+		}
+		chosen := steering.ChooseHost(c, s, loads, steering.Opening{Zone: "a", Now: time.Second}).ID
+		if failing <= 2 {
+			must.Eq(t, fmt.Sprint(failing), chosen)
+		} else {
+			must.Eq(t, "0", chosen, must.Sprint("the least loaded one"))
+		}
+	}
+}
+
+// Replay: a quarter of the hosts reset half of their requests. Flows that were
+// reset are opened anew, and went back to the failing hosts, which have the
+// fewest flows.
+func TestReplayOfHostsThatFailHalfOfTheirRequests(t *testing.T) {
+	failed := func(report bool) int {
+		c, s := newCatalog("a", "a", "a", "a", "a", "a", "a", "a")
+		random := rand.New(rand.NewPCG(1, 2))
+		loads := steering.NewLoads()
+		outcomes := make(map[[4]byte]*steering.Outcomes)
+		flows := make([][4]byte, 240)
+		open := make(map[[4]byte]int)
+		now, failures := time.Second, 0
+		place := func() [4]byte {
+			at := steering.ChooseHost(c, s, loads, steering.Opening{Zone: "a", Hash: random.Uint64(), Now: now}).Addr.Addr
+			open[at]++
+			loads.Report(at, open[at], 0, now)
+			if report && outcomes[at] != nil {
+				loads.Failing(at, outcomes[at].Share(now))
+			}
+			return at
+		}
+		for i := range flows {
+			flows[i] = place()
+		}
+		for range 20_000 {
+			now += 2 * time.Millisecond
+			i := random.IntN(len(flows))
+			at := flows[i]
+			if outcomes[at] == nil {
+				outcomes[at] = &steering.Outcomes{}
+			}
+			grey := at[3] <= 2
+			fails := grey && random.IntN(2) == 0
+			outcomes[at].Observe(fails, now)
+			if fails {
+				failures++
+				open[at]--
+				flows[i] = place()
+			}
+		}
+		return failures
+	}
+	without, with := failed(false), failed(true)
+	must.Less(t, without/3, with, must.Sprintf("%d of 20,000 requests failed without, %d with", without, with))
+}
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -39,6 +39,8 @@
 // Load is what is known of the load of one host.
 type Load struct {
 	Flows, Busy int
+	// Failing is the share of the host's requests that fail.
+	Failing float64
 	// Reported is when the owner last reported.
 	Reported time.Duration
 	// placed counts the flows sent there since the report.
@@ -132,6 +134,7 @@
 // hosts first, or nil. Suspected hosts are taken only when there are no others.
 func ChooseHost(c *catalog.Catalog, s *catalog.Service, loads *Loads, o Opening) *catalog.Host {
 	usual := unknownShare * loads.usual(s, o.Now)
+	outliers := loads.outliers(c, s, o.Now)
 	var best *catalog.Host
 	bestCost := 0.0
 	for _, h := range s.Hosts {
@@ -139,6 +142,9 @@
 			continue
 		}
 		cost := hostCost(h, loads, &o, usual)
+		if outliers {
+			cost += failingPenalty * loads.get(h.Addr.Addr).failure(o.Now)
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = h, cost
 		}
