--- a/agent/flows_test.go
+++ b/agent/flows_test.go
@@ -110,15 +110,21 @@
 	}
 }
 
-func TestCancelClosesTheBackendsConnection(t *testing.T) {
-	began, ended := make(chan struct{}), make(chan struct{})
+// serveSilentBackend starts an agent whose backend server reads one request and
+// never answers. It tells when the request began and when its connection ended.
+func serveSilentBackend(t *testing.T) (s *servedAgent, began, ended chan struct{}) {
+	began, ended = make(chan struct{}), make(chan struct{})
 	backend := startRaw(t, func(conn net.Conn) {
 		_, _, _ = readRequest(conn)
 		close(began)
 		_, _ = io.Copy(io.Discard, conn)
 		close(ended)
 	})
-	s := serveAgent(t, backend.url(), nil)
+	return serveAgent(t, backend.url(), nil), began, ended
+}
+
+func TestCancelClosesTheBackendsConnection(t *testing.T) {
+	s, began, ended := serveSilentBackend(t)
 	_, flow := s.dial(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
@@ -325,14 +331,7 @@
 }
 
 func TestZoneOutClosesFlowsAndCancelsTheBackend(t *testing.T) {
-	began, ended := make(chan struct{}), make(chan struct{})
-	backend := startRaw(t, func(conn net.Conn) {
-		_, _, _ = readRequest(conn)
-		close(began)
-		_, _ = io.Copy(io.Discard, conn)
-		close(ended)
-	})
-	s := serveAgent(t, backend.url(), nil)
+	s, began, ended := serveSilentBackend(t)
 	conn, flow := s.dial(t)
 	go func() { _, _ = flow.RoundTrip(newRequest(t.Context(), http.MethodGet, "/proof", nil)) }()
 	<-began
