--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -52,7 +52,14 @@
 
 // NewEntry returns an entry that knows no flows.
 func NewEntry(config EntryConfig) *Entry {
-	return &Entry{config: config, owners: make(map[flow.Key]*owner), loads: steering.NewLoads(), silences: make(silences), finds: make(finds), opened: NewLatency("opening_answer")}
+	return &Entry{
+		config:   config,
+		owners:   make(map[flow.Key]*owner),
+		loads:    steering.NewLoads(),
+		silences: make(silences),
+		finds:    make(finds),
+		opened:   NewLatency("opening_answer"),
+	}
 }
 
 // HandlePacket forwards a packet from a requester.
--- a/datagram/events.go
+++ b/datagram/events.go
@@ -77,8 +77,8 @@
 // Count counts an event without a line in the log.
 func (e *Events) Count(d Drop) { e.drops[d].Add(1) }
 
-// Note logs a decision with its flow and the inputs, as pairs of names and
-// values, unless too many lines of the kind were written this second.
+// Note logs a decision with its flow, if it touches one, and the inputs, as pairs
+// of names and values, unless too many lines of the kind were written this second.
 func (e *Events) Note(event Event, key flow.Key, pairs ...any) {
 	e.mu.Lock()
 	b := e.budget[event]
@@ -99,7 +99,10 @@
 	if omit {
 		return
 	}
-	fields := logrus.Fields{"flow": key.String()}
+	fields := logrus.Fields{}
+	if key != (flow.Key{}) {
+		fields["flow"] = key.String()
+	}
 	if omitted > 0 {
 		fields["omitted_before"] = omitted
 	}
--- /dev/null
+++ b/datagram/events_test.go
@@ -0,0 +1,25 @@
+package datagram_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/turmericrock/turmericrock/datagram"
+	"github.com/turmericrock/turmericrock/flow"
+)
+
+// A line that touches no flow had one of zero addresses.
+func TestLineNamesAFlowOnlyWhereThereIsOne(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	events := datagram.NewEvents(logrus.NewEntry(log))
+	events.Note(datagram.EventHostWell, flow.Key{}, "busy", 1)
+	must.StrContains(t, out.String(), "host_well")
+	must.StrNotContains(t, out.String(), "flow=")
+	events.Note(datagram.EventLost, flow.Key{Requester: flow.Endpoint{Port: 1}})
+	must.StrContains(t, out.String(), "flow=")
+}
