catalog: count calls to the store in virtual time

Cause: TestOnlyReadersQueryTheStore counted every watch after the first

Ruled out: processes that act as readers because a reader is slow for a moment; the log of the failing run has no reader_lost before the end.

Change: the test runs in virtual time over connections in memory, with slow answers of the store. It fails when all processes read the store themselves.

--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -128,10 +128,16 @@
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
 	return &PeerClient{
 		Decode: decode, Now: now, OnRejected: rejected,
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
+		client: &http.Client{Transport: transportWithDial(dialer.DialContext)},
 	}
 }
 
+// transportWithDial returns the transport of a PeerClient that connects by the
+// given function.
+func transportWithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1}
+}
+
 // Changes requests the changes after a revision from the peer at an address
 // (host:port). The peer waits up to wait for a change.
 func (p *PeerClient) Changes(ctx context.Context, address string, after int64, wait time.Duration) (ReadResult, error) {
