Declare flows lost once unlisted hosts could announce themselves

Cause: after all machines lose power, a flow that no host holds was not declared lost until reads of the store had succeeded for 2.5 s, unless the store's history explained every host that had gone.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -30,9 +30,13 @@
 	Restarted bool
 	// StartedAt is the start time of the process by the machine's wall clock.
 	StartedAt time.Time
-	Codec     flow.Codec
-	Catalog   CatalogFunc
-	Events    *Events
+	// HostRunning reports whether the host on this machine accepts connections. It
+	// is asked only while the host is not listed and must not block. If it is nil,
+	// the host counts as running.
+	HostRunning func() bool
+	Codec       flow.Codec
+	Catalog     CatalogFunc
+	Events      *Events
 }
 
 // flowState is the state of a flow at its owner.
@@ -127,6 +131,8 @@
 	liveness     livenessTable
 	lookups      lookupTable
 	hostLiveness hostLiveness
+	// announcements tracks running hosts that are not listed.
+	announcements announcements
 	// unansweredRequests is the number of flows with an unanswered request,
 	// whether the host serves or queues it.
 	unansweredRequests int
@@ -158,6 +164,7 @@
 		searches:      make(map[flow.Key]*ownerSearch),
 		liveness:      make(livenessTable),
 		lookups:       make(lookupTable),
+		announcements: announcements{received: make(map[[4]byte]unlistedAgent)},
 		loads:         steering.NewLoadTable(),
 		answerLatency: NewLatency("request_answer"),
 	}
@@ -189,6 +196,7 @@
 	switch f.Kind {
 	case flow.Owned:
 		recordLoad(a.loads, f, now)
+		delete(a.searches, f.Key)
 		// Several hosts may accept duplicates of an opening. A report on a flow that
 		// is not established does not replace the record of an established one.
 		if r := a.records[f.Key]; r == nil || f.Established || !r.established {
@@ -206,6 +214,8 @@
 		recordLoad(a.loads, f, now)
 	case flow.HostEnded:
 		a.liveness.recordHostEnded(f, now)
+	case flow.Unlisted:
+		a.recordAnnouncement(f, now)
 	default:
 		a.config.Events.Drop(DropMalformed)
 	}
@@ -409,6 +419,7 @@
 		}
 	}
 	a.updateFailureShare(now, flow.Key{})
+	a.expireAnnouncements(now)
 	for key, r := range a.records {
 		if now-r.updatedAt > a.config.FlowLifetime+recordRetention {
 			delete(a.records, key)
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -172,6 +172,10 @@
 func (c *cluster) confirmCatalog() {
 	c.tracker.Apply(c.tracker.Revision(), nil, c.now)
 	c.current = c.tracker.Current()
+	for a, agent := range c.agents {
+		agent.Tick(c.now, &clusterOutput{c, a})
+	}
+	c.deliverAll()
 }
 
 // clusterOutput is the Output of the cores of one machine.
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -43,7 +43,7 @@
 func (a *Agent) hostStopped(now time.Duration) bool {
 	c := a.config.Catalog()
 	return a.hostLiveness.waiting && now-a.hostLiveness.waitingSince >= hostResponseTimeout &&
-		c != nil && c.Hosts[a.config.Self.Addr] == nil && hostListComplete(now, c)
+		c != nil && c.Hosts[a.config.Self.Addr] == nil && a.hostListEvidence(now, c).Complete()
 }
 
 // HandleHost processes a packet sent by the host on this machine.
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -20,6 +20,9 @@
 // expireInterval is the time between two calls of Node.Expire.
 const expireInterval = time.Second
 
+// tickInterval is the time between two calls of Node.Tick.
+const tickInterval = 100 * time.Millisecond
+
 // headerTimeout limits how long an HTTP client may take to send the headers of
 // a request.
 const headerTimeout = time.Second
@@ -54,6 +57,8 @@
 	OnPeer              FrameHandler
 	// Expire is called about once a second.
 	Expire func(now time.Duration)
+	// Tick is called about every tickInterval.
+	Tick func(now time.Duration, out Output)
 	// Servers are the HTTP servers that run together with the node.
 	Servers []Server
 	Now     func() time.Duration
@@ -158,16 +163,20 @@
 	return &output{node: n, scratch: make([]byte, 0, maxDatagram+flow.FrameSize)}
 }
 
-// sweep calls Expire and refills the log budgets at regular intervals until the
-// context is done.
+// sweep calls Tick and Expire and refills the log budgets at regular intervals
+// until the context is done.
 func (n *Node) sweep(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
+	expire, tick := time.NewTicker(expireInterval), time.NewTicker(tickInterval)
+	defer expire.Stop()
+	defer tick.Stop()
+	out := n.NewOutput()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-tick.C:
+			n.Tick(n.Now(), out)
+		case <-expire.C:
 			n.Expire(n.Now())
 			n.Events.Refill()
 		}
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -16,13 +16,6 @@
 	maxSearchPackets = 16
 	// searchRetention is how long the state of a search is retained.
 	searchRetention = 5 * time.Second
-	// hostListSettleTime is how long reads of the store must have succeeded
-	// for the host list to count as complete. Hosts whose entries lapsed
-	// during an outage are listed again within 2 s.
-	hostListSettleTime = 2500 * time.Millisecond
-	// maxHostListAge is the largest age of the host list at which a flow may
-	// be declared lost.
-	maxHostListAge = 1500 * time.Millisecond
 	// removedHostSearchPeriod is how long searches still include the agents of
 	// removed hosts. A host that cannot reach the store may still be running. The
 	// catalog lists removed hosts for longer.
@@ -38,6 +31,8 @@
 	packetsSent int
 	// lastPacket is the header of the latest packet that was sent.
 	lastPacket flow.Packet
+	// reset reports that the flow was reset after its last packet.
+	reset bool
 }
 
 // search sends a packet to all agents whose hosts may hold its flow. It is
@@ -65,6 +60,7 @@
 		return
 	}
 	s.packetsSent++
+	s.reset = false
 	probe := *f
 	probe.Kind, probe.ReplyTo = flow.Probe, a.config.Self.Addr
 	for _, agent := range agents {
@@ -123,7 +119,7 @@
 			agents = append(agents, r.Agent)
 		}
 	}
-	return agents
+	return a.appendUnlisted(agents, now, c, route)
 }
 
 // handleProbe sends a probed packet to the host, or answers that the host does
@@ -175,16 +171,12 @@
 	if _, waiting := a.pendingAgent(now, c, s); waiting {
 		return
 	}
-	if !hostListComplete(now, c) {
+	if !a.hostListEvidence(now, c).Complete() {
 		a.config.Events.Log(EventOwnerUndecided, key, "reason", "hosts_may_be_missing", "list_age_ms", (now - c.ConfirmedAt).Milliseconds(),
 			"steady_ms", (now - c.HealthySince).Milliseconds())
 		return
 	}
 	a.config.Events.Log(EventLost, key, "reason", "no_host_holds_flow", "list_age_ms", (now - c.ConfirmedAt).Milliseconds())
+	s.reset = true
 	reset(a.config.Codec, &s.lastPacket, out)
 }
-
-// hostListComplete reports whether the catalog lists every running host.
-func hostListComplete(now time.Duration, c *catalog.Catalog) bool {
-	return now-c.HealthySince >= hostListSettleTime && now-c.ConfirmedAt <= maxHostListAge
-}
--- /dev/null
+++ b/datagram/unlisted.go
@@ -0,0 +1,116 @@
+package datagram
+
+import (
+	"slices"
+	"time"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
+)
+
+// unlistedRetention is how long an agent whose host is not listed is asked for
+// flows after its last announcement.
+const unlistedRetention = 2 * time.Second
+
+// unlistedAgent is an agent that has announced that its host is not listed.
+type unlistedAgent struct {
+	serviceTag uint32
+	heardAt    time.Duration
+}
+
+// announcements is the state of an agent's part in making unlisted hosts known.
+// The entry of a running host may lapse while the store is unavailable, and a host
+// that has just started is not listed yet.
+type announcements struct {
+	// received holds the unlisted agents that have announced themselves.
+	received map[[4]byte]unlistedAgent
+	// listedSince is when this agent's host was first found in the list, after
+	// which other agents can send it announcements. It is valid if listed is set.
+	listedSince time.Duration
+	listed      bool
+	// sentAt is when this agent last announced itself, valid if sent is set.
+	sentAt time.Duration
+	sent   bool
+}
+
+// Tick announces the agent while its host is not listed, and resets the flows of
+// searches that have ended since their last packet. It is called at short
+// intervals.
+func (a *Agent) Tick(now time.Duration, out Output) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.config.Catalog()
+	if c == nil {
+		return
+	}
+	a.announceIfUnlisted(now, c, out)
+	if !a.hostListEvidence(now, c).Complete() {
+		return
+	}
+	for key, s := range a.searches {
+		if _, waiting := a.pendingAgent(now, c, s); !waiting && !s.reset {
+			a.resetIfNotHeld(now, key, s, out)
+		}
+	}
+}
+
+// announceIfUnlisted tells all listed agents that this agent's host runs although
+// it is not listed. A host that does not run yet holds no flows and could not be
+// asked for any.
+func (a *Agent) announceIfUnlisted(now time.Duration, c *catalog.Catalog, out Output) {
+	n := &a.announcements
+	if c.Hosts[a.config.Self.Addr] != nil {
+		if !n.listed {
+			n.listed, n.listedSince = true, now
+		}
+		return
+	}
+	n.listed = false
+	if a.config.HostRunning != nil && !a.config.HostRunning() {
+		return
+	}
+	if n.sent && now-n.sentAt < steering.AnnounceInterval(len(c.Agents)) {
+		return
+	}
+	n.sent, n.sentAt = true, now
+	a.broadcast(c, flow.Unlisted, out)
+}
+
+// recordAnnouncement stores that an agent's host runs although it is not listed.
+func (a *Agent) recordAnnouncement(f *flow.Frame, now time.Duration) {
+	a.announcements.received[f.Sender] = unlistedAgent{serviceTag: f.ServiceTag, heardAt: now}
+}
+
+// appendUnlisted adds the agents of unlisted hosts that may hold flows of the route
+// to the agents that are to be asked for a flow. Agents of other services are left
+// out, since an agent cannot tell when its host started before it is listed.
+func (a *Agent) appendUnlisted(agents [][4]byte, now time.Duration, c *catalog.Catalog, route *catalog.Route) [][4]byte {
+	for agent, u := range a.announcements.received {
+		service := c.ByTag[u.serviceTag]
+		if now-u.heardAt > unlistedRetention || service == nil || route == nil || !route.MayHoldFlows(service.Name) || slices.Contains(agents, agent) {
+			continue
+		}
+		agents = append(agents, agent)
+	}
+	return agents
+}
+
+// expireAnnouncements removes agents that no longer announce themselves.
+func (a *Agent) expireAnnouncements(now time.Duration) {
+	for agent, u := range a.announcements.received {
+		if now-u.heardAt > unlistedRetention {
+			delete(a.announcements.received, agent)
+		}
+	}
+}
+
+// hostListEvidence returns what the agent knows about the completeness of its list
+// of hosts.
+func (a *Agent) hostListEvidence(now time.Duration, c *catalog.Catalog) steering.HostListEvidence {
+	e := steering.HostListEvidence{ListAge: now - c.ConfirmedAt, StoreReadable: now - c.HealthySince, Agents: len(c.Agents)}
+	if a.announcements.listed {
+		e.Listening = now - a.announcements.listedSince
+	}
+	return e
+}
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -55,6 +55,9 @@
 	// HostEnded reports that the host of the agent has ended, and all its
 	// flows with it.
 	HostEnded
+	// Unlisted reports that the host of the agent runs although it is not listed
+	// in the catalog.
+	Unlisted
 )
 
 // Frame is the header of a datagram between processes. Which fields are sent
@@ -112,7 +115,7 @@
 		for i := range f.Avoided {
 			copy(b[avoidOffset+4*i:], f.Avoided[i][:])
 		}
-	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded:
+	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted:
 		if f.Established {
 			b[2] = 1
 		}
@@ -144,7 +147,7 @@
 		for i := range f.Avoided {
 			f.Avoided[i] = [4]byte(data[avoidOffset+4*i:])
 		}
-	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded:
+	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted:
 		f.Established = data[2] == 1
 		f.FailureShare = data[3]
 		f.Key = decodeKey(data[4:])
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -82,6 +82,10 @@
 // machine.
 const hostDialTimeout = 100 * time.Millisecond
 
+// unlistedHostCheckInterval is the time between two connection attempts to a backend
+// server that is not listed.
+const unlistedHostCheckInterval = 100 * time.Millisecond
+
 // datagramNode holds what datagram entries and agents have in common.
 type datagramNode struct {
 	settings *platform.Settings
@@ -98,6 +102,11 @@
 	onCatalogChange func(old, c *catalog.Catalog)
 	// onStop is called when the process is told to stop. It may be nil.
 	onStop func()
+	// background runs until the process stops serving. It may be nil.
+	background func(context.Context)
+	// hostRunning reports whether the backend server accepted the last connection
+	// of watchUnlistedHost.
+	hostRunning atomic.Bool
 }
 
 func (c *datagramCommand) run(ctx context.Context, args []string) error {
@@ -172,6 +181,9 @@
 		},
 	}
 	go syncer.Run(serving)
+	if n.background != nil {
+		go n.background(serving)
+	}
 	err := node.Run(serving)
 	n.log.WithField("totals", n.events.Totals()).Info("stopped")
 	return errors.WithStack(err)
@@ -238,6 +250,7 @@
 	node.OnRequester = e.HandlePacket
 	node.OnPeer = func(now time.Duration, from [4]byte, data []byte, _ datagram.Output) { e.HandleFrame(now, from, data) }
 	node.Expire = e.Expire
+	node.Tick = func(time.Duration, datagram.Output) {}
 	return node
 }
 
@@ -252,14 +265,41 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// watchUnlistedHost connects to the backend server at regular intervals while it is
+// not listed, to find out whether it runs.
+func (n *datagramNode) watchUnlistedHost(ctx context.Context) {
+	ticker := time.NewTicker(unlistedHostCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		c := n.tracker.Current()
+		if c == nil || c.Hosts[n.settings.IP.As4()] != nil {
+			continue
+		}
+		conn, err := net.DialTimeout("tcp4", n.settings.HostAddr.String(), hostDialTimeout)
+		if err == nil {
+			_ = conn.Close() // Nothing was sent.
+		}
+		if running := err == nil; n.hostRunning.Swap(running) != running {
+			n.log.WithField("running", running).Info("unlisted_host")
+		}
+	}
+}
+
 func buildDatagramAgent(n *datagramNode) *datagram.Node {
 	a := datagram.NewAgent(datagram.AgentConfig{
 		Self: flow.EndpointOf(n.peerAddr()), Service: n.settings.Service, FlowLifetime: n.settings.FlowLifetime,
 		ColdOverage: n.settings.ColdOverage, ColdSlack: n.settings.ColdSlack,
 		Restarted: !n.settings.FirstStart, StartedAt: n.started,
-		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
+		HostRunning: n.hostRunning.Load,
+		Codec:       platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
 	n.metricSources = []metrics.Source{n.events, a}
+	n.background = n.watchUnlistedHost
 	node := n.newNode()
 	n.onCatalogChange = func(old, c *catalog.Catalog) {
 		if old == nil {
@@ -282,5 +322,6 @@
 	node.OnPeer = a.HandleFrame
 	node.OnHost = a.HandleHost
 	node.Expire = a.Expire
+	node.Tick = a.Tick
 	return node
 }
