Ask hosts of former services for the flows of a route that moved

Its open flows are at hosts of the former service, and after the restart no process knows that service.

Ruled out: sending packets to hosts of any service (a packet meant for one service never reaches another); reading former configurations from the store's history, which holds megabytes after a series of changes.

Change: a packet that a host sends by itself, such as a retransmitted answer, shows which flows it holds. steering.ServiceHistory keeps which services were found to hold flows of which routes, from own hosts and from reports of owners; searches name that service to its agents.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -139,8 +139,11 @@
 	openFlows          int
 	coldLimiter        steering.ColdRateLimiter
 	loads              *steering.LoadTable
-	serviceTime        steering.ServiceTime
-	failureTracker     steering.FailureTracker
+	// serviceHistory holds the services found to hold flows of routes that are
+	// configured for other services.
+	serviceHistory *steering.ServiceHistory
+	serviceTime    steering.ServiceTime
+	failureTracker steering.FailureTracker
 	// failureShare is the share of the host's requests that fail, in units of
 	// 1/255 as in frames.
 	failureShare uint8
@@ -156,17 +159,18 @@
 // NewAgent returns an agent without flows or records.
 func NewAgent(config AgentConfig) *Agent {
 	return &Agent{
-		config:        config,
-		tag:           catalog.Tag(config.Service),
-		flows:         make(map[flow.Key]*ownedFlow),
-		records:       make(map[flow.Key]*ownerRecord),
-		trials:        make(map[flow.Key]*trialDelivery),
-		searches:      make(map[flow.Key]*ownerSearch),
-		liveness:      make(livenessTable),
-		lookups:       make(lookupTable),
-		announcements: announcements{received: make(map[[4]byte]unlistedAgent)},
-		loads:         steering.NewLoadTable(),
-		answerLatency: NewLatency("request_answer"),
+		config:         config,
+		tag:            catalog.Tag(config.Service),
+		flows:          make(map[flow.Key]*ownedFlow),
+		records:        make(map[flow.Key]*ownerRecord),
+		trials:         make(map[flow.Key]*trialDelivery),
+		searches:       make(map[flow.Key]*ownerSearch),
+		liveness:       make(livenessTable),
+		lookups:        make(lookupTable),
+		serviceHistory: steering.NewServiceHistory(),
+		announcements:  announcements{received: make(map[[4]byte]unlistedAgent)},
+		loads:          steering.NewLoadTable(),
+		answerLatency:  NewLatency("request_answer"),
 	}
 }
 
@@ -197,6 +201,7 @@
 	case flow.Owned:
 		recordLoad(a.loads, f, now)
 		delete(a.searches, f.Key)
+		a.observeService(f.Key.Destination, f.ServiceTag, now)
 		// Several hosts may accept duplicates of an opening. A report on a flow that
 		// is not established does not replace the record of an established one.
 		if r := a.records[f.Key]; r == nil || f.Established || !r.established {
@@ -420,6 +425,7 @@
 	}
 	a.updateFailureShare(now, flow.Key{})
 	a.expireAnnouncements(now)
+	a.serviceHistory.Expire(a.config.FlowLifetime, now)
 	for key, r := range a.records {
 		if now-r.updatedAt > a.config.FlowLifetime+recordRetention {
 			delete(a.records, key)
--- /dev/null
+++ b/datagram/former_services_test.go
@@ -0,0 +1,71 @@
+package datagram_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// All processes restart after a route has moved to another service, so that no
+// process knows the former service from its own past. Its hosts still hold flows of
+// the route, and each agent would neither try packets of the route at its host nor
+// answer for it: the flows timed out. One packet that a host of the former service
+// sends by itself shows where flows of the route are.
+func TestFlowsOfAFormerServiceAreFoundAfterARestartOfAllProcesses(t *testing.T) {
+	c := newCluster(t)
+	c.addEntry(1)
+	for n := byte(11); n <= 14; n++ {
+		c.addHost(n, "s")
+	}
+	for n := byte(15); n <= 17; n++ {
+		c.addHost(n, "u")
+	}
+	c.publish(1, nil, "s")
+	flows := c.openFlows(1000, 50)
+	c.publish(2, nil, "u")
+	c.tracker = nil
+	c.publish(3, nil, "u")
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+	for _, r := range flows[:10] {
+		must.Len(t, 0, r.send(ack, 777, 50), must.Sprint("nothing shows who may hold the flow"))
+	}
+	// A host retransmits an answer.
+	key := flows[0].key()
+	owner := c.holder(key)
+	answer := packet(ack, destination(), flows[0].endpoint, c.hosts[owner].initialSeqs[key], 1, 100)
+	c.agents[owner].HandleHost(c.now, answer, &clusterOutput{c, owner})
+	c.deliverAll()
+	c.advance(400 * time.Millisecond)
+	served := 0
+	for range 2 {
+		for _, r := range flows {
+			for _, p := range r.send(ack, 777, 50) {
+				must.False(t, p.Rst)
+			}
+		}
+		c.advance(400 * time.Millisecond)
+	}
+	for _, r := range flows {
+		if len(r.send(ack, 777, 50)) > 0 {
+			served++
+		}
+	}
+	must.Eq(t, len(flows), served)
+	for a, h := range c.hosts {
+		for _, packets := range h.unheldPackets {
+			must.LessEq(t, 2, packets, must.Sprintf("packets of one flow at %v, which does not hold it", a))
+		}
+	}
+}
+
+// restartAllAtOnce restarts all processes without any that could tell another one
+// what it knew.
+func (c *cluster) restartAllAtOnce() {
+	for a := range c.agents {
+		c.isolated[a] = true
+	}
+	c.restartAll()
+	clear(c.isolated)
+}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -30,7 +30,7 @@
 // the service of this agent's host. No packet is sent to a host of another
 // service.
 func (a *Agent) matchesService(f *flow.Frame, key flow.Key) bool {
-	if f.ServiceTag == a.tag {
+	if f.ServiceTag == a.tag || a.serviceHistory.MayHoldFlows(key.Destination, a.tag) {
 		return true
 	}
 	c := a.config.Catalog()
@@ -77,10 +77,25 @@
 	a.flows[key] = fl
 	a.openFlows++
 	a.config.Events.Log(EventAdopted, key, "entry", origin.AddrPort().Addr())
+	a.observeService(key.Destination, a.tag, now)
 	a.announce(key, origin, true, out)
 	return fl
 }
 
+// observeService records that hosts of a service hold flows of a route that is not
+// configured for the service.
+func (a *Agent) observeService(destination flow.Endpoint, serviceTag uint32, now time.Duration) {
+	c := a.config.Catalog()
+	if c == nil {
+		return
+	}
+	route, service := c.Config.Routes[destination], c.ByTag[serviceTag]
+	if route == nil || service == nil || route.MayHoldFlows(service.Name) {
+		return
+	}
+	a.serviceHistory.Observe(destination, serviceTag, now)
+}
+
 // forwardToOwner forwards a packet to the owner of its flow, another agent. If
 // the owner is not recorded here, it asks the keepers and finally all agents.
 func (a *Agent) forwardToOwner(now time.Duration, f *flow.Frame, key flow.Key, data []byte, out Output) {
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -63,7 +63,9 @@
 	s.reset = false
 	probe := *f
 	probe.Kind, probe.ReplyTo = flow.Probe, a.config.Self.Addr
+	serviceTag := probe.ServiceTag
 	for _, agent := range agents {
+		probe.ServiceTag = a.probeServiceTag(c, agent, key, serviceTag)
 		if agent == a.config.Self.Addr {
 			a.handleProbe(now, key, &probe, data, out)
 			continue
@@ -78,6 +80,18 @@
 	}
 }
 
+// probeServiceTag returns the service that a probe of an agent is for: the service of
+// the agent's host if that was found to hold flows of the route, so that the agent
+// tries the packet at its host.
+func (a *Agent) probeServiceTag(c *catalog.Catalog, agent [4]byte, key flow.Key, configured uint32) uint32 {
+	if h := c.Hosts[agent]; h != nil {
+		if tag := catalog.Tag(h.Service); a.serviceHistory.MayHoldFlows(key.Destination, tag) {
+			return tag
+		}
+	}
+	return configured
+}
+
 // logPendingAgent logs an agent that a search is still waiting for when another
 // packet of the flow arrives.
 func (a *Agent) logPendingAgent(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch) {
