Give up the flows of agents that no longer answer

Cause: when a zone loses power, its hosts stay listed for three heartbeats.

Ruled out: waiting for the description to lapse only; resetting requests that must not run twice while they wait, since the agent may wake and have the answer.

Change: a repeated request makes an entry suspect the agent and ping it every 100 ms; after three pings without an answer (steering.SilenceDetector) the entry resets the agent's flows, idle ones as well, so that they do not cost a request that cannot be repeated. An agent that is stopped while its host runs says so, and a process that was frozen counts anew.

A search keeps the answers of agents that do not hold the flow, and asks only the others when the next copy of the packet arrives.

--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -34,6 +34,9 @@
 	// listed.
 	liveness livenessTable
 	lookups  lookupTable
+	// silence finds agents that no longer answer, whether or not their hosts are
+	// listed.
+	silence *steering.SilenceDetector
 	// packet and frame are reused for each packet. As locals they would be
 	// allocated per packet, because they are passed to interface methods.
 	packet flow.Packet
@@ -52,6 +55,7 @@
 	// lastSeenAt is when the flow's last packet arrived, placedAt when its agent
 	// was chosen.
 	lastSeenAt, placedAt time.Duration
+	requests             requestTracker
 }
 
 // NewEntry returns an entry with an empty cache.
@@ -62,6 +66,7 @@
 		loads:          steering.NewLoadTable(),
 		liveness:       make(livenessTable),
 		lookups:        make(lookupTable),
+		silence:        steering.NewSilenceDetector(),
 		openingLatency: NewLatency("opening_answer"),
 	}
 }
@@ -168,11 +173,18 @@
 	key := p.FromRequester()
 	var service *catalog.Service
 	hash := key.Hash()
-	if route := c.Config.Routes[key.Destination]; route != nil {
+	route := c.Config.Routes[key.Destination]
+	if route != nil {
 		service = c.Services[route.Pick(hash)]
 	}
 	if o := e.owners[key]; o != nil && !e.ownerEnded(now, c, o, out) {
 		o.lastSeenAt = now
+		if o.requests.track(p, now) {
+			e.silence.Suspect(o.agent, now)
+		}
+		if e.resetIfLost(now, key, o, route, out) {
+			return
+		}
 		e.send(flow.Deliver, c, service, o.agent, data, out)
 		return
 	}
@@ -213,7 +225,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.liveness.recordFrame(&f, now)
+	e.silence.Heard(f.Sender)
 	switch f.Kind {
+	case flow.AgentStopping:
+		e.silence.Restarting(f.Sender, now)
 	case flow.Owned:
 		recordLoad(e.loads, &f, now)
 		if o := e.owners[f.Key]; o != nil {
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
 )
 
 // maxDatagram is the size of the receive buffer in bytes.
@@ -21,7 +22,7 @@
 const expireInterval = time.Second
 
 // tickInterval is the time between two calls of Node.Tick.
-const tickInterval = 100 * time.Millisecond
+const tickInterval = steering.SilenceCheckInterval
 
 // headerTimeout limits how long an HTTP client may take to send the headers of
 // a request.
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -25,8 +25,10 @@
 // ownerSearch is the state of a query to all agents for the owner of a flow.
 type ownerSearch struct {
 	startedAt time.Duration
-	// pending holds the agents that have not answered.
-	pending map[[4]byte]bool
+	// pending holds the agents that have not answered, notHeld those that have
+	// answered that their hosts do not hold the flow. A host cannot come to hold an
+	// open flow later.
+	pending, notHeld map[[4]byte]bool
 	// packetsSent counts the packets that were sent to all agents.
 	packetsSent int
 	// lastPacket is the header of the latest packet that was sent.
@@ -44,13 +46,19 @@
 	a.logPendingAgent(now, c, key, s)
 	switch {
 	case s == nil || now-s.startedAt >= searchInterval:
-		s = &ownerSearch{startedAt: now, pending: make(map[[4]byte]bool)}
-		if !a.config.Codec.Decode(data, &s.lastPacket) {
+		next := &ownerSearch{startedAt: now, pending: make(map[[4]byte]bool), notHeld: make(map[[4]byte]bool)}
+		if !a.config.Codec.Decode(data, &next.lastPacket) {
 			return
 		}
+		if s != nil {
+			next.notHeld = s.notHeld
+		}
+		s = next
 		a.searches[key] = s
 		for _, agent := range agents {
-			s.pending[agent] = true
+			if !s.notHeld[agent] {
+				s.pending[agent] = true
+			}
 		}
 		a.config.Events.Log(EventSearchStarted, key, "agents", len(agents))
 	case s.packetsSent >= maxSearchPackets:
@@ -65,17 +73,20 @@
 	probe.Kind, probe.ReplyTo = flow.Probe, a.config.Self.Addr
 	serviceTag := probe.ServiceTag
 	for _, agent := range agents {
+		if c.Hosts[agent] == nil && agent != a.config.Self.Addr {
+			a.liveness.ping(a.config.Self, agent, now, out)
+		}
+		if s.notHeld[agent] {
+			continue
+		}
 		probe.ServiceTag = a.probeServiceTag(c, agent, key, serviceTag)
 		if agent == a.config.Self.Addr {
 			a.handleProbe(now, key, &probe, data, out)
 			continue
 		}
-		if c.Hosts[agent] == nil {
-			a.liveness.ping(a.config.Self, agent, now, out)
-		}
 		out.ToNode(a.endpoint(agent), &probe, data)
 	}
-	if s.packetsSent > 1 {
+	if s.packetsSent > 1 || len(s.pending) == 0 {
 		a.resetIfNotHeld(now, key, s, out)
 	}
 }
@@ -171,6 +182,7 @@
 		return
 	}
 	delete(s.pending, agent)
+	s.notHeld[agent] = true
 	a.resetIfNotHeld(now, key, s, out)
 }
 
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -58,6 +58,8 @@
 	// Unlisted reports that the host of the agent runs although it is not listed
 	// in the catalog.
 	Unlisted
+	// AgentStopping reports that the agent stops while its host runs on.
+	AgentStopping
 )
 
 // Frame is the header of a datagram between processes. Which fields are sent
@@ -115,7 +117,7 @@
 		for i := range f.Avoided {
 			copy(b[avoidOffset+4*i:], f.Avoided[i][:])
 		}
-	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted:
+	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, AgentStopping:
 		if f.Established {
 			b[2] = 1
 		}
@@ -147,7 +149,7 @@
 		for i := range f.Avoided {
 			f.Avoided[i] = [4]byte(data[avoidOffset+4*i:])
 		}
-	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted:
+	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, AgentStopping:
 		f.Established = data[2] == 1
 		f.FailureShare = data[3]
 		f.Key = decodeKey(data[4:])
