Weigh open flows by their proportion when placing flows

Cause: a host's cost grew by 0.1 for each open flow a slot, without bound. With 140 long flows on a host of three slots it was near 5, and a host of another zone of which nothing was known counted as 0.3 of that, less than the 0.6 for crossing the zone.

Change: the number of flows counts in proportion to the mean of the service's hosts, and a host of another zone without a report counts as carrying the mean, up to that of a host with half of its slots in use.

--- a/steering/steering.go
+++ b/steering/steering.go
@@ -17,9 +17,10 @@
 const (
 	// busyWeight is the cost of one unanswered request per slot.
 	busyWeight = 1.0
-	// flowWeight is the cost of one open flow per slot. A flow costs less than a
-	// request because long flows are idle part of the time.
-	flowWeight = 0.1
+	// flowWeight is the cost of carrying as many open flows per slot as the mean of
+	// the service's hosts. Only the proportion counts: long flows are mostly idle,
+	// and their number says nothing about how close a host is to its capacity.
+	flowWeight = 0.5
 	// zonePenalty is the cost of leaving the requester's zone. A host in another
 	// zone is chosen only if the cost of every host in the requester's zone is
 	// higher by more than this.
@@ -36,8 +37,12 @@
 	// refusingDuration is how long a host is avoided after it refused a flow.
 	refusingDuration = 500 * time.Millisecond
 	// unknownLoadShare is the fraction of the mean load that a host without a
-	// recent report is assumed to carry.
+	// recent report is assumed to carry, if it is in the requester's zone.
 	unknownLoadShare = 0.3
+	// maxUnknownCost is the upper limit of the cost that a host in another zone
+	// without a recent report is assumed to have. It is that of a host with the mean
+	// number of flows and half of its slots in use.
+	maxUnknownCost = 1.0
 	// maxLoadAge is the age from which on a load report is no longer used.
 	maxLoadAge = 2 * time.Second
 )
@@ -151,7 +156,7 @@
 // there is none. Hosts in the requester's zone are preferred; hosts that do not
 // answer are chosen only if there are no others.
 func ChooseHost(c *catalog.Catalog, s *catalog.Service, loads *LoadTable, request PlacementRequest) *catalog.Host {
-	unknownCost := unknownLoadShare * loads.meanCost(s, request.Now)
+	means := loads.means(s, request.Now)
 	avoidFailing := loads.avoidFailing(c, s, request.Now)
 	var best *catalog.Host
 	bestCost := 0.0
@@ -159,7 +164,7 @@
 		if !c.Usable(h) || request.Avoid != nil && request.Avoid(h.Addr.Addr) {
 			continue
 		}
-		cost := hostCost(h, loads, &request, unknownCost, avoidFailing)
+		cost := hostCost(h, loads, &request, means, avoidFailing)
 		if best == nil || cost < bestCost {
 			best, bestCost = h, cost
 		}
@@ -167,27 +172,61 @@
 	return best
 }
 
-// meanCost returns the mean cost of the hosts with a recent report, or 0 if there
-// are none. Hosts without a recent report are assumed to carry a fraction of it:
-// if they counted as empty they would attract flows from all zones, and if they
-// counted as loaded as the others they would get no flows during a burst.
-func (t *LoadTable) meanCost(s *catalog.Service, now time.Duration) float64 {
-	sum, n := 0.0, 0
+// loadMeans are the means over the hosts of a service with a recent report. They
+// are 0 if there are none.
+type loadMeans struct {
+	// flows is the mean number of open flows per slot, and cost the mean cost.
+	flows, cost float64
+}
+
+// means returns the means over the hosts of a service.
+func (t *LoadTable) means(s *catalog.Service, now time.Duration) loadMeans {
+	var flows, busy float64
+	n := 0
 	for _, h := range s.Hosts {
 		if load := t.hosts[h.Addr.Addr]; load != nil && now-load.reportedAt < maxLoadAge {
-			sum += load.cost(h)
+			flows += load.flowsPerSlot(h)
+			busy += load.busyPerSlot(h)
 			n++
 		}
 	}
 	if n == 0 {
-		return 0
+		return loadMeans{}
+	}
+	m := loadMeans{flows: flows / float64(n), cost: busyWeight * busy / float64(n)}
+	if m.flows > 0 {
+		m.cost += flowWeight
+	}
+	return m
+}
+
+// unknownCost returns the cost that a host without a recent report is assumed to
+// have. In the requester's zone it is a fraction of the mean: if such hosts counted
+// as loaded as the others, they would get no flows during a burst. In other zones it
+// is the mean: if they counted as less loaded, they would attract flows from all
+// zones. The limit lets flows leave a zone whose hosts are all overloaded.
+func (m loadMeans) unknownCost(sameZone bool) float64 {
+	if sameZone {
+		return unknownLoadShare * m.cost
 	}
-	return sum / float64(n)
+	return min(m.cost, maxUnknownCost)
 }
 
-// cost returns the weighted load of a host per slot.
-func (l *hostLoad) cost(h *catalog.Host) float64 {
-	return (flowWeight*float64(l.flows+l.placedSinceReport) + busyWeight*float64(l.busy+l.placedSinceReport)) / float64(max(1, h.Slots))
+func (l *hostLoad) flowsPerSlot(h *catalog.Host) float64 {
+	return float64(l.flows+l.placedSinceReport) / float64(max(1, h.Slots))
+}
+
+func (l *hostLoad) busyPerSlot(h *catalog.Host) float64 {
+	return float64(l.busy+l.placedSinceReport) / float64(max(1, h.Slots))
+}
+
+// cost returns the cost of the load of a host.
+func (l *hostLoad) cost(h *catalog.Host, m loadMeans) float64 {
+	cost := busyWeight * l.busyPerSlot(h)
+	if m.flows > 0 {
+		cost += flowWeight * l.flowsPerSlot(h) / m.flows
+	}
+	return cost
 }
 
 // The penalties of hosts that refuse flows or do not answer. They are large
@@ -199,13 +238,14 @@
 )
 
 // hostCost returns the cost of sending the flow to the host. A host without a
-// recent report gets unknownCost plus the cost of the flows sent to it since
+// recent report gets an assumed cost plus the cost of the flows sent to it since
 // its last report.
-func hostCost(h *catalog.Host, loads *LoadTable, request *PlacementRequest, unknownCost float64, avoidFailing bool) float64 {
-	cost := unknownCost
+func hostCost(h *catalog.Host, loads *LoadTable, request *PlacementRequest, means loadMeans, avoidFailing bool) float64 {
+	sameZone := h.Zone == request.Zone || request.Zone == ""
+	cost := means.unknownCost(sameZone)
 	if load := loads.hosts[h.Addr.Addr]; load != nil {
 		if request.Now-load.reportedAt < maxLoadAge {
-			cost = load.cost(h)
+			cost = load.cost(h, means)
 		} else {
 			cost += busyWeight * float64(load.placedSinceReport) / float64(max(1, h.Slots))
 		}
@@ -219,7 +259,7 @@
 			cost += failingPenalty * load.decayedFailureShare(request.Now)
 		}
 	}
-	if h.Zone != request.Zone {
+	if !sameZone {
 		cost += zonePenalty
 		if request.Bulk {
 			cost += bulkZonePenalty
