Search for flows without their packets, first in the requester's zone

Cause: after a restart of all processes each search sent the packet to every agent, and again with each copy.

Change: a search asks without the packet, first the agents of the zone that the requester's packets arrive in, then the others. Agents whose hosts started with them answer at once; the others ask for the packet.

Taken back: giving up the flows of agents that leave three pings unanswered.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -177,6 +177,12 @@
 	return uint32(xxhash.Sum64String(service))
 }
 
+// ZoneTag returns the hash, never 0, that identifies an availability zone in messages
+// between processes.
+func ZoneTag(zone string) uint16 {
+	return max(1, uint16(xxhash.Sum64String(zone)))
+}
+
 // MayHoldFlows reports whether hosts of the service may hold flows of the
 // route, because the service is or was one of its targets.
 func (r *Route) MayHoldFlows(service string) bool {
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -195,6 +195,9 @@
 	case flow.Ping:
 		a.answerPing(f.Sender, out)
 		return
+	case flow.Query:
+		a.answerQuery(now, f, out)
+		return
 	}
 	a.liveness.recordFrame(f, now)
 	switch f.Kind {
@@ -213,6 +216,8 @@
 		}
 	case flow.NotHeld:
 		a.handleNotHeld(now, f.Key, f.Sender, out)
+	case flow.MayHold:
+		a.handleMayHold(now, f.Key, f.Sender, out)
 	case flow.AgentStarted:
 		a.resendOwned(f.Sender, out)
 	case flow.Load:
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -25,7 +25,8 @@
 // per-flow state is a cache of owners; an owner that is not cached is looked
 // up at the flow's keepers. It is safe for concurrent use.
 type Entry struct {
-	config EntryConfig
+	config  EntryConfig
+	zoneTag uint16
 
 	mu     sync.Mutex
 	owners map[flow.Key]*cachedOwner
@@ -34,9 +35,6 @@
 	// listed.
 	liveness livenessTable
 	lookups  lookupTable
-	// silence finds agents that no longer answer, whether or not their hosts are
-	// listed.
-	silence *steering.SilenceDetector
 	// packet and frame are reused for each packet. As locals they would be
 	// allocated per packet, because they are passed to interface methods.
 	packet flow.Packet
@@ -55,18 +53,17 @@
 	// lastSeenAt is when the flow's last packet arrived, placedAt when its agent
 	// was chosen.
 	lastSeenAt, placedAt time.Duration
-	requests             requestTracker
 }
 
 // NewEntry returns an entry with an empty cache.
 func NewEntry(config EntryConfig) *Entry {
 	return &Entry{
 		config:         config,
+		zoneTag:        catalog.ZoneTag(config.Zone),
 		owners:         make(map[flow.Key]*cachedOwner),
 		loads:          steering.NewLoadTable(),
 		liveness:       make(livenessTable),
 		lookups:        make(lookupTable),
-		silence:        steering.NewSilenceDetector(),
 		openingLatency: NewLatency("opening_answer"),
 	}
 }
@@ -147,7 +144,7 @@
 // sendAvoiding sends a packet to an agent and marks another one, which did not
 // answer, as to be avoided.
 func (e *Entry) sendAvoiding(kind flow.Kind, c *catalog.Catalog, service *catalog.Service, agent, unresponsive [4]byte, data []byte, out Output) {
-	e.frame = flow.Frame{Kind: kind, ConfigVersion: c.Config.Version, Origin: e.config.Self}
+	e.frame = flow.Frame{Kind: kind, ConfigVersion: c.Config.Version, Origin: e.config.Self, OriginZone: e.zoneTag}
 	e.frame.Avoided[0] = unresponsive
 	if service != nil {
 		e.frame.ServiceTag = service.Tag
@@ -173,18 +170,11 @@
 	key := p.FromRequester()
 	var service *catalog.Service
 	hash := key.Hash()
-	route := c.Config.Routes[key.Destination]
-	if route != nil {
+	if route := c.Config.Routes[key.Destination]; route != nil {
 		service = c.Services[route.Pick(hash)]
 	}
 	if o := e.owners[key]; o != nil && !e.ownerEnded(now, c, o, out) {
 		o.lastSeenAt = now
-		if o.requests.track(p, now) {
-			e.silence.Suspect(o.agent, now)
-		}
-		if e.resetIfLost(now, key, o, route, out) {
-			return
-		}
 		e.send(flow.Deliver, c, service, o.agent, data, out)
 		return
 	}
@@ -225,10 +215,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.liveness.recordFrame(&f, now)
-	e.silence.Heard(f.Sender)
 	switch f.Kind {
-	case flow.AgentStopping:
-		e.silence.Restarting(f.Sender, now)
 	case flow.Owned:
 		recordLoad(e.loads, &f, now)
 		if o := e.owners[f.Key]; o != nil {
--- a/datagram/events.go
+++ b/datagram/events.go
@@ -74,8 +74,6 @@
 	// EventAgentSilent: a retransmitted opening shows that the chosen agent did
 	// not answer.
 	EventAgentSilent Event = "agent_silent"
-	// EventAgentLost: an agent no longer answers, and the entry gives up its flows.
-	EventAgentLost Event = "agent_lost"
 	// EventHostFailing and EventHostRecovered: the host starts or stops counting
 	// as failing (see steering.FailureTracker).
 	EventHostFailing   Event = "host_failing"
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -41,6 +41,8 @@
 	// dropNext and duplicateNext are how many of the next frames are lost or
 	// delivered twice.
 	dropNext, duplicateNext int
+	// dropKind is a kind of frame that is always lost.
+	dropKind flow.Kind
 }
 
 // host simulates a backend server, which returns packets of flows that it does
@@ -193,6 +195,9 @@
 func (o *clusterOutput) ToNode(to flow.Endpoint, f *flow.Frame, packet []byte) {
 	data := append(f.Append(nil), packet...)
 	o.c.frames[f.Kind]++
+	if f.Kind == o.c.dropKind {
+		return
+	}
 	if o.c.dropNext > 0 {
 		o.c.dropNext--
 		return
--- a/datagram/liveness.go
+++ b/datagram/liveness.go
@@ -15,8 +15,6 @@
 	pingTimeout = 150 * time.Millisecond
 	// pingCopies is the number of frames sent per ping, since one may be lost.
 	pingCopies = 2
-	// stoppingCopies is the number of frames that announce a stop to each entry.
-	stoppingCopies = 2
 	// pingInterval is the time between pings to an agent that does not answer.
 	// livenessTTL is how long a frame from an agent counts as proof that it is
 	// running.
@@ -127,25 +125,6 @@
 	}
 }
 
-// Stopping tells the entries of open flows that this agent stops while its host runs
-// on, so that they do not take the host for lost.
-func (a *Agent) Stopping(out Output) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	origins := make(map[flow.Endpoint]bool)
-	for _, fl := range a.flows {
-		if fl.state != flowClosed && fl.origin != (flow.Endpoint{}) {
-			origins[fl.origin] = true
-		}
-	}
-	f := a.newReport(flow.AgentStopping, flow.Key{})
-	for origin := range origins {
-		for range stoppingCopies {
-			out.ToNode(origin, &f, nil)
-		}
-	}
-}
-
 // HostEnded reports the end of the host to the other agents and to the entries
 // of open flows, so that its flows can be reset before its catalog entry is
 // removed.
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/turmericrock/turmericrock/flow"
-	"github.com/turmericrock/turmericrock/steering"
 )
 
 // maxDatagram is the size of the receive buffer in bytes.
@@ -22,7 +21,7 @@
 const expireInterval = time.Second
 
 // tickInterval is the time between two calls of Node.Tick.
-const tickInterval = steering.SilenceCheckInterval
+const tickInterval = 100 * time.Millisecond
 
 // headerTimeout limits how long an HTTP client may take to send the headers of
 // a request.
@@ -58,7 +57,7 @@
 	OnPeer              FrameHandler
 	// Expire is called about once a second.
 	Expire func(now time.Duration)
-	// Tick is called about every tickInterval.
+	// Tick is called about every tickInterval. It may be nil.
 	Tick func(now time.Duration, out Output)
 	// Servers are the HTTP servers that run together with the node.
 	Servers []Server
@@ -167,15 +166,20 @@
 // sweep calls Tick and Expire and refills the log budgets at regular intervals
 // until the context is done.
 func (n *Node) sweep(ctx context.Context) {
-	expire, tick := time.NewTicker(expireInterval), time.NewTicker(tickInterval)
+	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
-	defer tick.Stop()
+	var tick <-chan time.Time
+	if n.Tick != nil {
+		ticker := time.NewTicker(tickInterval)
+		defer ticker.Stop()
+		tick = ticker.C
+	}
 	out := n.NewOutput()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-tick:
 			n.Tick(n.Now(), out)
 		case <-expire.C:
 			n.Expire(n.Now())
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -1,6 +1,8 @@
 package datagram
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/turmericrock/turmericrock/catalog"
@@ -12,8 +14,11 @@
 	// one flow.
 	searchInterval = 300 * time.Millisecond
 	// maxSearchPackets limits the packets of a flow that one search sends to
-	// all agents. It is the number of packets that a requester has in flight.
+	// agents. It is the number of packets that a requester has in flight.
 	maxSearchPackets = 16
+	// searchWidenAfter is how long a search waits for the agents of the requester's
+	// zone before it asks those of other zones.
+	searchWidenAfter = 150 * time.Millisecond
 	// searchRetention is how long the state of a search is retained.
 	searchRetention = 5 * time.Second
 	// removedHostSearchPeriod is how long searches still include the agents of
@@ -22,75 +27,187 @@
 	removedHostSearchPeriod = 10 * time.Second
 )
 
-// ownerSearch is the state of a query to all agents for the owner of a flow.
+// ownerSearch is the state of a search for the owner of a flow.
 type ownerSearch struct {
 	startedAt time.Duration
-	// pending holds the agents that have not answered, notHeld those that have
-	// answered that their hosts do not hold the flow. A host cannot come to hold an
-	// open flow later.
-	pending, notHeld map[[4]byte]bool
-	// packetsSent counts the packets that were sent to all agents.
-	packetsSent int
-	// lastPacket is the header of the latest packet that was sent.
+	// frame is the frame of the Probes, for the service that the route names.
+	frame flow.Frame
+	// packets holds the packets of the flow that arrived during the search.
+	packets [][]byte
+	// pending holds the agents that were asked and have not answered whether their
+	// hosts hold the flow, mayHold those of them that need its packets to find out.
+	// notHeld holds the agents whose hosts do not hold the flow. A host cannot come
+	// to hold an open flow later.
+	pending, mayHold, notHeld map[[4]byte]bool
+	// widened reports that the agents of all zones were asked, not only those of the
+	// zone that the requester's packets arrive in.
+	widened bool
+	// lastPacket is the header of the latest packet.
 	lastPacket flow.Packet
 	// reset reports that the flow was reset after its last packet.
 	reset bool
 }
 
-// search sends a packet to all agents whose hosts may hold its flow. It is
-// used when neither keeper knows the owner. If all agents answer that their
-// hosts do not hold the flow, the flow is lost.
+// search looks for the owner of a flow that neither keeper knows. It asks the agents
+// whose hosts may hold the flow, first those of the requester's zone, where most of
+// its flows are, and sends the packet to those that need it to find out. If all
+// agents answer that their hosts do not hold the flow, the flow is lost.
 func (a *Agent) search(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, data []byte, out Output) {
-	agents := a.candidateAgents(now, c, key)
+	var p flow.Packet
+	if !a.config.Codec.Decode(data, &p) {
+		return
+	}
 	s := a.searches[key]
 	a.logPendingAgent(now, c, key, s)
-	switch {
-	case s == nil || now-s.startedAt >= searchInterval:
-		next := &ownerSearch{startedAt: now, pending: make(map[[4]byte]bool), notHeld: make(map[[4]byte]bool)}
-		if !a.config.Codec.Decode(data, &next.lastPacket) {
-			return
-		}
-		if s != nil {
-			next.notHeld = s.notHeld
-		}
-		s = next
+	started := s == nil || now-s.startedAt >= searchInterval
+	if started {
+		s = newOwnerSearch(now, s)
 		a.searches[key] = s
-		for _, agent := range agents {
-			if !s.notHeld[agent] {
-				s.pending[agent] = true
-			}
-		}
-		a.config.Events.Log(EventSearchStarted, key, "agents", len(agents))
-	case s.packetsSent >= maxSearchPackets:
+	}
+	if len(s.packets) >= maxSearchPackets {
 		a.config.Events.Drop(DropNoOwner)
 		return
-	case !a.config.Codec.Decode(data, &s.lastPacket):
+	}
+	s.lastPacket, s.reset = p, false
+	s.packets = append(s.packets, slices.Clone(data))
+	s.frame = *f
+	s.frame.Kind, s.frame.ReplyTo = flow.Probe, a.config.Self.Addr
+	agents := a.candidateAgents(now, c, key)
+	a.pingUnlisted(now, c, agents, out)
+	if started {
+		a.config.Events.Log(EventSearchStarted, key, "agents", len(agents), "not_held", len(s.notHeld))
+		a.query(now, c, key, s, agents, out)
 		return
 	}
-	s.packetsSent++
-	s.reset = false
-	probe := *f
-	probe.Kind, probe.ReplyTo = flow.Probe, a.config.Self.Addr
-	serviceTag := probe.ServiceTag
+	a.probeAgain(now, c, key, s, data, out)
+	a.resetIfNotHeld(now, key, s, out)
+}
+
+// newOwnerSearch returns the state of a search that begins anew after an earlier one
+// for the same flow, which may be nil.
+func newOwnerSearch(now time.Duration, previous *ownerSearch) *ownerSearch {
+	s := &ownerSearch{
+		startedAt: now, pending: make(map[[4]byte]bool), mayHold: make(map[[4]byte]bool), notHeld: make(map[[4]byte]bool),
+	}
+	if previous != nil {
+		s.notHeld, s.widened = previous.notHeld, previous.widened
+	}
+	return s
+}
+
+// pingUnlisted pings the agents of hosts that are not listed, which may have ended.
+func (a *Agent) pingUnlisted(now time.Duration, c *catalog.Catalog, agents [][4]byte, out Output) {
 	for _, agent := range agents {
 		if c.Hosts[agent] == nil && agent != a.config.Self.Addr {
 			a.liveness.ping(a.config.Self, agent, now, out)
 		}
-		if s.notHeld[agent] {
+	}
+}
+
+// query asks agents whether their hosts may hold the flow: those of the requester's
+// zone or, if there are none or the search was widened, all of them.
+func (a *Agent) query(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agents [][4]byte, out Output) {
+	var chosen [][4]byte
+	for _, agent := range agents {
+		if s.notHeld[agent] || s.pending[agent] {
 			continue
 		}
-		probe.ServiceTag = a.probeServiceTag(c, agent, key, serviceTag)
+		if h := c.Hosts[agent]; s.widened || h != nil && catalog.ZoneTag(h.Zone) == s.frame.OriginZone {
+			chosen = append(chosen, agent)
+		}
+	}
+	if len(chosen) == 0 && !s.widened {
+		s.widened = true
+		a.query(now, c, key, s, agents, out)
+		return
+	}
+	for _, agent := range chosen {
+		s.pending[agent] = true
+	}
+	for _, agent := range chosen {
+		q := a.newReport(flow.Query, key)
+		q.ServiceTag = a.probeServiceTag(c, agent, key, s.frame.ServiceTag)
 		if agent == a.config.Self.Addr {
-			a.handleProbe(now, key, &probe, data, out)
+			a.answerQuery(now, &q, out)
 			continue
 		}
-		out.ToNode(a.endpoint(agent), &probe, data)
+		out.ToNode(a.endpoint(agent), &q, nil)
 	}
-	if s.packetsSent > 1 || len(s.pending) == 0 {
+	if s.widened {
+		// The agents that were asked may all have ended.
 		a.resetIfNotHeld(now, key, s, out)
 	}
 }
 
+// widen asks the agents of all zones.
+func (a *Agent) widen(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
+	s.widened = true
+	a.query(now, c, key, s, a.candidateAgents(now, c, key), out)
+}
+
+// answerQuery tells the searching agent whether the host may hold the flow. If the
+// agent cannot find out, it does not answer, so that the flow is not declared lost.
+func (a *Agent) answerQuery(now time.Duration, f *flow.Frame, out Output) {
+	key, searcher := f.Key, f.Sender
+	kind := flow.NotHeld
+	switch {
+	case a.flows[key] != nil:
+		kind = flow.MayHold
+	case !a.mayHaveUnknownFlows(now) || a.hostStartedWithAgent():
+	case !a.matchesService(f, key):
+		a.config.Events.Drop(DropNoOwner)
+		return
+	case a.trials[key] == nil || !a.trials[key].returned:
+		kind = flow.MayHold
+	}
+	switch {
+	case kind == flow.NotHeld:
+		a.sendNotHeld(now, searcher, key, out)
+	case searcher == a.config.Self.Addr:
+		a.handleMayHold(now, key, searcher, out)
+	default:
+		answer := a.newReport(flow.MayHold, key)
+		out.ToNode(a.endpoint(searcher), &answer, nil)
+	}
+}
+
+// handleMayHold sends the packets of a flow to an agent that needs them to find out
+// whether its host holds the flow.
+func (a *Agent) handleMayHold(now time.Duration, key flow.Key, agent [4]byte, out Output) {
+	s, c := a.searches[key], a.config.Catalog()
+	if s == nil || c == nil || !s.pending[agent] || s.mayHold[agent] {
+		return
+	}
+	s.mayHold[agent] = true
+	for _, data := range s.packets {
+		a.probe(now, c, key, s, agent, data, out)
+	}
+}
+
+// probeAgain sends a further packet of the flow to the agents that need the flow's
+// packets, and to those that have left the query unanswered.
+func (a *Agent) probeAgain(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
+	overdue := now-s.startedAt >= lookupTimeout
+	for _, agent := range slices.Collect(maps.Keys(s.pending)) {
+		if s.mayHold[agent] || overdue {
+			a.probe(now, c, key, s, agent, data, out)
+		}
+	}
+}
+
+// probe sends a packet of the flow to an agent, so that it is tried at its host.
+func (a *Agent) probe(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agent [4]byte, data []byte, out Output) {
+	f := s.frame
+	f.ServiceTag = a.probeServiceTag(c, agent, key, f.ServiceTag)
+	if agent != a.config.Self.Addr {
+		out.ToNode(a.endpoint(agent), &f, data)
+		return
+	}
+	if a.config.Codec.Decode(data, &a.packet) {
+		a.handleProbe(now, key, &f, data, out)
+	}
+}
+
 // probeServiceTag returns the service that a probe of an agent is for: the service of
 // the agent's host if that was found to hold flows of the route, so that the agent
 // tries the packet at its host.
@@ -182,6 +299,7 @@
 		return
 	}
 	delete(s.pending, agent)
+	delete(s.mayHold, agent)
 	s.notHeld[agent] = true
 	a.resetIfNotHeld(now, key, s, out)
 }
@@ -197,6 +315,10 @@
 	if _, waiting := a.pendingAgent(now, c, s); waiting {
 		return
 	}
+	if !s.widened {
+		a.widen(now, c, key, s, out)
+		return
+	}
 	if !a.hostListEvidence(now, c).Complete() {
 		a.config.Events.Log(EventOwnerUndecided, key, "reason", "hosts_may_be_missing", "list_age_ms", (now - c.ConfirmedAt).Milliseconds(),
 			"steady_ms", (now - c.HealthySince).Milliseconds())
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -45,10 +45,14 @@
 		return
 	}
 	a.announceIfUnlisted(now, c, out)
-	if !a.hostListEvidence(now, c).Complete() {
-		return
-	}
+	complete := a.hostListEvidence(now, c).Complete()
 	for key, s := range a.searches {
+		if !s.widened && now-s.startedAt >= searchWidenAfter {
+			a.widen(now, c, key, s, out)
+		}
+		if !complete {
+			continue
+		}
 		if _, waiting := a.pendingAgent(now, c, s); !waiting && !s.reset {
 			a.resetIfNotHeld(now, key, s, out)
 		}
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -58,8 +58,12 @@
 	// Unlisted reports that the host of the agent runs although it is not listed
 	// in the catalog.
 	Unlisted
-	// AgentStopping reports that the agent stops while its host runs on.
-	AgentStopping
+	// Query asks an agent whether its host may hold a flow, without a packet of the
+	// flow. The agent answers NotHeld or MayHold.
+	Query
+	// MayHold answers a Query: the agent needs a packet of the flow, in a Probe, to
+	// find out whether its host holds it.
+	MayHold
 )
 
 // Frame is the header of a datagram between processes. Which fields are sent
@@ -76,6 +80,9 @@
 	// Origin is the entry that received the packet from the requester. Answers
 	// are sent to it.
 	Origin Endpoint
+	// OriginZone is the tag (see catalog.ZoneTag) of that entry's availability zone,
+	// or 0 if it is not known.
+	OriginZone uint16
 	// Avoided lists agents that could not take the packet, most recent first.
 	// A zero address is an unused slot.
 	Avoided [maxAvoided][4]byte
@@ -113,11 +120,12 @@
 		binary.LittleEndian.PutUint64(b[8:], f.ConfigVersion)
 		copy(b[16:], f.Origin.Addr[:])
 		binary.LittleEndian.PutUint16(b[20:], f.Origin.Port)
+		binary.LittleEndian.PutUint16(b[22:], f.OriginZone)
 		copy(b[24:], f.ReplyTo[:])
 		for i := range f.Avoided {
 			copy(b[avoidOffset+4*i:], f.Avoided[i][:])
 		}
-	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, AgentStopping:
+	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold:
 		if f.Established {
 			b[2] = 1
 		}
@@ -145,11 +153,12 @@
 		f.ServiceTag = binary.LittleEndian.Uint32(data[4:])
 		f.ConfigVersion = binary.LittleEndian.Uint64(data[8:])
 		f.Origin = Endpoint{Addr: [4]byte(data[16:20]), Port: binary.LittleEndian.Uint16(data[20:])}
+		f.OriginZone = binary.LittleEndian.Uint16(data[22:])
 		f.ReplyTo = [4]byte(data[24:28])
 		for i := range f.Avoided {
 			f.Avoided[i] = [4]byte(data[avoidOffset+4*i:])
 		}
-	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, AgentStopping:
+	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold:
 		f.Established = data[2] == 1
 		f.FailureShare = data[3]
 		f.Key = decodeKey(data[4:])
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -250,7 +250,6 @@
 	node.OnRequester = e.HandlePacket
 	node.OnPeer = func(now time.Duration, from [4]byte, data []byte, _ datagram.Output) { e.HandleFrame(now, from, data) }
 	node.Expire = e.Expire
-	node.Tick = e.Tick
 	return node
 }
 
@@ -317,8 +316,6 @@
 		n.log.WithField("host_ended", stopped).Info("leaving")
 		if stopped {
 			a.HostEnded(node.NewOutput())
-		} else {
-			a.Stopping(node.NewOutput())
 		}
 	}
 	node.OnPeer = a.HandleFrame
