Contain malformed messages, crossed answers and outdated seeds

What went wrong for operators of similar systems, looked for here:

- A late second copy of an answer on a connection in use again.
The store's client reuses connections; a copy of a watch's answer was taken for a reading of all values and read as a store without hosts.
Readers name the revision that they answer for.
- A restart brings back a host that had left: while the store is away, a starting process took the answer of the first seed, however old.
It now takes the newest.
- One unexpected error ends a process: a panic while a datagram is processed is counted, logged with its stack and ends only that datagram.

Tried and taken back: no reading of the history at the first start of the system.

--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -34,6 +34,9 @@
 	Full     bool        `cbor:"2,keyasint"`
 	AgeMS    int64       `cbor:"3,keyasint"`
 	Values   []peerValue `cbor:"4,keyasint"`
+	// After is the revision that the request named, so that a late second copy of
+	// the answer to an earlier request is not taken for this one's.
+	After int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // peerValue is the encoding of a Value. Since the clocks of processes differ,
@@ -102,7 +105,7 @@
 		if expired {
 			values, full, revision, confirmedAt, _ = t.journal.changesSince(after)
 		}
-		response := peerResponse{Revision: revision, Full: full, AgeMS: (now() - confirmedAt).Milliseconds()}
+		response := peerResponse{Revision: revision, Full: full, AgeMS: (now() - confirmedAt).Milliseconds(), After: after}
 		for _, v := range values {
 			response.Values = append(response.Values, peerValue{
 				Key: v.Key, Data: v.Data, Revision: v.Revision, Removed: v.Removed,
@@ -163,16 +166,33 @@
 	if response.StatusCode != http.StatusOK {
 		return ReadResult{}, errors.Errorf("peer answered %d", response.StatusCode)
 	}
-	return p.decode(body)
+	return p.decode(body, after)
 }
 
-// decode decodes the body of a response. A value that cannot be decoded is
-// passed to OnRejected.
-func (p *PeerClient) decode(body []byte) (ReadResult, error) {
+// CrossedAnswerError reports an answer to an earlier request on the same connection.
+type CrossedAnswerError struct {
+	// After is the revision that the request named, and Answered the one that the
+	// answer is for.
+	After, Answered int64
+}
+
+// Error implements error.
+func (e *CrossedAnswerError) Error() string {
+	return "the peer answered for revision " + strconv.FormatInt(e.Answered, 10) + " instead of " + strconv.FormatInt(e.After, 10)
+}
+
+// decode decodes the body of the response to a request for the changes after a
+// revision. A value that cannot be decoded is passed to OnRejected. Peers of earlier
+// versions do not name the revision.
+func (p *PeerClient) decode(body []byte, after int64) (ReadResult, error) {
 	var response peerResponse
 	if err := cbor.Unmarshal(body, &response); err != nil {
 		return ReadResult{}, errors.Wrap(err, "peer")
 	}
+	if response.After != 0 && response.After != after {
+		p.client.CloseIdleConnections()
+		return ReadResult{}, errors.WithStack(&CrossedAnswerError{After: after, Answered: response.After})
+	}
 	now := p.Now()
 	result := ReadResult{Revision: response.Revision, Full: response.Full, Age: time.Duration(response.AgeMS) * time.Millisecond}
 	for _, wire := range response.Values {
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -256,8 +256,9 @@
 	}
 }
 
-// syncFromSeeds applies the response of the first seed that answers, whatever
-// its age: old data is better than none while the store is unreachable.
+// syncFromSeeds applies the responses of all seeds that answer, whatever their age:
+// old data is better than none while the store is unreachable. A seed that is cut off
+// from the store may still list hosts that have left, so the newest response counts.
 func (s *Syncer) syncFromSeeds(ctx context.Context) {
 	for _, seed := range s.Seeds {
 		result, err := s.Peers.Changes(ctx, seed, s.Tracker.Revision(), 0)
@@ -266,7 +267,6 @@
 			continue
 		}
 		s.apply("seed", &result)
-		return
 	}
 }
 
--- a/catalog/sync_test.go
+++ b/catalog/sync_test.go
@@ -149,6 +149,25 @@
 	waitUntil(t, configPropagationLimit, "change after the store recovered", func() bool { return newNode.version() == 2 })
 }
 
+// Guards against a host that has left being in use again after a restart during a
+// store outage, because the first seed that answers was cut off from the store
+// before the host left.
+func TestStartupPrefersTheNewestSeed(t *testing.T) {
+	s, url, port := newStoreWithHosts(t)
+	stale := startNode(t, "127.0.9.9", port, url)
+	waitUntil(t, configPropagationLimit, "first snapshot", func() bool { return stale.version() == 1 })
+	stale.cancel()
+	s.Delete("servers/c")
+	fresh := startNode(t, "127.0.9.10", port, url)
+	waitUntil(t, configPropagationLimit, "first snapshot", func() bool { return fresh.version() == 1 })
+	s.SetFailure(store.ConnectionReset, 0)
+	restarted := startNode(t, "127.0.9.8", port, url, fmt.Sprintf("127.0.9.9:%d", port), fmt.Sprintf("127.0.9.10:%d", port))
+	waitUntil(t, configPropagationLimit, "the newer list", func() bool {
+		c := restarted.tracker.Current()
+		return c != nil && len(c.Hosts) == 2
+	})
+}
+
 func TestExpiredHostReturnsAfterStoreOutage(t *testing.T) {
 	s, url, port := newStoreWithHosts(t)
 	n := startNode(t, "127.0.9.9", port, url)
--- a/datagram/events.go
+++ b/datagram/events.go
@@ -32,6 +32,8 @@
 	DropNoOwner
 	// DropSend: the socket did not accept the datagram.
 	DropSend
+	// DropPanic: an unexpected error occurred while the datagram was processed.
+	DropPanic
 	// CountLookups counts packets for which an entry looked up the owner. It is no
 	// drop, but shares the counters and, as "finds", the metric of the drops.
 	CountLookups
@@ -39,7 +41,7 @@
 )
 
 var dropNames = [dropReasons]string{
-	"malformed", "forged", "no_catalog", "no_route", "no_agents", "no_owner", "send_failed", "finds",
+	"malformed", "forged", "no_catalog", "no_route", "no_agents", "no_owner", "send_failed", "unexpected_error", "finds",
 }
 
 // Event is the name of a logged decision about a flow or the host.
@@ -74,6 +76,9 @@
 	// EventAgentSilent: a retransmitted opening shows that the chosen agent did
 	// not answer.
 	EventAgentSilent Event = "agent_silent"
+	// EventPanic: an unexpected error occurred while a datagram was processed or
+	// during periodic work. The process goes on.
+	EventPanic Event = "unexpected_error"
 	// EventHostFailing and EventHostRecovered: the host starts or stops counting
 	// as failing (see steering.FailureTracker).
 	EventHostFailing   Event = "host_failing"
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -123,6 +125,12 @@
 	return n.listenHTTP()
 }
 
+// PeersAddr returns the address at which the node receives frames. Listen must have
+// succeeded before.
+func (n *Node) PeersAddr() netip.AddrPort {
+	return n.peers.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
 // Server is an HTTP server. It is not started if Address is empty.
 type Server struct {
 	Name    string
@@ -180,9 +188,9 @@
 		case <-ctx.Done():
 			return
 		case <-tick:
-			n.Tick(n.Now(), out)
+			n.contain("tick", func() { n.Tick(n.Now(), out) })
 		case <-expire.C:
-			n.Expire(n.Now())
+			n.contain("expire", func() { n.Expire(n.Now()) })
 			n.Events.Refill()
 		}
 	}
@@ -207,10 +215,23 @@
 			n.Log.WithError(err).Debug("read_failed")
 			continue
 		}
-		handle(n.Now(), from.Addr().Unmap().As4(), buffer[:size], out)
+		n.contain("datagram", func() { handle(n.Now(), from.Addr().Unmap().As4(), buffer[:size], out) })
 	}
 }
 
+// contain runs a step and logs a panic in it, so that one unexpected message does not
+// end the process and, with it, every flow that it carries. The cores release their
+// locks by defer.
+func (n *Node) contain(step string, run func()) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			n.Events.Drop(DropPanic)
+			n.Events.Log(EventPanic, flow.Key{}, "step", step, "reason", fmt.Sprint(reason), "stack", string(debug.Stack()))
+		}
+	}()
+	run()
+}
+
 // output sends through the node's sockets. It has a buffer of its own, so each
 // reader goroutine uses a separate one.
 type output struct {
