Compress configurations between peers and leave out superseded ones

Cause: each process receives each configuration in full from a reader, mostly in another zone.

Change: values of 1 KB and more are compressed once for all peers that accept it, and of several changes of one key only the last is sent.

--- /dev/null
+++ b/catalog/compress.go
@@ -0,0 +1,78 @@
+package catalog
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// minCompressedSize is the size in bytes from which on values are compressed for
+// peers. Configurations are large, and every process receives each of them.
+const minCompressedSize = 1024
+
+// compressedData is the compressed data of one revision of a value.
+type compressedData struct {
+	revision int64
+	data     []byte
+}
+
+// compress replaces the data of large values by their compressed form. Each revision
+// of a value is compressed once.
+func (j *journal) compress(values []peerValue) {
+	for i := range values {
+		v := &values[i]
+		if len(v.Data) < minCompressedSize {
+			continue
+		}
+		v.Data, v.Compressed = j.compressedValue(v.Key, v.Revision, v.Data), true
+	}
+}
+
+func (j *journal) compressedValue(key string, revision int64, data []byte) []byte {
+	j.mu.Lock()
+	cached, ok := j.compressed[key]
+	j.mu.Unlock()
+	if ok && cached.revision == revision {
+		return cached.data
+	}
+	compressed := gzipData(data)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if current, ok := j.compressed[key]; !ok || current.revision < revision {
+		j.compressed[key] = compressedData{revision: revision, data: compressed}
+	}
+	return compressed
+}
+
+func gzipData(data []byte) []byte {
+	var buffer bytes.Buffer
+	w, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	if err != nil {
+		panic(err) // The level is valid.
+	}
+	_, _ = w.Write(data) // Writes to a bytes.Buffer do not fail.
+	_ = w.Close()
+	return buffer.Bytes()
+}
+
+// data returns the data of a received value. It returns an error if the compressed
+// data is damaged or expands to more than maxPeerResponse.
+func (v *peerValue) data() ([]byte, error) {
+	if !v.Compressed {
+		return v.Data, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(v.Data))
+	if err != nil {
+		return nil, errors.Wrapf(err, "value of %s", v.Key)
+	}
+	data, err := io.ReadAll(io.LimitReader(r, maxPeerResponse+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "value of %s", v.Key)
+	}
+	if len(data) > maxPeerResponse {
+		return nil, errors.Errorf("value of %s expands to more than %d bytes", v.Key, maxPeerResponse)
+	}
+	return data, nil
+}
--- a/catalog/journal.go
+++ b/catalog/journal.go
@@ -20,12 +20,14 @@
 	confirmedAt       time.Duration
 	values            map[string]Value
 	recent            []Value
+	// compressed holds the compressed data of current values.
+	compressed map[string]compressedData
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
 
 func newJournal() *journal {
-	return &journal{values: make(map[string]Value), changed: make(chan struct{})}
+	return &journal{values: make(map[string]Value), compressed: make(map[string]compressedData), changed: make(chan struct{})}
 }
 
 // replace sets the state to the result of a full read.
@@ -87,10 +89,17 @@
 		}
 	} else {
 		for _, v := range j.recent {
-			if v.Revision > after {
+			if v.Revision > after && !j.superseded(v) {
 				values = append(values, v)
 			}
 		}
 	}
 	return values, full, j.revision, j.confirmedAt, j.changed
 }
+
+// superseded reports whether a later change replaced the value. During a series of
+// changes, peers need only the last one of each key.
+func (j *journal) superseded(v Value) bool {
+	current, ok := j.values[v.Key]
+	return ok && current.Revision > v.Revision
+}
--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -49,11 +49,15 @@
 	// AgeMS is the time in milliseconds since the value was read from the
 	// store.
 	AgeMS int64 `cbor:"5,keyasint"`
+	// Compressed reports that Data is compressed by gzip. Only peers that accept it
+	// are sent such values.
+	Compressed bool `cbor:"6,keyasint,omitempty"`
 }
 
 // PeerHandler returns a handler that serves the state of a tracker to peers.
-// The query parameter after is the revision that the peer already has, and
-// wait_ms the time in milliseconds to wait for a change.
+// The query parameter after is the revision that the peer already has, wait_ms
+// the time in milliseconds to wait for a change, and gzip is 1 if the peer accepts
+// compressed values.
 func PeerHandler(t *Tracker, now func() time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
@@ -71,6 +75,9 @@
 			http.Error(w, "nothing read yet", http.StatusServiceUnavailable)
 			return
 		}
+		if r.URL.Query().Get("gzip") == "1" {
+			t.journal.compress(response.Values)
+		}
 		body, err := cbor.Marshal(response)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -149,6 +156,7 @@
 	query := url.Values{
 		"after":   {strconv.FormatInt(after, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"gzip":    {"1"},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PeerPath+"?"+query.Encode(), nil)
 	if err != nil {
@@ -196,8 +204,12 @@
 	now := p.Now()
 	result := ReadResult{Revision: response.Revision, Full: response.Full, Age: time.Duration(response.AgeMS) * time.Millisecond}
 	for _, wire := range response.Values {
+		data, err := wire.data()
+		if err != nil {
+			return ReadResult{}, err
+		}
 		v := Value{
-			Key: wire.Key, Data: wire.Data, Revision: wire.Revision, Removed: wire.Removed,
+			Key: wire.Key, Data: data, Revision: wire.Revision, Removed: wire.Removed,
 			ReadAt: now - time.Duration(wire.AgeMS)*time.Millisecond,
 		}
 		change, err := p.Decode(v)
