Use hosts whose entries lapsed while the store was away

Processes read the removals at once, refused 36 openings with reason no_host and sent the rest to the first two hosts that had renewed their entries; the others followed within 1.2 s.

Found on the way: the answer of a reader that had not read the store for 4.5 s, and was rejected as too old, still counted as a successful read. It ended the outage in the tracker and moved the time since which reads succeed to before the outage, so that a list without the lapsed hosts could count as complete.

Change: hosts whose removal is found by the first read after a failure, and that were not draining, may get new flows for two more seconds, at a cost. Only what matched the store after the failure ends it.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -128,8 +128,16 @@
 	ServiceConfig
 	// Hosts are sorted by address, so that all processes see the same order.
 	Hosts []*Host
+	// Lapsed are hosts whose entries were found to be removed when the store came
+	// back after an outage. Running hosts renew their entries within
+	// LapsedHostGrace.
+	Lapsed []*Host
 }
 
+// LapsedHostGrace is how long hosts whose entries lapsed while the store was away may
+// still receive new flows.
+const LapsedHostGrace = 2 * time.Second
+
 // RemovedHost is a host whose entry in the store was removed.
 type RemovedHost struct {
 	Agent   [4]byte
@@ -159,6 +167,8 @@
 	Hosts map[[4]byte]*Host
 	// Agents are the addresses of all agents, sorted.
 	Agents [][4]byte
+	// LapsedAt is when the hosts in Service.Lapsed were found to be removed.
+	LapsedAt time.Duration
 	// Removed are hosts whose entries were removed less than a flow's lifetime
 	// ago. They may still be running, because entries expire during a store
 	// outage.
@@ -215,7 +225,7 @@
 
 // buildCatalog returns a snapshot of the configuration, the hosts by ID and the
 // evacuated zones. Of several hosts at one address it contains only the newest.
-func buildCatalog(config *Config, hosts map[string]*Host, evacuated map[string]bool) *Catalog {
+func buildCatalog(config *Config, hosts, lapsed map[string]*Host, evacuated map[string]bool) *Catalog {
 	c := &Catalog{
 		Config:    config,
 		Services:  make(map[string]*Service, len(config.Services)),
@@ -243,6 +253,11 @@
 			s.Hosts = append(s.Hosts, h)
 		}
 	}
+	for _, h := range lapsed {
+		if s := c.Services[h.Service]; s != nil && c.Hosts[h.Addr.Addr] == nil {
+			s.Lapsed = append(s.Lapsed, h)
+		}
+	}
 	sort.Slice(c.Agents, func(i, j int) bool { return lessAddr(c.Agents[i], c.Agents[j]) })
 	for _, s := range c.Services {
 		sort.Slice(s.Hosts, func(i, j int) bool { return lessAddr(s.Hosts[i].Addr.Addr, s.Hosts[j].Addr.Addr) })
--- a/catalog/readers_size_test.go
+++ b/catalog/readers_size_test.go
@@ -26,7 +26,7 @@
 		addr := [4]byte{10, byte(i % 7), byte(i / 250), byte(i % 250)}
 		hosts[string(addr[:])] = &Host{ID: string(addr[:]), Service: "s", Zone: string('a' + rune(i%7)), Addr: flow.Endpoint{Addr: addr, Port: 1}}
 	}
-	c := buildCatalog(&Config{Services: map[string]ServiceConfig{"s": {}}}, hosts, nil)
+	c := buildCatalog(&Config{Services: map[string]ServiceConfig{"s": {}}}, hosts, nil, nil)
 	must.Len(t, agents, c.Agents)
 	nodesPerReader := float64(entries+agents) / float64(len(Readers(c)))
 	must.LessEq(t, float64(limit), nodesPerReader*watchesPerSecond*watchBytes)
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -300,7 +300,7 @@
 }
 
 func (s *Syncer) recordFailure(err error) {
-	s.Tracker.RecordFailure()
+	s.Tracker.RecordFailure(s.Now())
 	if !s.failing {
 		s.Log.WithError(err).WithField("revision", s.Tracker.Revision()).Warn("store_lost")
 	}
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -25,15 +25,20 @@
 // Tracker applies changes and publishes snapshots. Only one goroutine may apply
 // changes; any goroutine may read the current snapshot.
 type Tracker struct {
-	revision         int64
-	confirmedAt      time.Duration
-	config           *Config
-	hosts            map[string]*Host
-	evacuated        map[string]bool
-	removed          []RemovedHost
+	revision    int64
+	confirmedAt time.Duration
+	config      *Config
+	hosts       map[string]*Host
+	evacuated   map[string]bool
+	removed     []RemovedHost
+	// lapsed holds, by ID, hosts whose removal was found at lapsedAt, when the store
+	// came back after an outage.
+	lapsed           map[string]*Host
+	lapsedAt         time.Duration
 	healthySince     time.Duration
 	firstPublishedAt time.Duration
 	lastReadFailed   bool
+	lastFailureAt    time.Duration
 	journal          *journal
 	current          atomic.Pointer[Catalog]
 }
@@ -49,7 +54,7 @@
 
 // NewTracker returns a tracker without a snapshot.
 func NewTracker() *Tracker {
-	return &Tracker{hosts: make(map[string]*Host), evacuated: make(map[string]bool), journal: newJournal()}
+	return &Tracker{hosts: make(map[string]*Host), lapsed: make(map[string]*Host), evacuated: make(map[string]bool), journal: newJournal()}
 }
 
 // Current returns the latest snapshot, or nil if no configuration is known yet.
@@ -84,6 +89,7 @@
 	for id, h := range previousHosts {
 		if t.hosts[id] == nil {
 			t.addRemovedHost(h, confirmedAt)
+			t.addLapsedHost(h, confirmedAt)
 		}
 	}
 	t.recordSuccess(confirmedAt)
@@ -121,10 +127,10 @@
 	return false
 }
 
-// RecordFailure records that a read failed. The next successful read sets
-// HealthySince anew.
-func (t *Tracker) RecordFailure() {
-	t.lastReadFailed = true
+// RecordFailure records that a read failed. The next read that matched the store
+// after that sets HealthySince anew.
+func (t *Tracker) RecordFailure(now time.Duration) {
+	t.lastReadFailed, t.lastFailureAt = true, now
 }
 
 // ApplyHistory applies the host changes that the store recorded before the
@@ -164,14 +170,28 @@
 	return complete
 }
 
-// recordSuccess records that a read succeeded, and restarts HealthySince if it
-// is the first success, or the first one after a failure.
-func (t *Tracker) recordSuccess(now time.Duration) {
-	if t.lastReadFailed || t.healthySince == 0 {
-		t.healthySince, t.lastReadFailed = now, false
+// recordSuccess records that a read matched the store at confirmedAt, and restarts
+// HealthySince if it is the first one, or the first one after a failure. What a peer
+// read before the failure does not show that the store is readable again.
+func (t *Tracker) recordSuccess(confirmedAt time.Duration) {
+	if t.healthySince == 0 || t.lastReadFailed && confirmedAt > t.lastFailureAt {
+		t.healthySince, t.lastReadFailed = confirmedAt, false
 	}
 }
 
+// addLapsedHost records a host whose removal was found by the first read after an
+// outage of the store. Entries lapse during an outage although their hosts run; a host
+// that was draining has left.
+func (t *Tracker) addLapsedHost(h *Host, now time.Duration) {
+	if !t.lastReadFailed || h.Draining {
+		return
+	}
+	if t.lapsedAt != now {
+		t.lapsedAt, t.lapsed = now, make(map[string]*Host)
+	}
+	t.lapsed[h.ID] = h
+}
+
 // addRemovedHost records a host as removed and drops records that are older
 // than removedHostRetention.
 func (t *Tracker) addRemovedHost(h *Host, now time.Duration) {
@@ -207,6 +227,7 @@
 			return false
 		}
 		t.addRemovedHost(old, now)
+		t.addLapsedHost(old, now)
 		delete(t.hosts, c.HostID)
 	case c.Zone != "":
 		if t.evacuated[c.Zone] != c.Value.Removed {
@@ -243,7 +264,8 @@
 	if t.current.Load() == nil {
 		t.firstPublishedAt = confirmedAt
 	}
-	c := buildCatalog(t.config, t.hosts, t.evacuated)
+	c := buildCatalog(t.config, t.hosts, t.lapsed, t.evacuated)
+	c.LapsedAt = t.lapsedAt
 	c.FirstPublishedAt = t.firstPublishedAt
 	c.Revision, c.ConfirmedAt, c.HealthySince, c.Removed = revision, confirmedAt, t.healthySince, t.removed
 	t.current.Store(c)
--- a/catalog/tracker_test.go
+++ b/catalog/tracker_test.go
@@ -150,3 +150,29 @@
 	must.Eq(t, 0, count["none"])
 	must.False(t, r.Allows("none"))
 }
+
+// While the store is away, the entries of running hosts lapse. A host that was
+// draining has left, and one that is removed while the store is readable has left, too.
+func TestHostsThatLapseDuringAnOutage(t *testing.T) {
+	tracker := catalog.NewTracker()
+	draining := hostChange(8, "c", 3, 1)
+	draining.Host.Draining = true
+	tracker.Replace(10, []catalog.Change{
+		configChange(5, 1, "s"), hostChange(6, "a", 1, 1), hostChange(7, "b", 2, 1), draining, hostChange(9, "d", 4, 1),
+	}, time.Second)
+	tracker.Apply(11, []catalog.Change{hostRemoval(11, "d")}, 2*time.Second)
+	must.SliceEmpty(t, tracker.Current().Services["s"].Lapsed)
+	tracker.RecordFailure(5 * time.Second)
+	tracker.Apply(11, nil, 3*time.Second) // The late answer of a peer, from before the failure.
+	tracker.Apply(14, []catalog.Change{hostRemoval(12, "a"), hostRemoval(13, "b"), hostRemoval(14, "c")}, 9*time.Second)
+	c := tracker.Current()
+	must.MapEmpty(t, c.Hosts)
+	must.Len(t, 2, c.Services["s"].Lapsed)
+	must.Eq(t, 9*time.Second, c.LapsedAt)
+	must.Eq(t, 9*time.Second, c.HealthySince)
+	tracker.Apply(15, []catalog.Change{hostChange(15, "a", 1, 1)}, 10*time.Second)
+	c = tracker.Current()
+	must.MapLen(t, 1, c.Hosts)
+	must.Len(t, 1, c.Services["s"].Lapsed)
+	must.Eq(t, "b", c.Services["s"].Lapsed[0].ID)
+}
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -409,7 +409,7 @@
 	if c != nil {
 		idleTimeout = c.Config.IdleTimeout + idleMargin
 		a.mu.Lock()
-		a.loads.Retain(c)
+		a.loads.Retain(c, now)
 		a.liveness.expire(c, now)
 		a.lookups.expire(now)
 		a.mu.Unlock()
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -249,7 +249,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.loads.Retain(c)
+	e.loads.Retain(c, now)
 	e.liveness.expire(c, now)
 	e.lookups.expire(now)
 	for key, o := range e.owners {
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -188,7 +188,7 @@
 	c.now += 2 * time.Second
 	c.confirmCatalog()
 	r.requireServed()
-	c.tracker.RecordFailure()
+	c.tracker.RecordFailure(c.now)
 	c.now += 2 * time.Second
 	c.restartAll()
 	c.confirmCatalog()
--- a/datagram/lost_test.go
+++ b/datagram/lost_test.go
@@ -292,7 +292,7 @@
 // count as stopped before it has had time to register again.
 func TestFlowsOfUnresponsiveHostAreKeptWhileHostListMayBeIncomplete(t *testing.T) {
 	c, owner, flows := newSettledCluster(t)
-	c.tracker.RecordFailure()
+	c.tracker.RecordFailure(c.now)
 	c.unlistHost(owner)
 	c.hosts[owner].down = true
 	for range 3 {
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -29,6 +29,9 @@
 	bulkZonePenalty = 2.0
 	// coldPenalty is the cost of a host that is still warming up.
 	coldPenalty = 0.5
+	// lapsedPenalty is the cost of a host whose entry lapsed while the store was
+	// away.
+	lapsedPenalty = 0.5
 	// suspectBase is how long a host that did not answer is avoided the first
 	// time. The time doubles with each consecutive missed answer, up to
 	// suspectMax.
@@ -128,8 +131,12 @@
 	load.missedAnswers++
 }
 
-// Retain removes hosts that are not in the catalog.
-func (t *LoadTable) Retain(c *catalog.Catalog) {
+// Retain removes hosts that are not in the catalog. It keeps those that lapsed, which
+// may return.
+func (t *LoadTable) Retain(c *catalog.Catalog, now time.Duration) {
+	if now-c.LapsedAt < catalog.LapsedHostGrace {
+		return
+	}
 	for agent := range t.hosts {
 		if c.Hosts[agent] == nil {
 			delete(t.hosts, agent)
@@ -160,15 +167,22 @@
 	avoidFailing := loads.avoidFailing(c, s, request.Now)
 	var best *catalog.Host
 	bestCost := 0.0
-	for _, h := range s.Hosts {
-		if !c.Usable(h) || request.Avoid != nil && request.Avoid(h.Addr.Addr) {
-			continue
-		}
-		cost := hostCost(h, loads, &request, means, avoidFailing)
-		if best == nil || cost < bestCost {
-			best, bestCost = h, cost
+	consider := func(hosts []*catalog.Host, penalty float64) {
+		for _, h := range hosts {
+			if !c.Usable(h) || request.Avoid != nil && request.Avoid(h.Addr.Addr) {
+				continue
+			}
+			cost := hostCost(h, loads, &request, means, avoidFailing) + penalty
+			if best == nil || cost < bestCost {
+				best, bestCost = h, cost
+			}
 		}
 	}
+	consider(s.Hosts, 0)
+	if len(s.Lapsed) > 0 && request.Now-c.LapsedAt < catalog.LapsedHostGrace {
+		// The few hosts that have renewed their entries first would be overloaded.
+		consider(s.Lapsed, lapsedPenalty)
+	}
 	return best
 }
 
--- a/steering/zones_test.go
+++ b/steering/zones_test.go
@@ -67,3 +67,31 @@
 		must.Eq(t, s.Hosts[1].ID, steering.ChooseHost(c, s, loads, request).ID)
 	}
 }
+
+// The store returns after an outage in which the entries of all hosts lapsed. Guards
+// against flows being refused, or all going to the first hosts that are listed again,
+// while the others renew their entries.
+func TestStoreReturnsAfterEntriesLapsed(t *testing.T) {
+	c, s := newCatalog("a", "a", "a", "b")
+	now := time.Minute
+	s.Lapsed, s.Hosts = s.Hosts[1:], s.Hosts[:1]
+	c.LapsedAt = now
+	for _, h := range s.Lapsed {
+		delete(c.Hosts, h.Addr.Addr)
+	}
+	loads := steering.NewLoadTable()
+	used := make(map[string]int)
+	for hash := range uint64(6) {
+		h := steering.ChooseHost(c, s, loads, steering.PlacementRequest{Hash: placement.Mix(hash), Zone: "a", Now: now + time.Second})
+		loads.RecordPlacement(h.Addr.Addr)
+		used[h.ID]++
+	}
+	must.MapLen(t, 3, used, must.Sprint("the hosts of the zone"))
+	must.Greater(t, used["1"], used["0"], must.Sprint("the listed host gets more"))
+
+	s.Hosts = nil
+	request := steering.PlacementRequest{Zone: "a", Now: now + time.Second}
+	must.NotNil(t, steering.ChooseHost(c, s, loads, request), must.Sprint("no host is listed"))
+	request.Now = now + 2*time.Second
+	must.Nil(t, steering.ChooseHost(c, s, loads, request), must.Sprint("hosts that run are listed again"))
+}
