Decide in steering whom a search asks, and bound what searches hold

Searches keep packets since they ask without them; an agent holds at most 8,192 searches and about as many packets, since packets with invented addresses would otherwise exhaust its memory (TestSearchesForInventedFlowsAreBounded).

--- a/datagram/search.go
+++ b/datagram/search.go
@@ -7,6 +7,7 @@
 
 	"github.com/turmericrock/turmericrock/catalog"
 	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
 )
 
 const (
@@ -16,15 +17,16 @@
 	// maxSearchPackets limits the packets of a flow that one search sends to
 	// agents. It is the number of packets that a requester has in flight.
 	maxSearchPackets = 16
+	// maxSearches limits the concurrent searches of an agent, and maxBufferedPackets
+	// about how many packets they hold together, about 10 MB. Packets with invented
+	// addresses would otherwise exhaust the memory.
+	maxSearches        = 8192
+	maxBufferedPackets = 8192
 	// searchWidenAfter is how long a search waits for the agents of the requester's
 	// zone before it asks those of other zones.
 	searchWidenAfter = 150 * time.Millisecond
 	// searchRetention is how long the state of a search is retained.
 	searchRetention = 5 * time.Second
-	// removedHostSearchPeriod is how long searches still include the agents of
-	// removed hosts. A host that cannot reach the store may still be running. The
-	// catalog lists removed hosts for longer.
-	removedHostSearchPeriod = 10 * time.Second
 )
 
 // ownerSearch is the state of a search for the owner of a flow.
@@ -59,12 +61,16 @@
 	}
 	s := a.searches[key]
 	a.logPendingAgent(now, c, key, s)
+	if s == nil && len(a.searches) >= maxSearches {
+		a.config.Events.Drop(DropNoOwner)
+		return
+	}
 	started := s == nil || now-s.startedAt >= searchInterval
 	if started {
 		s = newOwnerSearch(now, s)
 		a.searches[key] = s
 	}
-	if len(s.packets) >= maxSearchPackets {
+	if len(s.packets) >= a.maxPacketsPerSearch() {
 		a.config.Events.Drop(DropNoOwner)
 		return
 	}
@@ -95,6 +101,11 @@
 	return s
 }
 
+// maxPacketsPerSearch returns how many packets of its flow a search may hold.
+func (a *Agent) maxPacketsPerSearch() int {
+	return min(maxSearchPackets, max(1, maxBufferedPackets/len(a.searches)))
+}
+
 // pingUnlisted pings the agents of hosts that are not listed, which may have ended.
 func (a *Agent) pingUnlisted(now time.Duration, c *catalog.Catalog, agents [][4]byte, out Output) {
 	for _, agent := range agents {
@@ -110,11 +121,12 @@
 // unable to answer.
 func (a *Agent) query(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agents [][4]byte, out Output) {
 	var chosen [][4]byte
+	scope := a.searchScope(now, c, key, s.frame.OriginZone)
 	for _, agent := range agents {
 		if s.notHeld[agent] || s.pending[agent] {
 			continue
 		}
-		if s.widened || a.isLikelyHolder(c, agent, key, s.frame.OriginZone) {
+		if s.widened || scope.IsLikely(c.Hosts[agent]) {
 			chosen = append(chosen, agent)
 		}
 	}
@@ -141,17 +153,6 @@
 	}
 }
 
-// isLikelyHolder reports whether the agent's host is in the zone and its service is
-// known to hold flows of the route.
-func (a *Agent) isLikelyHolder(c *catalog.Catalog, agent [4]byte, key flow.Key, zone uint16) bool {
-	h := c.Hosts[agent]
-	if h == nil || catalog.ZoneTag(h.Zone) != zone {
-		return false
-	}
-	route := c.Config.Routes[key.Destination]
-	return route != nil && route.MayHoldFlows(h.Service) || a.serviceHistory.MayHoldFlows(key.Destination, catalog.Tag(h.Service))
-}
-
 // widen asks the agents of all zones.
 func (a *Agent) widen(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
 	s.widened = true
@@ -258,23 +259,18 @@
 
 // candidateAgents returns the agents of all hosts that may hold the flow.
 func (a *Agent) candidateAgents(now time.Duration, c *catalog.Catalog, key flow.Key) [][4]byte {
-	route := c.Config.Routes[key.Destination]
-	// Configurations before the process's first snapshot may have routed the
-	// flow to any service.
-	anyService := route == nil || now-c.FirstPublishedAt < a.config.FlowLifetime
-	eligible := func(service string) bool { return anyService || route.MayHoldFlows(service) }
-	var agents [][4]byte
-	for _, agent := range c.Agents {
-		if eligible(c.Hosts[agent].Service) {
-			agents = append(agents, agent)
-		}
-	}
-	for _, r := range c.Removed {
-		if c.Hosts[r.Agent] == nil && now-r.RemovedAt < removedHostSearchPeriod && eligible(r.Service) {
-			agents = append(agents, r.Agent)
-		}
+	scope := a.searchScope(now, c, key, 0)
+	return a.appendUnlisted(scope.Candidates(c, now), now, c, scope)
+}
+
+// searchScope returns what is known about where the flow may be.
+func (a *Agent) searchScope(now time.Duration, c *catalog.Catalog, key flow.Key, zoneTag uint16) steering.SearchScope {
+	return steering.SearchScope{
+		Destination: key.Destination, Route: c.Config.Routes[key.Destination], ZoneTag: zoneTag,
+		// Configurations before the process's first snapshot may have routed the flow
+		// to any service.
+		AnyService: now-c.FirstPublishedAt < a.config.FlowLifetime, History: a.serviceHistory,
 	}
-	return a.appendUnlisted(agents, now, c, route)
 }
 
 // handleProbe sends a probed packet to the host, or answers that the host does
--- a/datagram/search_test.go
+++ b/datagram/search_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"testing"
 	"time"
@@ -86,3 +87,24 @@
 	c.now += 200 * time.Millisecond
 	r.requireServed()
 }
+
+// Guards against packets with invented addresses exhausting an agent's memory by the
+// searches that they start.
+func TestSearchesForInventedFlowsAreBounded(t *testing.T) {
+	c := newServiceCluster(t)
+	c.restartAllAtOnce()
+	c.dropKind = flow.Query
+	a := c.agents[addr(11)]
+	data := packet(ack, flow.Endpoint{}, destination(), 1, 777, 1000)
+	for n := range 20_000 {
+		binary.LittleEndian.PutUint32(data[10:], uint32(n)) // The source address.
+		f := flow.Frame{Kind: flow.Lookup, ServiceTag: catalog.Tag("s"), Origin: flow.Endpoint{Addr: addr(1), Port: peerPort}}
+		f.AddAvoid(addr(12))
+		f.AddAvoid(addr(13))
+		f.AddAvoid(addr(14))
+		a.HandleFrame(c.now, addr(1), append(f.Append(nil), data...), &clusterOutput{c, addr(11)})
+		c.queue = nil
+	}
+	must.LessEq(t, 3*8192, c.frames[flow.Query], must.Sprint("questions of at most 8,192 searches to three agents"))
+	must.Greater(t, 3*1000, c.frames[flow.Query])
+}
