--- a/catalog/store_calls_test.go
+++ b/catalog/store_calls_test.go
@@ -73,7 +73,8 @@
 }
 
 // slowStore is a store whose answers take latency. It counts the watches and the
-// snapshots of each process.
+// snapshots of each process. Its sleeps, like those of the test, are on synctest's
+// fake clock: they model the latency and take no real time.
 type slowStore struct {
 	latency time.Duration
 	now     func() time.Duration
@@ -212,6 +213,7 @@
 				_ = server.Close()
 			})
 		}
+		// All processes have started and read the history by then, on the fake clock.
 		time.Sleep(3 * time.Second)
 		watches, snapshots := s.totals()
 		for _, tracker := range trackers {
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -372,31 +372,6 @@
 	}
 }
 
-func TestForgedPacketsAreDropped(t *testing.T) {
-	c := newServiceCluster(t)
-	r := c.requester(1000, 1)
-	owner := r.open()
-	for _, flags := range []byte{syn | ack, returned | ack, returned | syn} {
-		forged := packet(flags, r.endpoint, destination(), 1, 0, 0)
-		c.entries[addr(1)].HandlePacket(c.now, forged, &clusterOutput{c, addr(1)})
-		must.SliceEmpty(t, c.queue, must.Sprint("the entry forwards nothing"))
-		f := flow.Frame{Kind: flow.Deliver, ServiceTag: catalog.Tag("s"), ConfigVersion: 1}
-		c.agents[owner].HandleFrame(c.now, addr(1), append(f.Append(nil), forged...), &clusterOutput{c, owner})
-		must.SliceEmpty(t, c.queue, must.Sprint("the agent forwards nothing"))
-	}
-}
-
-func TestMalformedDatagramsAreDropped(t *testing.T) {
-	c := newServiceCluster(t)
-	for _, data := range [][]byte{nil, {16}, make([]byte, 31), append(make([]byte, 32), 1), make([]byte, 2000)} {
-		c.entries[addr(1)].HandlePacket(c.now, data, &clusterOutput{c, addr(1)})
-		c.entries[addr(1)].HandleFrame(c.now, addr(2), data)
-		c.agents[addr(11)].HandleFrame(c.now, addr(2), data, &clusterOutput{c, addr(11)})
-		c.agents[addr(11)].HandleHost(c.now, data, &clusterOutput{c, addr(11)})
-		must.SliceEmpty(t, c.queue)
-	}
-}
-
 // Guards against openings circulating among hosts that have just started and
 // return all openings for two seconds. Without load they are preferred, so
 // each opening was forwarded from one of them to the next.
