--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 
 // cases holds the cases by name. Each returns what breaks the rule, or "" if it held.
 var cases = map[string]func(w *world, trouble bool) string{
+	"drain": playDrain,
 	"moved": playMoved,
 }
 
