--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -37,6 +37,7 @@
 	flows    map[flowKey]*hostFlow
 	draining bool
 	gone     bool
+	paused   bool
 	sequence int
 	written  string
 }
@@ -103,6 +104,9 @@
 	if h.gone {
 		return false
 	}
+	if h.paused {
+		return true
+	}
 	h.sequence++
 	fields := h.entryFields()
 	text, _ := json.Marshal(fields)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(w *world, trouble bool) string{
 	"drain": playDrain,
 	"moved": playMoved,
+	"stop":  playStop,
 }
 
 func main() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -30,6 +30,8 @@
 	items    map[string]item
 	history  []item
 	changed  chan struct{}
+	// down is 1 if calls are answered by 503, and 2 if they are not answered.
+	down int
 }
 
 func newStore() *store {
@@ -70,6 +72,17 @@
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	switch down {
+	case 1:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case 2:
+		<-r.Context().Done()
+		return
+	}
 	switch r.URL.Path {
 	case "/api/kv-key":
 		s.mu.Lock()
@@ -121,8 +134,19 @@
 				events = append(events, it)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		revision, changed, down := s.revision, s.changed, s.down
 		s.mu.Unlock()
+		if down != 0 {
+			last = true
+		}
+		if down == 2 {
+			<-r.Context().Done()
+			return
+		}
+		if down == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(events) > 0 || last {
 			answer(w, map[string]any{"events": events, "current_rev": revision})
 			return
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -242,6 +242,8 @@
 	mu      sync.Mutex
 	current *exec.Cmd
 	ended   chan struct{}
+	// status is how the last process ended.
+	status string
 }
 
 // start starts a process with a command of the deploy file.
@@ -271,6 +273,12 @@
 	go func() {
 		err := cmd.Wait()
 		_ = log.Close()
+		p.mu.Lock()
+		p.status = "exit status 0"
+		if err != nil {
+			p.status = err.Error()
+		}
+		p.mu.Unlock()
 		p.w.record("ended %s pid %d: %v", p.name, cmd.Process.Pid, err)
 		close(ended)
 	}()
