--- a/review/standin/case_stop.go
+++ b/review/standin/case_stop.go
@@ -17,7 +17,7 @@
 	const (
 		requesters = 12
 		limit      = 2 * time.Second
-		rounds     = 4
+		rounds     = 9
 	)
 	zones := []string{"mids-a", "mids-b"}
 	for n := range 6 {
@@ -63,7 +63,7 @@
 			}
 			time.Sleep(restartDelay)
 			p.spawn()
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
 		}
 	}
 	time.Sleep(contact)
