--- a/catalog/compress_test.go
+++ b/catalog/compress_test.go
@@ -20,7 +20,7 @@
 func configValue(t *testing.T, revision int64) catalog.Change {
 	var routes []string
 	for n := range 240 {
-		routes = append(routes, fmt.Sprintf(`{"name":"r%d","vhost":"198.18.0.%d","prefix":"/80/","route_type":"idempotent","target_latency_ms":100,"backend":"s"}`, n, n))
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","vhost":"198.18.0.%d","prefix":"/80/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":100,"priority":1,"backend":"s"}`, n, n))
 	}
 	change, err := platform.Decode(catalog.Value{Key: "op/config", Position: at(revision), ReadAt: now(), Data: []byte(fmt.Sprintf(
 		`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"idle_timeout_ms":15000}}`, revision, strings.Join(routes, ",")))})
--- a/catalog/fleet_test.go
+++ b/catalog/fleet_test.go
@@ -119,7 +119,7 @@
 func (f *fleet) putHostAs(id string, born, n int, state string, sequence int) {
 	zone := []string{"x", "y", "z"}[n%3]
 	f.clients.Put("servers/"+id, []byte(fmt.Sprintf(
-		`{"backend":"s","address":"%s:8080","zone":%q,"concurrency":2,"state":%q,"born":%d,"sequence":%d}`,
+		`{"backend":"s","address":"%s:8080","zone":%q,"version":"v1","concurrency":2,"state":%q,"warmup_left_ms":0,"born":%d,"sequence":%d}`,
 		fleetIP(n), zone, state, born, sequence)))
 }
 
@@ -231,14 +231,14 @@
 // putLargeConfig writes a configuration with thousands of routes.
 func putLargeConfig(w writer, version int) {
 	const routes = 2000
-	text := fmt.Sprintf(`{"version":%d,"services":[{"name":"s"}],"limits":{"idle_timeout_ms":15000},"routes":[`, version)
+	text := fmt.Sprintf(`{"version":%d,"services":[{"name":"s","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0}],"limits":{"idle_timeout_ms":15000},"routes":[`, version)
 	var b strings.Builder
 	b.WriteString(text)
 	for n := range routes {
 		if n > 0 {
 			b.WriteString(",")
 		}
-		fmt.Fprintf(&b, `{"name":"route-%d","vhost":"198.18.%d.%d","prefix":"/80/","backend":"s","timeout_ms":2000}`, n, n/250, n%250)
+		fmt.Fprintf(&b, `{"name":"route-%d","vhost":"198.18.%d.%d","prefix":"/80/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":1,"backend":"s","max_attempts":2}`, n, n/250, n%250)
 	}
 	b.WriteString("]}")
 	w.Put("op/config", []byte(b.String()))
--- a/catalog/odd_values_test.go
+++ b/catalog/odd_values_test.go
@@ -21,7 +21,7 @@
 // oddHostEntries are entries that another writer may leave among those of the hosts. The
 // address of one of them is that of a running host.
 func oddHostEntries(address string) map[string]string {
-	entry := `{"backend":"s","address":"` + address + `","zone":"x","concurrency":2,"state":"ready","born":7,"sequence":1}`
+	entry := `{"backend":"s","address":"` + address + `","zone":"x","version":"v1","concurrency":2,"state":"ready","warmup_left_ms":0,"born":7,"sequence":1}`
 	return map[string]string{
 		"deeply nested":            strings.Replace(entry, `"zone":"x"`, `"zone":"x","note":`+strings.Repeat("[", 50_000)+strings.Repeat("]", 50_000), 1),
 		"not closed":               strings.Repeat(`{"a":`, 50_000),
@@ -36,7 +36,7 @@
 		"other type":               `[1,2,3]`,
 		"empty":                    "",
 		"long zone":                strings.Replace(entry, `"zone":"x"`, `"zone":"`+strings.Repeat("z", 100_000)+`"`, 1),
-		"warm-up that overflows":   strings.Replace(entry, `"born":7`, `"born":7,"warmup_left_ms":1e300`, 1),
+		"warm-up that overflows":   strings.Replace(entry, `"warmup_left_ms":0`, `"warmup_left_ms":1e300`, 1),
 		"address of every machine": strings.Replace(entry, address, "0.0.0.0:8080", 1),
 	}
 }
@@ -76,10 +76,10 @@
 // A service may be declared after its hosts have come.
 func TestHostIsListedOnceItsServiceIsDeclared(t *testing.T) {
 	runFleet(t, 1, 4, 6, func(f *fleet) {
-		f.clients.Put("servers/h9", []byte(`{"backend":"later","address":"127.0.9.9:8080","zone":"x","concurrency":2,"state":"ready"}`))
+		f.clients.Put("servers/h9", []byte(`{"backend":"later","address":"127.0.9.9:8080","zone":"x","version":"v1","concurrency":2,"state":"ready","warmup_left_ms":0,"sequence":1}`))
 		f.sleep(time.Second)
 		f.requireThroughout(time.Second, "not yet", func(m *member) bool { return !m.hostListed(9) })
-		f.clients.Put("op/config", []byte(`{"version":2,"routes":[],"services":[{"name":"s"},{"name":"later"}],"limits":{"idle_timeout_ms":15000}}`))
+		f.clients.Put("op/config", []byte(`{"version":2,"routes":[],"services":[{"name":"s","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0},{"name":"later","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0}],"limits":{"idle_timeout_ms":15000}}`))
 		f.sleep(configPropagationLimit)
 		f.requireThroughout(time.Second, "listed", func(m *member) bool { return m.hostListed(9) })
 	})
--- a/catalog/store_calls_test.go
+++ b/catalog/store_calls_test.go
@@ -226,10 +226,10 @@
 			latency: 50 * time.Millisecond, now: now, changed: make(chan struct{}),
 			watches: make(map[string]int), snapshots: make(map[string]int),
 		}
-		s.put("op/config", `{"version":1,"routes":[],"services":[{"name":"s"}],"limits":{"idle_timeout_ms":15000}}`)
+		s.put("op/config", `{"version":1,"routes":[],"services":[{"name":"s","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0}],"limits":{"idle_timeout_ms":15000}}`)
 		for i, zone := range []string{"x", "y", "x"} {
 			s.put(fmt.Sprintf("servers/h%d", i+1), fmt.Sprintf(
-				`{"backend":"s","address":"127.0.9.%d:8080","zone":%q,"concurrency":2,"state":"ready","born":1}`, i+1, zone))
+				`{"backend":"s","address":"127.0.9.%d:8080","zone":%q,"version":"v1","concurrency":2,"state":"ready","warmup_left_ms":0,"sequence":1,"born":1}`, i+1, zone))
 		}
 		network := &pipeNetwork{listeners: make(map[string]*pipeListener)}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -274,7 +274,7 @@
 			}
 		}
 		must.Eq(t, 2, callers, must.Sprint("readers"))
-		s.put("op/config", `{"version":2,"routes":[],"services":[{"name":"s"}],"limits":{"idle_timeout_ms":15000}}`)
+		s.put("op/config", `{"version":2,"routes":[],"services":[{"name":"s","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0}],"limits":{"idle_timeout_ms":15000}}`)
 		time.Sleep(time.Second)
 		for _, tracker := range trackers {
 			must.Eq(t, 2, tracker.Current().Config.Version)
--- a/catalog/sync_test.go
+++ b/catalog/sync_test.go
@@ -41,12 +41,12 @@
 }
 
 func putConfig(w writer, version int) {
-	w.Put("op/config", []byte(fmt.Sprintf(`{"version":%d,"routes":[],"services":[{"name":"s"}],"limits":{"idle_timeout_ms":15000}}`, version)))
+	w.Put("op/config", []byte(fmt.Sprintf(`{"version":%d,"routes":[],"services":[{"name":"s","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0}],"limits":{"idle_timeout_ms":15000}}`, version)))
 }
 
 func putHost(s *store.Store, id, ip, zone, state string) {
 	s.Put("servers/"+id, []byte(fmt.Sprintf(
-		`{"backend":"s","address":"%s:8080","zone":%q,"concurrency":2,"state":%q,"born":1}`, ip, zone, state)))
+		`{"backend":"s","address":"%s:8080","zone":%q,"version":"v1","concurrency":2,"state":%q,"warmup_left_ms":0,"sequence":1,"born":1}`, ip, zone, state)))
 }
 
 // startNode starts a node at a loopback address. All nodes serve their peers at
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -333,14 +333,14 @@
 		"draining": func(values *[]catalog.Value) {
 			for i := range *values {
 				if v := &(*values)[i]; v.Key == "servers/h11" {
-					v.Data = []byte(`{"backend":"s","address":"10.0.0.11:8080","zone":"a","concurrency":2,"state":"draining","born":1}`)
+					v.Data = []byte(`{"backend":"s","address":"10.0.0.11:8080","zone":"a","version":"v1","concurrency":2,"state":"draining","warmup_left_ms":0,"sequence":2,"born":1}`)
 				}
 			}
 		},
 		"zone out": func(values *[]catalog.Value) {
 			for i := range *values {
 				if v := &(*values)[i]; v.Key == "servers/h11" {
-					v.Data = []byte(`{"backend":"s","address":"10.0.0.11:8080","zone":"b","concurrency":2,"state":"ready","born":1}`)
+					v.Data = []byte(`{"backend":"s","address":"10.0.0.11:8080","zone":"b","version":"v1","concurrency":2,"state":"ready","warmup_left_ms":0,"sequence":2,"born":1}`)
 				}
 			}
 			*values = append(*values, catalog.Value{Key: "op/evacuate/b", Data: []byte(`{}`)})
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -139,13 +139,14 @@
 		split += fmt.Sprintf(`{"backend":%q,"weight":1}`, target)
 	}
 	values := []catalog.Value{{Key: "op/config", Position: catalog.Position{Revision: version}, Data: []byte(fmt.Sprintf(
-		`{"version":%d,"routes":[{"name":"r","vhost":"198.18.0.1","prefix":"/%d/","route_type":"idempotent","target_latency_ms":100,
-		"priority":2,"traffic_split":[%s]}],"services":[{"name":"s","max_conns":2000},{"name":"u","max_conns":2000}],
+		`{"version":%d,"routes":[{"name":"r","vhost":"198.18.0.1","prefix":"/%d/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":100,
+		"priority":2,"traffic_split":[%s]}],"services":[{"name":"s","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0},
+		{"name":"u","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0}],
 		"limits":{"idle_timeout_ms":15000}}`, version, servicePort, split))}}
 	for a, h := range c.hosts {
 		values = append(values, catalog.Value{
 			Key: fmt.Sprintf("servers/h%d", a[3]), Position: catalog.Position{Revision: version},
-			Data: []byte(fmt.Sprintf(`{"backend":%q,"address":"10.0.0.%d:8080","zone":"a","concurrency":2,"state":"ready","born":1}`,
+			Data: []byte(fmt.Sprintf(`{"backend":%q,"address":"10.0.0.%d:8080","zone":"a","version":"v1","concurrency":2,"state":"ready","warmup_left_ms":0,"sequence":1,"born":1}`,
 				h.service, a[3])),
 		})
 	}
--- a/internal/standin/soak/odd_entries.go
+++ b/internal/standin/soak/odd_entries.go
@@ -13,7 +13,7 @@
 
 // oddEntries returns entries that name no host, with the address of a running one.
 func oddEntries(address string) []string {
-	entry := `{"backend":"desk","address":"` + address + `","zone":"a","concurrency":5,"state":"ready","warmup_left_ms":0,"sequence":1,"born":4000000000000}`
+	entry := `{"backend":"desk","address":"` + address + `","zone":"a","version":"v1","concurrency":5,"state":"ready","warmup_left_ms":0,"sequence":1,"born":4000000000000}`
 	replaced := func(from, to string) string { return strings.Replace(entry, from, to, 1) }
 	return []string{
 		replaced(`"zone":"a"`, `"zone":"a","note":`+strings.Repeat("[", 50_000)+strings.Repeat("]", 50_000)),
@@ -28,6 +28,10 @@
 		replaced(address, "255.255.255.255:80"),
 		replaced(`"backend":"desk"`, `"backend":"undeclared"`),
 		replaced(`"backend":"desk"`, `"backend":7`),
+		replaced(`"version":"v1",`, ""),
+		replaced(`"warmup_left_ms":0,`, ""),
+		replaced(`"sequence":1,`, ""),
+		replaced(`"version":"v1"`, `"version":null`),
 		replaced("ready", "sleeping"),
 		"\x00\xff\xfe", "[1,2]", "null", "",
 	}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -248,13 +248,13 @@
 	for _, s := range services {
 		routes = append(routes, map[string]any{
 			"name": "r-" + s.name, "vhost": netip.AddrFrom4(virtualIP).String(), "prefix": fmt.Sprintf("/%d/", s.port),
-			"route_type": "idempotent", "timeout_ms": 2000 + r.version, "target_latency_ms": 200, "priority": 2, "backend": s.name,
+			"route_type": "idempotent", "timeout_ms": 2000 + r.version, "target_latency_ms": 200, "priority": 2, "backend": s.name, "max_attempts": 2,
 		})
-		declared = append(declared, map[string]any{"name": s.name, "health_path": "/health", "max_conns": 2000})
+		declared = append(declared, map[string]any{"name": s.name, "health_path": "/health", "max_conns": 2000, "warmup_s": 2.0, "warmup_per_s": 0})
 	}
 	routes = append(routes, map[string]any{
 		"name": "marker", "vhost": netip.AddrFrom4(virtualIP).String(), "prefix": fmt.Sprintf("/%d/", markerOf(r.version).Port),
-		"route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 200, "priority": 2, "backend": services[0].name,
+		"route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 200, "priority": 2, "backend": services[0].name, "max_attempts": 2,
 	})
 	defer r.written.add(r.version)
 	r.putJSON("op/config", map[string]any{
