Keep the address of a host from copies of its entry

Cause: buildCatalog gave the address of a machine to the entry with the latest start and, of equal starts, to the one written last, so that a well-formed entry under another key that repeats a host's start replaced the host's own.

Change: the catalog knows when each key was created (created_rev of the store, field 8 of peers' values). In the order of creation, a later entry holds the address if it states a later start, or neither states one, and the earlier one has not been written since. While two entries give an address, writes that change the sequence only count too. Entries whose creation is not known are compared as before. A restart under a new ID and a host of another service are still taken at once. An entry that claims a later start is still taken for a restart until the host writes again.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -114,6 +114,8 @@
 	StartUnixMilli int64
 	// Sequence counts the descriptions that the host has written since its start.
 	Sequence int64
+	// Created is the position at which the entry was created, or zero if it is not known.
+	Created Position
 	// Position is that of the last change of the host's entry.
 	Position
 }
@@ -166,8 +168,10 @@
 	Config       *Config
 	Services     map[string]*Service
 	ByTag        map[uint32]*Service
-	// Hosts maps the address of a machine to the host that started last on it.
+	// Hosts maps the address of a machine to the host that holds it (see holderOf).
 	Hosts map[[4]byte]*Host
+	// contenders holds the entries for each address that more than one gives.
+	contenders map[[4]byte][]*Host
 	// Agents are the addresses of all agents, sorted.
 	Agents [][4]byte
 	// LapsedAt is when the hosts in Service.Lapsed were found to be removed.
@@ -228,7 +232,8 @@
 
 // buildCatalog returns a snapshot of the configuration, the hosts by ID and the
 // evacuated zones. It leaves out hosts of services that are not declared, whose entries
-// may be another writer's. Of several hosts at one address it contains only the newest.
+// may be another writer's. Of several hosts at one address it contains only the holder (see
+// holderOf).
 func buildCatalog(config *Config, hosts, lapsed map[string]*Host, evacuated map[string]bool) *Catalog {
 	c := &Catalog{
 		Config:    config,
@@ -245,15 +250,7 @@
 		c.Services[name] = s
 		c.ByTag[s.Tag] = s
 	}
-	for _, h := range hosts {
-		if _, declared := config.Services[h.Service]; !declared {
-			continue
-		}
-		if other, ok := c.Hosts[h.Addr.Addr]; ok && newer(other, h) {
-			continue
-		}
-		c.Hosts[h.Addr.Addr] = h
-	}
+	c.addHosts(hosts)
 	for addr, h := range c.Hosts {
 		c.Agents = append(c.Agents, addr)
 		if s := c.Services[h.Service]; s != nil {
@@ -272,14 +269,26 @@
 	return c
 }
 
-// newer reports whether a started after b. Start times come from the hosts'
-// clocks, which may be wrong, so the store's positions decide between equal
-// ones.
-func newer(a, b *Host) bool {
-	if a.StartUnixMilli != b.StartUnixMilli {
-		return a.StartUnixMilli > b.StartUnixMilli
+// addHosts adds the hosts of declared services, one for each address.
+func (c *Catalog) addHosts(hosts map[string]*Host) {
+	c.contenders = make(map[[4]byte][]*Host)
+	for _, h := range hosts {
+		if _, declared := c.Config.Services[h.Service]; !declared {
+			continue
+		}
+		addr := h.Addr.Addr
+		if other, ok := c.Hosts[addr]; ok {
+			if c.contenders[addr] == nil {
+				c.contenders[addr] = []*Host{other}
+			}
+			c.contenders[addr] = append(c.contenders[addr], h)
+			continue
+		}
+		c.Hosts[addr] = h
+	}
+	for addr, entries := range c.contenders {
+		c.Hosts[addr] = holderOf(entries)
 	}
-	return b.Position.Before(a.Position)
 }
 
 func lessAddr(a, b [4]byte) bool {
--- a/catalog/odd_values_test.go
+++ b/catalog/odd_values_test.go
@@ -113,6 +113,7 @@
 		"era":                           {6: -1},
 		"settling":                      {7: tooLong},
 		"value revision":                {4: value(3, -1)},
+		"value creation":                {4: value(8, -1)},
 		"value age":                     {4: value(5, tooLong)},
 		"value era":                     {4: value(7, -3)},
 		"removal age":                   {9: []any{map[int]any{1: "servers/h1", 4: tooLong}}},
--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -73,6 +73,9 @@
 	Compressed bool `cbor:"6,keyasint,omitempty"`
 	// EarlierEra is the era of Revision if it differs from that of the response, plus 1.
 	EarlierEra int64 `cbor:"7,keyasint,omitempty"`
+	// Created is the revision at which the key was created, in the era of Revision, or 0 if
+	// it is not known.
+	Created int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // era returns the era of the value's revision in a response of the given era.
@@ -188,6 +191,7 @@
 func encodePeerValue(v Value, era int64, now time.Duration) peerValue {
 	wire := peerValue{
 		Key: v.Key, Data: v.Data, Revision: v.Revision, Removed: v.Removed, AgeMS: (now - v.ReadAt).Milliseconds(),
+		Created: v.Created,
 	}
 	if v.Era != era {
 		wire.EarlierEra = v.Era + 1
@@ -303,6 +307,7 @@
 	c.time("settling", r.SettlingMS)
 	for i := range r.Values {
 		c.position("revision of a value", r.Values[i].Revision, r.Values[i].EarlierEra)
+		c.position("creation of a value", r.Values[i].Created, 0)
 		c.time("age of a value", r.Values[i].AgeMS)
 	}
 	for i := range r.Gone {
@@ -375,7 +380,8 @@
 		expandedSize += len(data)
 		v := Value{
 			Key: wire.Key, Data: data, Position: Position{Era: wire.era(response.Era), Revision: wire.Revision}, Removed: wire.Removed,
-			ReadAt: now - fromMilliseconds(wire.AgeMS),
+			Created: wire.Created,
+			ReadAt:  now - fromMilliseconds(wire.AgeMS),
 		}
 		change, err := p.Decode(v)
 		if err != nil {
--- a/catalog/source.go
+++ b/catalog/source.go
@@ -63,6 +63,9 @@
 	Data []byte
 	// Position is that of the last change of the value.
 	Position
+	// Created is the revision at which the key was created, in the era of Position, or 0 if
+	// it is not known.
+	Created int64
 	// Removed reports whether the value was removed.
 	Removed bool
 	// ReadAt is when the value was read from the store, on the local clock.
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -342,7 +342,7 @@
 		t.config = c.Config
 	case c.Host != nil:
 		old := t.hosts[c.Host.ID]
-		if old != nil && sameHost(old, c.Host) {
+		if old != nil && sameHost(old, c.Host) && !t.isContested(c.Host) {
 			return false
 		}
 		t.hosts[c.Host.ID] = c.Host
@@ -369,6 +369,13 @@
 	return true
 }
 
+// isContested reports whether another entry gives the host's address. That the host writes
+// its entry again then shows that it runs.
+func (t *Tracker) isContested(h *Host) bool {
+	c := t.current.Load()
+	return c != nil && len(c.contenders[h.Addr.Addr]) > 0
+}
+
 // sameHost reports whether two descriptions of a host lead to the same
 // decisions.
 func sameHost(a, b *Host) bool {
