Wait for all goroutines of a process before its log closes

Cause: datagramCommand.run closed the log queue when the node's sockets were closed, while the goroutines of the syncer, the SIGHUP watcher and the watcher of an unlisted host still ran. The cancelled call of the syncer is logged as store_lost or reader_lost; after Close, Queue.Write sent on a closed channel. Not the cause: the readers of the sockets and the HTTP servers, for which Node.Run already waited.

The node now owns these goroutines. Run waits for them before it closes the sockets and the metrics server, for at most the rest of the grace period, and returns a *StopTimeoutError if one does not end. Queue.Write after Close returns a *QueueClosedError. The requests to seeds end before Syncer.Run returns.

--- a/catalog/start.go
+++ b/catalog/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 
@@ -50,11 +51,13 @@
 // Load pattern: machines are replaced or restarted one after the other, while the others
 // run. Reading everything from the store, with its history, takes each of them many calls.
 func (s *Syncer) startFromSeeds(ctx context.Context, seeds []string) bool {
+	var asking sync.WaitGroup
+	defer asking.Wait() // They log, so they end before Run.
 	ctx, cancel := context.WithTimeout(ctx, pacing.SeedTimeout)
 	defer cancel()
 	answers := make(chan *ReadResult, len(seeds))
 	for _, seed := range seeds {
-		go func() { answers <- s.askForState(ctx, seed) }()
+		asking.Go(func() { answers <- s.askForState(ctx, seed) })
 	}
 	for range seeds {
 		result := <-answers
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +30,10 @@
 // a request.
 const headerTimeout = time.Second
 
+// defaultStopTimeout leaves the platform's usual grace period of 6 s room for the time that
+// an entry keeps serving.
+const defaultStopTimeout = 2 * time.Second
+
 // Handler processes a received datagram.
 type Handler func(now time.Duration, data []byte, out Output)
 
@@ -63,16 +68,69 @@
 	Tick func(now time.Duration, out Output)
 	// Servers are the HTTP servers that run together with the node.
 	Servers []Server
-	Now     func() time.Duration
-	Log     *logrus.Entry
-	Events  *Events
+	// Background are functions that run until the context of Run is done. They may use the
+	// sockets, the log and the metrics until they return.
+	Background []func(context.Context)
+	// StopTimeout limits how long Run waits for the node's goroutines once its context is
+	// done. If it is 0, the limit is defaultStopTimeout.
+	StopTimeout time.Duration
+	Now         func() time.Duration
+	Log         *logrus.Entry
+	Events      *Events
 
 	peers, requesters, host *net.UDPConn
 }
 
-// Run serves until the context is done. Listen must have succeeded before.
+// StopTimeoutError reports goroutines of a node that had not ended within the node's
+// StopTimeout.
+type StopTimeoutError struct {
+	// Waiting names the groups of goroutines: background, readers or both.
+	Waiting string
+	Timeout time.Duration
+}
+
+// Error implements error.
+func (e *StopTimeoutError) Error() string {
+	return "the node's " + e.Waiting + " did not end within " + e.Timeout.String()
+}
+
+// Run serves until the context is done. Listen must have succeeded before. It returns when
+// the node's goroutines have ended, and a *StopTimeoutError if they do not end in time.
 func (n *Node) Run(ctx context.Context) error {
-	var group sync.WaitGroup
+	var background, readers sync.WaitGroup
+	n.startReaders(&readers)
+	background.Go(func() { n.sweep(ctx) })
+	for _, run := range n.Background {
+		background.Go(func() { run(ctx) })
+	}
+	<-ctx.Done()
+	limit := n.StopTimeout
+	if limit <= 0 {
+		limit = defaultStopTimeout
+	}
+	stopping := context.WithoutCancel(ctx)
+	waiting, cancel := context.WithTimeout(stopping, limit)
+	defer cancel()
+	// The readers get a quarter of the time, also if the background uses up its part.
+	waitingForBackground, cancelBackground := context.WithTimeout(stopping, limit-limit/4)
+	defer cancelBackground()
+	// What runs in the background still sends and counts, so sockets and metrics close after it.
+	var timeouts []string
+	if !isDone(waitingForBackground, &background) {
+		timeouts = append(timeouts, "background")
+	}
+	n.close()
+	if !isDone(waiting, &readers) {
+		timeouts = append(timeouts, "readers")
+	}
+	if len(timeouts) == 0 {
+		return nil
+	}
+	return errors.WithStack(&StopTimeoutError{Waiting: strings.Join(timeouts, " and "), Timeout: limit})
+}
+
+// startReaders starts the goroutines that end when the sockets and servers are closed.
+func (n *Node) startReaders(group *sync.WaitGroup) {
 	for _, s := range n.Servers {
 		if s.server == nil {
 			continue
@@ -90,7 +148,26 @@
 	if n.host != nil {
 		group.Go(func() { n.read(n.host, anySender(n.OnHost)) })
 	}
-	n.sweep(ctx)
+}
+
+// isDone waits until the goroutines of a group have ended, or the context is done, and
+// reports whether they have ended.
+func isDone(ctx context.Context, group *sync.WaitGroup) bool {
+	ended := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// close closes the node's sockets and HTTP servers.
+func (n *Node) close() {
 	for _, s := range n.Servers {
 		if s.server != nil {
 			_ = s.server.Close() // The process is exiting.
@@ -101,8 +178,6 @@
 			_ = c.Close()
 		}
 	}
-	group.Wait()
-	return nil
 }
 
 // Listen opens the node's sockets for frames, requesters and the host, and the
--- a/internal/cli/agent.go
+++ b/internal/cli/agent.go
@@ -11,6 +11,7 @@
 	"github.com/turmericrock/turmericrock/internal/certs"
 	"github.com/turmericrock/turmericrock/internal/ops"
 	"github.com/turmericrock/turmericrock/internal/settings"
+	"github.com/turmericrock/turmericrock/internal/signals"
 	"github.com/turmericrock/turmericrock/platform"
 )
 
@@ -44,7 +45,7 @@
 }
 
 func (c *agentCommand) run(ctx context.Context, args []string) error {
-	ignoreHangups()
+	signals.Catch()
 	if err := rejectArguments(args); err != nil {
 		return err
 	}
@@ -70,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	signalCtx, stop := signalContext(ctx)
+	signalCtx, stop := signals.Context(ctx)
 	defer stop()
 	context.AfterFunc(signalCtx, a.Stop)
 	return d.run(ctx, a, func() ops.Status { return agentStatus(a.Status()) })
--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/turmericrock/turmericrock/caller"
+	"github.com/turmericrock/turmericrock/internal/signals"
 )
 
 const callHelp = `Sends a request to a service over HTTP/3 and prints the response's status on
@@ -88,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signalContext(ctx)
+	ctx, stop := signals.Context(ctx)
 	defer stop()
 	client := caller.New(config)
 	defer client.Close()
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -4,10 +4,7 @@
 	"context"
 	"crypto/tls"
 	"io"
-	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,12 +20,6 @@
 	"github.com/turmericrock/turmericrock/keyring"
 )
 
-// ignoreHangups makes the process survive a SIGHUP until it handles the signal. One that
-// arrives while it starts would end it, and calls for nothing: the files are read afterwards.
-func ignoreHangups() {
-	signal.Ignore(syscall.SIGHUP)
-}
-
 const auditCapacity = 1000 // records
 
 // daemon holds what entry and agent processes have in common.
@@ -146,8 +137,3 @@
 	status.UptimeMS = time.Since(d.started).Milliseconds()
 	return status
 }
-
-// signalContext returns a context that is cancelled by SIGINT or SIGTERM.
-func signalContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-}
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -23,6 +23,7 @@
 	"github.com/turmericrock/turmericrock/internal/logging"
 	"github.com/turmericrock/turmericrock/internal/metrics"
 	"github.com/turmericrock/turmericrock/internal/ops"
+	"github.com/turmericrock/turmericrock/internal/signals"
 	"github.com/turmericrock/turmericrock/platform"
 )
 
@@ -78,6 +79,14 @@
 	}
 }
 
+const (
+	// exitMargin is the part of the grace period that is left for the exit of the process,
+	// for a machine that is busy.
+	exitMargin = 500 * time.Millisecond
+	// minStopTimeout is the shortest time in which a node waits for its goroutines.
+	minStopTimeout = 100 * time.Millisecond
+)
+
 // hostDialTimeout bounds the connection attempt to the backend server on the same
 // machine.
 const hostDialTimeout = 100 * time.Millisecond
@@ -104,7 +113,8 @@
 	onCatalogChange func(old, c *catalog.Catalog)
 	// onStop is called when the process is told to stop. It may be nil.
 	onStop func()
-	// background runs until the process stops serving. It may be nil.
+	// background runs until the process stops serving, in a goroutine of the node. It may be
+	// nil.
 	background func(context.Context)
 	// hostRunning reports whether the backend server accepted the last connection
 	// of watchUnlistedHost.
@@ -112,7 +122,7 @@
 }
 
 func (c *datagramCommand) run(ctx context.Context, args []string) error {
-	ignoreHangups()
+	signals.Catch()
 	if err := rejectArguments(args); err != nil {
 		return err
 	}
@@ -154,31 +164,57 @@
 }
 
 func (n *datagramNode) run(ctx context.Context, node *datagram.Node, shutdownDelay time.Duration) error {
-	signalCtx, stop := signalContext(ctx)
+	signalCtx, stop := signals.Context(ctx)
 	defer stop()
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	if err := node.Listen(); err != nil {
 		return err
 	}
-	go n.watchReload(serving)
-	context.AfterFunc(signalCtx, func() {
-		n.stopping.Store(true)
-		n.log.WithField("linger_ms", shutdownDelay.Milliseconds()).Info("stopping")
-		if n.onStop != nil {
-			n.onStop()
-		}
-		time.AfterFunc(shutdownDelay, stopServing)
+	node.StopTimeout = stopTimeout(n.settings.ShutdownGrace, shutdownDelay)
+	node.Background = append(node.Background, n.watchReload, n.syncer.Run, func(ctx context.Context) {
+		defer stopServing()
+		n.awaitStop(ctx, signalCtx, shutdownDelay)
 	})
-	go n.syncer.Run(serving)
 	if n.background != nil {
-		go n.background(serving)
+		node.Background = append(node.Background, n.background)
 	}
 	err := node.Run(serving)
 	n.log.WithField("totals", n.events.Totals()).Info("stopped")
 	return errors.WithStack(err)
 }
 
+// stopTimeout returns how long the node may wait for its goroutines after the shutdown
+// delay, so that the process ends within the platform's grace period. It returns 0, the
+// node's default, if the settings name no grace period.
+func stopTimeout(grace, shutdownDelay time.Duration) time.Duration {
+	if grace <= 0 {
+		return 0
+	}
+	return max(minStopTimeout, grace-shutdownDelay-hostDialTimeout-logging.FlushTimeout-exitMargin)
+}
+
+// awaitStop waits for a signal to stop, makes the process report not ready, and returns
+// after the shutdown delay, or if ctx is done.
+func (n *datagramNode) awaitStop(ctx, signalCtx context.Context, shutdownDelay time.Duration) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-signalCtx.Done():
+	}
+	n.stopping.Store(true)
+	n.log.WithField("linger_ms", shutdownDelay.Milliseconds()).Info("stopping")
+	if n.onStop != nil {
+		n.onStop()
+	}
+	delay := time.NewTimer(shutdownDelay)
+	defer delay.Stop()
+	select {
+	case <-ctx.Done():
+	case <-delay.C:
+	}
+}
+
 // newSyncer returns the syncer that keeps the tracker up to date.
 func (n *datagramNode) newSyncer() *catalog.Syncer {
 	rejected := catalog.NewRejectedValues(n.log)
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -10,6 +10,7 @@
 	"github.com/turmericrock/turmericrock/fleet"
 	"github.com/turmericrock/turmericrock/internal/ops"
 	"github.com/turmericrock/turmericrock/internal/settings"
+	"github.com/turmericrock/turmericrock/internal/signals"
 	"github.com/turmericrock/turmericrock/platform"
 )
 
@@ -42,7 +43,7 @@
 }
 
 func (c *entryCommand) run(ctx context.Context, args []string) error {
-	ignoreHangups()
+	signals.Catch()
 	if err := rejectArguments(args); err != nil {
 		return err
 	}
@@ -59,7 +60,7 @@
 	}
 	loaded.Entry.Mesh.TLS = d.mesh
 	e := entry.New(loaded.Entry, d.ring, platform.NewStoreReader(loaded.Platform), d.log, d.trail)
-	signalCtx, stop := signalContext(ctx)
+	signalCtx, stop := signals.Context(ctx)
 	defer stop()
 	context.AfterFunc(signalCtx, e.Stop)
 	return d.run(ctx, e, func() ops.Status { return entryStatus(e.Status()) })
--- a/internal/logging/queue.go
+++ b/internal/logging/queue.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -13,13 +16,16 @@
 	// maxBatchBytes is the size from which a batch takes no more lines before it is
 	// written.
 	maxBatchBytes = 32 << 10
-	// flushTimeout is the maximum time that Close waits for queued lines.
-	flushTimeout = 200 * time.Millisecond
+	// FlushTimeout is the maximum time that Close waits for queued lines.
+	FlushTimeout = 200 * time.Millisecond
 )
 
 // Queue is an io.Writer that passes lines to an output in the background, so that
 // Write never blocks. Lines that do not fit in the queue are dropped and counted.
 type Queue struct {
+	// mu guards closed, and with it lines against writes after Close.
+	mu           sync.RWMutex
+	closed       bool
 	lines        chan []byte
 	dropped      atomic.Int64
 	done         chan struct{}
@@ -33,9 +39,20 @@
 	return q
 }
 
-// Write implements io.Writer. It always returns len(line) and a nil error, even if
-// the line is dropped.
+// QueueClosedError reports a write to a queue that has been closed.
+type QueueClosedError struct{}
+
+// Error implements error.
+func (e *QueueClosedError) Error() string { return "the log queue is closed" }
+
+// Write implements io.Writer. It returns len(line) and a nil error even if the line is
+// dropped because the queue is full, and a *QueueClosedError after Close.
 func (q *Queue) Write(line []byte) (int, error) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		return 0, errors.WithStack(&QueueClosedError{})
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
@@ -50,13 +67,17 @@
 // FailedWrites returns the number of writes that the output returned an error for.
 func (q *Queue) FailedWrites() int64 { return q.failedWrites.Load() }
 
-// Close writes the queued lines, for at most flushTimeout. Write must not be called
-// afterwards.
+// Close writes the queued lines, for at most FlushTimeout. Further calls only wait.
 func (q *Queue) Close() {
-	close(q.lines)
+	q.mu.Lock()
+	if !q.closed {
+		q.closed = true
+		close(q.lines)
+	}
+	q.mu.Unlock()
 	select {
 	case <-q.done:
-	case <-time.After(flushTimeout):
+	case <-time.After(FlushTimeout):
 	}
 }
 
