End an agent that is stopped before it has a configuration

A QUIC agent that got SIGTERM before its first configuration never ended: Run waited for the configuration or the end of its context, but not for the stop that the lifecycle had already granted. Found in the search of the QUIC roles for faults like that of the datagram roles.

TestAgentToldToStopBeforeItIsReadyEnds failed before ("the agent runs on") and passes 5 of 5 times with the race detector.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -131,6 +131,9 @@
 	select {
 	case <-ctx.Done():
 		return nil
+	case <-a.stopped:
+		a.log.Info("agent_stopped")
+		return nil
 	case <-a.ready:
 	}
 	transport, listener, err := a.listen()
