Add make review

The target builds the programs as deploy/system.toml does and the stand-ins of review/, and runs the three cases. It fails if one breaks its rule.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# Start with demo and test. The targets check, bench, slopes and soak are for
+# Start with demo and test. The targets check, bench, slopes, soak and review are for
 # development.
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo scenarios test check bench slopes soak capacity clean
+.PHONY: all build demo scenarios test check bench slopes soak review capacity clean
 
 all: build
 
@@ -46,5 +46,12 @@
 soak: build
 	./scripts/soak
 
+# Plays the cases of the review against real processes, each with its disruption, and fails
+# if one breaks its rule. The build is that of deploy/system.toml. Takes about two minutes.
+review:
+	$(GO) build -ldflags=-linkmode=external -o target/ ./cmd/...
+	sh review/build.sh
+	@status=0; for n in 1 2 3; do echo "review/$$n"; sh review/$$n/run.sh || status=1; done; exit $$status
+
 clean:
 	rm -rf $(BIN)
