--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -50,6 +50,12 @@
 	Violations []Violation
 }
 
+// The commands under test.
+const (
+	entryCommand = "datagram-entry"
+	agentCommand = "datagram-agent"
+)
+
 // Ports that are the same on all machines.
 const (
 	portPackets  = 17172
@@ -104,11 +110,8 @@
 
 func zoneName(n int) string { return string(rune('a' + n%2)) }
 
-// Run starts the system, injects faults and returns what the checks found. It
-// returns an error if the system cannot be started.
-func Run(ctx context.Context, config Config) (Report, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// newRun returns a run and the address of its store, which is served until ctx is done.
+func newRun(ctx context.Context, config Config) (*run, string, error) {
 	metadata := store.New()
 	r := &run{
 		Config: config, ctx: ctx, checker: newChecker(), store: metadata, clients: store.NewClients(metadata),
@@ -117,13 +120,25 @@
 	}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return Report{}, errors.WithStack(err)
+		return nil, "", errors.WithStack(err)
 	}
 	server := &http.Server{Handler: r.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }() // Serve returns when the server is closed.
-	defer func() { _ = server.Close() }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return r, listener.Addr().String(), nil
+}
+
+// Run starts the system, injects faults and returns what the checks found. It
+// returns an error if the system cannot be started.
+func Run(ctx context.Context, config Config) (Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r, storeAddress, err := newRun(ctx, config)
+	if err != nil {
+		return Report{}, err
+	}
 	defer r.stop()
-	if err := r.start(listener.Addr().String()); err != nil {
+	if err := r.start(storeAddress, r.startSupervised); err != nil {
 		return Report{}, err
 	}
 	r.awaitResponses("first responses")
@@ -139,7 +154,23 @@
 	return Report{Served: r.checker.served, Failed: r.checker.failed, Resets: r.checker.resets, Probes: int(r.probes.Load()), Violations: r.checker.violations}, nil
 }
 
-func (r *run) start(storeAddress string) error {
+// startSupervised starts a process that is restarted whenever it ends.
+func (r *run) startSupervised(command, name string, settings []byte) error {
+	p, err := startProcess(r.Binary, command, r.Dir, name, settings, r.checker.processExited)
+	if err != nil {
+		return err
+	}
+	if command == entryCommand {
+		r.entries = append(r.entries, p)
+	} else {
+		r.agents = append(r.agents, p)
+	}
+	return nil
+}
+
+// start starts the hosts, the processes, by the given function, the router and the
+// requesters.
+func (r *run) start(storeAddress string, startProcess func(command, name string, settings []byte) error) error {
 	for _, s := range services {
 		r.checker.routes[flow.Endpoint{Addr: virtualIP, Port: s.port}] = s.name
 	}
@@ -147,11 +178,9 @@
 	var addresses []netip.Addr
 	for n := range r.Entries {
 		addresses = append(addresses, r.nodeIP(kindEntry, n))
-		p, err := startProcess(r.Binary, "datagram-entry", r.Dir, fmt.Sprintf("entry-%d", n), r.settings(kindEntry, n, storeAddress), r.checker.processExited)
-		if err != nil {
+		if err := startProcess(entryCommand, fmt.Sprintf("entry-%d", n), r.settings(kindEntry, n, storeAddress)); err != nil {
 			return err
 		}
-		r.entries = append(r.entries, p)
 	}
 	for n := range r.Hosts {
 		ip := r.nodeIP(kindHost, n)
@@ -161,11 +190,9 @@
 		}
 		r.hosts = append(r.hosts, h)
 		r.writeHostRecord(n, "ready")
-		p, err := startProcess(r.Binary, "datagram-agent", r.Dir, fmt.Sprintf("agent-%d", n), r.settings(kindHost, n, storeAddress), r.checker.processExited)
-		if err != nil {
+		if err := startProcess(agentCommand, fmt.Sprintf("agent-%d", n), r.settings(kindHost, n, storeAddress)); err != nil {
 			return err
 		}
-		r.agents = append(r.agents, p)
 	}
 	var err error
 	if r.router, err = newRouter(addresses, portPackets, portReady); err != nil {
