--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -65,11 +65,19 @@
 	// openingFrame is the frame that carried the opening.
 	openingFrame flow.Frame
 	lastSeenAt   time.Duration
-	// requestPending reports that a request was sent to the host at requestedAt
-	// and is not answered yet. slotWasFree reports that the host had a free slot
-	// when the request arrived, so that its duration is pure service time.
-	requestPending, slotWasFree bool
-	requestedAt                 time.Duration
+	// openingSentAt is when the requester sent its opening, or 0 once its first
+	// request has arrived.
+	openingSentAt time.Duration
+	// requestPending reports that a request arrived at requestedAt and is not
+	// answered yet. If waiting is set, it is held here, as the packets in held;
+	// otherwise it was given to the host at releasedAt.
+	requestPending, waiting bool
+	requestedAt, releasedAt time.Duration
+	held                    []heldPacket
+	// dataEnd is the sequence number after the last byte that has arrived from the
+	// requester, valid if dataSeen is set. Data up to it is a retransmission.
+	dataEnd  uint32
+	dataSeen bool
 	// overdue reports that the request has been counted as failed.
 	overdue               bool
 	requesterFin, hostFin bool
@@ -134,7 +142,7 @@
 	// announcements tracks running hosts that are not listed.
 	announcements announcements
 	// unansweredRequests is the number of flows with an unanswered request,
-	// whether the host serves or queues it.
+	// whether the host serves or queues it, or it waits here.
 	unansweredRequests int
 	openFlows          int
 	coldLimiter        steering.ColdRateLimiter
@@ -144,6 +152,7 @@
 	serviceHistory *steering.ServiceHistory
 	serviceTime    steering.ServiceTime
 	failureTracker steering.FailureTracker
+	scheduler      requestScheduler
 	// failureShare is the share of the host's requests that fail, in units of
 	// 1/255 as in frames.
 	failureShare uint8
@@ -170,6 +179,7 @@
 		serviceHistory: steering.NewServiceHistory(),
 		announcements:  announcements{received: make(map[[4]byte]unlistedAgent), reports: make(map[[4]byte]receivedReport)},
 		loads:          steering.NewLoadTable(),
+		scheduler:      newRequestScheduler(),
 		answerLatency:  NewLatency("request_answer"),
 	}
 }
@@ -273,7 +283,7 @@
 // if the host has stopped.
 func (a *Agent) deliver(now time.Duration, fl *ownedFlow, key flow.Key, f *flow.Frame, p *flow.Packet, data []byte, out Output) {
 	if a.hostStopped(now) {
-		a.dropLostFlow(fl, key, "host_gone", p, out)
+		a.dropLostFlow(now, fl, key, "host_gone", p, out)
 		return
 	}
 	a.trackRequesterPacket(now, fl, key, f, p, out)
@@ -281,13 +291,16 @@
 	if f.Kind == flow.Probe {
 		a.sendOwned(a.endpoint(f.ReplyTo), key, fl.state == flowEstablished, out)
 	}
-	a.sendToHost(now, data, out)
+	if !a.holdPacket(fl, p, data) {
+		a.sendToHost(now, data, out)
+	}
+	a.releaseRequests(now, out)
 }
 
 // dropLostFlow removes a flow that the host no longer holds, notifies the
 // entry and, if the flow was still open, resets the requester's end.
-func (a *Agent) dropLostFlow(fl *ownedFlow, key flow.Key, reason string, p *flow.Packet, out Output) {
-	a.removeFlow(key, fl)
+func (a *Agent) dropLostFlow(now time.Duration, fl *ownedFlow, key flow.Key, reason string, p *flow.Packet, out Output) {
+	a.removeFlow(now, key, fl)
 	a.sendClosed(fl, key, out)
 	a.config.Events.Log(EventLost, key, "reason", reason)
 	if !p.Rst && fl.state != flowClosed {
@@ -337,33 +350,46 @@
 		a.announce(key, f.Origin, true, out)
 		a.config.Events.Log(EventOpened, key, "entry", f.Origin.AddrPort().Addr(), "flows", a.openFlows, "busy", a.unansweredRequests)
 	}
-	if p.Size > 0 && !fl.requestPending {
-		fl.requestPending, fl.requestedAt, fl.slotWasFree, fl.overdue = true, now, a.unansweredRequests < a.hostSlots(), false
-		a.unansweredRequests++
+	if p.Size > 0 {
+		a.trackRequesterData(now, fl, key, p)
 	}
 	if p.Fin || p.Rst {
 		a.checkOverdue(now, fl, key)
+		if fl.waiting && p.Size == 0 {
+			a.countCanceled(key)
+			a.endRequest(now, fl, key)
+		}
 	}
 	if p.Fin {
 		fl.requesterFin = true
 	}
 	if p.Rst || fl.requesterFin && fl.hostFin {
-		a.close(fl)
+		a.close(now, fl, key)
+	}
+}
+
+// trackRequesterData finds out whether a packet with data begins a request: its data
+// is new, and no request is unanswered.
+func (a *Agent) trackRequesterData(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet) {
+	end := p.Seq + uint32(p.Size)
+	if fl.dataSeen && int32(end-fl.dataEnd) <= 0 {
+		return
+	}
+	fl.dataEnd, fl.dataSeen = end, true
+	if !fl.requestPending {
+		a.beginRequest(now, fl, key)
 	}
 }
 
 // close marks a flow as closed and subtracts it and its unanswered request from
 // the counters. The flow stays in the table until it expires.
-func (a *Agent) close(fl *ownedFlow) {
+func (a *Agent) close(now time.Duration, fl *ownedFlow, key flow.Key) {
 	if fl.state == flowClosed {
 		return
 	}
 	fl.state = flowClosed
 	a.openFlows--
-	if fl.requestPending {
-		fl.requestPending = false
-		a.unansweredRequests--
-	}
+	a.endRequest(now, fl, key)
 }
 
 // setOrigin records the entry that a flow's packets come through, and tells an
@@ -399,9 +425,9 @@
 // removeFlow removes a flow and updates the counters by close, but restores the
 // flow's state: dropLostFlow resets the requester's end only if the flow was
 // not closed before.
-func (a *Agent) removeFlow(key flow.Key, fl *ownedFlow) {
+func (a *Agent) removeFlow(now time.Duration, key flow.Key, fl *ownedFlow) {
 	state := fl.state
-	a.close(fl)
+	a.close(now, fl, key)
 	fl.state = state
 	delete(a.flows, key)
 }
@@ -424,13 +450,14 @@
 	for key, fl := range a.flows {
 		idleFor := now - fl.lastSeenAt
 		a.checkOverdue(now, fl, key)
+		a.abandonRequest(now, fl, key)
 		if fl.state == flowClosed {
 			// The host answers late packets of a closed flow, so the flow is
 			// retained.
 			idleFor -= a.config.FlowLifetime
 		}
 		if idleFor > idleTimeout || fl.state == flowOpening && idleFor > pendingFlowTimeout {
-			a.removeFlow(key, fl)
+			a.removeFlow(now, key, fl)
 		}
 	}
 	a.updateFailureShare(now, flow.Key{})
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -75,6 +75,7 @@
 		a.trackHostPacket(now, fl, key, p, out)
 	}
 	out.ToRequester(p.Dst.Addr, data)
+	a.releaseRequests(now, out)
 }
 
 // trackHostPacket updates the state of a flow by a packet from the host.
@@ -87,19 +88,14 @@
 	if p.Rst || p.Size > 0 {
 		a.observeOutcome(now, fl, key, p.Rst)
 	}
-	if p.Size > 0 && fl.requestPending {
-		fl.requestPending = false
-		a.unansweredRequests--
-		a.answerLatency.Observe(now - fl.requestedAt)
-		if fl.slotWasFree {
-			a.serviceTime.Observe(now - fl.requestedAt)
-		}
+	if p.Size > 0 && fl.requestPending && !fl.waiting {
+		a.answerRequest(now, fl, key)
 	}
 	if p.Fin {
 		fl.hostFin = true
 	}
 	if p.Rst || fl.requesterFin && fl.hostFin {
-		a.close(fl)
+		a.close(now, fl, key)
 	}
 }
 
@@ -112,14 +108,15 @@
 		if fl != nil {
 			frame = fl.openingFrame
 			frame.Origin = fl.origin
-			a.removeFlow(key, fl)
+			a.removeFlow(now, key, fl)
 		}
 		a.forwardOpening(now, &frame, p, data, "host_full", out)
 		return
 	}
 	if fl != nil && a.matchesFlow(fl, p) {
 		// The host has most likely restarted and lost its flows.
-		a.dropLostFlow(fl, key, "host_does_not_hold_flow", p, out)
+		a.hostRestarted()
+		a.dropLostFlow(now, fl, key, "host_does_not_hold_flow", p, out)
 		return
 	}
 	t := a.trials[key]
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -19,7 +19,7 @@
 			a.sendToHost(now, data, out)
 			return
 		}
-		a.removeFlow(key, fl)
+		a.removeFlow(now, key, fl)
 		a.forwardOpening(now, f, p, data, "host_silent", out)
 		return
 	}
@@ -28,12 +28,12 @@
 		a.forwardOpening(now, f, p, data, reason, out)
 		return
 	}
-	decision := a.admit(c, key, f.Hops < maxBusyHops)
+	decision := a.admit(now, c, key, p, f.Hops < maxBusyHops)
 	if decision == steering.Forward {
 		if a.forwardOpening(now, f, p, data, reasonBusy, out) {
 			return
 		}
-		decision = a.admit(c, key, false)
+		decision = a.admit(now, c, key, p, false)
 	}
 	if decision == steering.Refuse {
 		a.refuse(f, p, "overloaded", out)
@@ -43,7 +43,7 @@
 		a.forwardOpening(now, f, p, data, "cold", out)
 		return
 	}
-	a.flows[key] = &ownedFlow{state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now}
+	a.flows[key] = &ownedFlow{state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now, openingSentAt: now - p.OpeningAge}
 	a.openFlows++
 	a.sendToHost(now, data, out)
 }
@@ -95,7 +95,7 @@
 
 // admit decides whether the host has capacity for another flow. hasAlternative
 // tells whether another host may accept the flow instead.
-func (a *Agent) admit(c *catalog.Catalog, key flow.Key, hasAlternative bool) steering.Decision {
+func (a *Agent) admit(now time.Duration, c *catalog.Catalog, key flow.Key, p *flow.Packet, hasAlternative bool) steering.Decision {
 	if c == nil {
 		return steering.Accept
 	}
@@ -103,8 +103,13 @@
 	if route == nil {
 		return steering.Accept
 	}
-	backlog := steering.Backlog{Busy: a.unansweredRequests, Slots: a.hostSlots(), ServiceTime: a.serviceTime.Mean()}
-	return backlog.Admit(route.TargetLatency, route.Priority, hasAlternative)
+	backlog := a.backlogAhead(now, route.Priority)
+	decision := backlog.Admit(route.TargetLatency, route.Priority, hasAlternative)
+	limit := now - p.OpeningAge + route.Timeout
+	if decision == steering.Refuse && route.Timeout > 0 && a.scheduler.queue.AdmitsLate(now, route.Priority, limit, backlog) {
+		return steering.Accept
+	}
+	return decision
 }
 
 // admitCold reports whether the rate limit of a cold host allows another
--- a/datagram/outcomes.go
+++ b/datagram/outcomes.go
@@ -18,7 +18,7 @@
 // observeOutcome counts a request that the host has answered or, by a reset of
 // the flow, failed. An overdue request has already been counted.
 func (a *Agent) observeOutcome(now time.Duration, fl *ownedFlow, key flow.Key, failed bool) {
-	if fl.requestPending && !fl.overdue {
+	if fl.requestPending && !fl.waiting && !fl.overdue {
 		a.failureTracker.Observe(failed, now)
 		a.updateFailureShare(now, key)
 	}
@@ -26,7 +26,7 @@
 
 // checkOverdue counts a flow's pending request as failed once it is overdue.
 func (a *Agent) checkOverdue(now time.Duration, fl *ownedFlow, key flow.Key) {
-	if !fl.requestPending || fl.overdue || now-fl.requestedAt <= a.overdueAfter(key) {
+	if !fl.requestPending || fl.waiting || fl.overdue || now-fl.releasedAt <= a.overdueAfter(key) {
 		return
 	}
 	fl.overdue = true
--- /dev/null
+++ b/datagram/scheduler.go
@@ -0,0 +1,288 @@
+package datagram
+
+import (
+	"slices"
+	"time"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
+)
+
+const (
+	// extraRequests is how many requests beyond its slots a host is given, so that no
+	// slot idles while the agent sends the next one.
+	extraRequests = 1
+	// maxHeldRequests and maxHeldPackets limit the requests that an agent holds and the
+	// packets of each, about 5 MB together. A requester has no more packets in flight.
+	maxHeldRequests = 256
+	maxHeldPackets  = 16
+)
+
+// heldPacket is a packet of a request that waits.
+type heldPacket struct {
+	seq  uint32
+	data []byte
+}
+
+// runningRequest is a request that the host has and has not answered.
+type runningRequest struct {
+	flow       *ownedFlow
+	key        flow.Key
+	releasedAt time.Duration
+	// started reports that the request is in service since startedAt, as far as the
+	// number of slots tells, and does not wait in the host's own queue.
+	started   bool
+	startedAt time.Duration
+}
+
+// requestScheduler decides when requests are given to the host. The host serves what
+// it has in the order of arrival, so requests that exceed its slots wait here, where
+// those that matter most to their callers can go first.
+type requestScheduler struct {
+	queue steering.RequestQueue
+	// running holds the requests that occupy the host, in the order of their release.
+	running []runningRequest
+	// routeTimes holds the service times by route.
+	routeTimes map[flow.Endpoint]*steering.ServiceTime
+	stats      schedulerStats
+}
+
+func newRequestScheduler() requestScheduler {
+	return requestScheduler{routeTimes: make(map[flow.Endpoint]*steering.ServiceTime), stats: newSchedulerStats()}
+}
+
+// start records that a request was given to the host.
+func (s *requestScheduler) start(now time.Duration, fl *ownedFlow, key flow.Key, slots int) {
+	fl.releasedAt = now
+	s.running = append(s.running, runningRequest{flow: fl, key: key, releasedAt: now})
+	s.fillSlots(now, slots)
+}
+
+// stop records that a flow's request no longer occupies the host. It returns the
+// request, and false if it was not counted.
+func (s *requestScheduler) stop(now time.Duration, fl *ownedFlow, slots int) (runningRequest, bool) {
+	i := slices.IndexFunc(s.running, func(r runningRequest) bool { return r.flow == fl })
+	if i < 0 {
+		return runningRequest{}, false
+	}
+	r := s.running[i]
+	s.running = slices.Delete(s.running, i, i+1)
+	s.fillSlots(now, slots)
+	return r, true
+}
+
+// fillSlots marks the oldest requests as in service, as many as there are slots.
+func (s *requestScheduler) fillSlots(now time.Duration, slots int) {
+	for i := range s.running[:min(len(s.running), slots)] {
+		if r := &s.running[i]; !r.started {
+			r.started, r.startedAt = true, now
+		}
+	}
+}
+
+// observeServiceTime records the service time of an answered request of a route.
+func (s *requestScheduler) observeServiceTime(destination flow.Endpoint, took time.Duration) {
+	t := s.routeTimes[destination]
+	if t == nil {
+		t = &steering.ServiceTime{}
+		s.routeTimes[destination] = t
+	}
+	t.Observe(took)
+}
+
+// expectedWork returns the mean service time of a route's requests, or that of all
+// requests of the host while none of the route was observed.
+func (a *Agent) expectedWork(destination flow.Endpoint) time.Duration {
+	if t := a.scheduler.routeTimes[destination]; t != nil {
+		return t.Mean()
+	}
+	return a.serviceTime.Mean()
+}
+
+// schedulable returns the flow's route if its requests may be held: the route has to
+// declare what waiting costs its callers.
+func schedulable(c *catalog.Catalog, key flow.Key) *catalog.Route {
+	if c == nil {
+		return nil
+	}
+	if route := c.Config.Routes[key.Destination]; route != nil && route.TargetLatency > 0 && route.Timeout > 0 {
+		return route
+	}
+	return nil
+}
+
+// hasRoom reports whether the host may be given another request. The number of running
+// requests says nothing about a host that leaves requests unanswered.
+func (a *Agent) hasRoom() bool {
+	return len(a.scheduler.running) < a.hostSlots()+extraRequests || a.failureShare > 0
+}
+
+// beginRequest records a new request on a flow and decides whether it waits.
+func (a *Agent) beginRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
+	fl.requestPending, fl.requestedAt, fl.overdue = true, now, false
+	a.unansweredRequests++
+	route := schedulable(a.config.Catalog(), key)
+	switch {
+	case route == nil || a.hasRoom():
+	case a.scheduler.queue.Len() >= maxHeldRequests:
+		a.scheduler.stats.of(route.Priority).overflow++
+	default:
+		sentAt := now
+		if fl.openingSentAt > 0 {
+			sentAt = fl.openingSentAt
+		}
+		fl.waiting = true
+		a.scheduler.stats.of(route.Priority).waited++
+		a.scheduler.queue.Push(steering.QueuedRequest{
+			Key: key, Priority: route.Priority, Objective: sentAt + route.TargetLatency, Limit: sentAt + route.Timeout,
+			Work: a.expectedWork(key.Destination),
+		})
+	}
+	// Only the first request of a flow was sent together with its opening.
+	fl.openingSentAt = 0
+	if !fl.waiting {
+		a.scheduler.start(now, fl, key, a.hostSlots())
+	}
+}
+
+// endRequest removes a flow's unanswered request from the counters, and from the queue
+// if it waits.
+func (a *Agent) endRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
+	if !fl.requestPending {
+		return
+	}
+	fl.requestPending = false
+	a.unansweredRequests--
+	if fl.waiting {
+		a.scheduler.queue.Remove(key)
+		a.discardHeld(fl)
+		return
+	}
+	a.scheduler.stop(now, fl, a.hostSlots())
+}
+
+// discardHeld drops the packets of a request that left the queue without being
+// released. If they arrive again, they count as a new request.
+func (a *Agent) discardHeld(fl *ownedFlow) {
+	if len(fl.held) > 0 {
+		fl.dataEnd = fl.held[0].seq
+	}
+	fl.waiting, fl.held = false, nil
+}
+
+// answerRequest records the host's answer to a flow's request.
+func (a *Agent) answerRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
+	a.answerLatency.Observe(now - fl.requestedAt)
+	fl.requestPending = false
+	a.unansweredRequests--
+	if r, counted := a.scheduler.stop(now, fl, a.hostSlots()); counted && r.started {
+		a.serviceTime.Observe(now - r.startedAt)
+		a.scheduler.observeServiceTime(key.Destination, now-r.startedAt)
+	}
+}
+
+// holdPacket keeps a packet of a waiting request. It reports false if the packet is to
+// be passed on.
+func (a *Agent) holdPacket(fl *ownedFlow, p *flow.Packet, data []byte) bool {
+	if !fl.waiting || p.Size == 0 {
+		return false
+	}
+	isCopy := slices.ContainsFunc(fl.held, func(h heldPacket) bool { return h.seq == p.Seq })
+	if !isCopy && len(fl.held) < maxHeldPackets {
+		fl.held = append(fl.held, heldPacket{seq: p.Seq, data: slices.Clone(data)})
+	}
+	return true
+}
+
+// releaseRequests gives the host as many waiting requests as it has room for.
+func (a *Agent) releaseRequests(now time.Duration, out Output) {
+	for a.scheduler.queue.Len() > 0 && a.hasRoom() {
+		r, _ := a.scheduler.queue.Pop(now, a.hostSlots())
+		a.release(now, &r, out)
+	}
+}
+
+// release gives the host a request that has left the queue.
+func (a *Agent) release(now time.Duration, r *steering.QueuedRequest, out Output) {
+	fl := a.flows[r.Key]
+	if fl == nil || !fl.waiting {
+		return
+	}
+	a.scheduler.stats.observeRelease(now, fl.requestedAt, r)
+	held := fl.held
+	fl.waiting, fl.held = false, nil
+	a.scheduler.start(now, fl, r.Key, a.hostSlots())
+	for _, h := range held {
+		a.hostLiveness.packetSent(now)
+		out.ToHost(h.data)
+	}
+}
+
+// ReleaseAll gives the host all waiting requests. It is called before the process
+// stops, since a requester does not send them again until its retransmission timeout.
+func (a *Agent) ReleaseAll(now time.Duration, out Output) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for a.scheduler.queue.Len() > 0 {
+		r, _ := a.scheduler.queue.Pop(now, a.hostSlots())
+		a.release(now, &r, out)
+	}
+}
+
+// expireRequests removes requests whose requesters have given up from the queue, and
+// requests that have been unanswered for too long to be in service from the running
+// ones, and fills the room that they leave.
+func (a *Agent) expireRequests(now time.Duration, out Output) {
+	for {
+		r, found := a.scheduler.queue.PopExpired(now)
+		if !found {
+			break
+		}
+		a.scheduler.stats.of(r.Priority).expired++
+		if fl := a.flows[r.Key]; fl != nil && fl.waiting {
+			fl.requestPending = false
+			a.unansweredRequests--
+			a.discardHeld(fl)
+		}
+	}
+	before := len(a.scheduler.running)
+	a.scheduler.running = slices.DeleteFunc(a.scheduler.running, func(r runningRequest) bool {
+		return now-r.releasedAt > a.overdueAfter(r.key)
+	})
+	if len(a.scheduler.running) < before {
+		a.scheduler.fillSlots(now, a.hostSlots())
+	}
+	a.releaseRequests(now, out)
+}
+
+// abandonRequest ends the request of a flow whose requester no longer waits for the
+// answer.
+func (a *Agent) abandonRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
+	route := schedulable(a.config.Catalog(), key)
+	if fl.requestPending && route != nil && now-fl.requestedAt > route.Timeout {
+		a.endRequest(now, fl, key)
+	}
+}
+
+// hostRestarted forgets which requests occupy the host, because it has lost them.
+func (a *Agent) hostRestarted() {
+	a.scheduler.running = nil
+}
+
+// backlogAhead returns the host's backlog as far as it delays a new request of the
+// given priority.
+func (a *Agent) backlogAhead(now time.Duration, priority int) steering.Backlog {
+	q := &a.scheduler.queue
+	return steering.Backlog{
+		Busy:  a.unansweredRequests - q.Len() + q.Ahead(now, priority),
+		Slots: a.hostSlots(), ServiceTime: a.serviceTime.Mean(),
+	}
+}
+
+// countCanceled counts a waiting request whose requester ended or reset the flow.
+func (a *Agent) countCanceled(key flow.Key) {
+	if route := schedulable(a.config.Catalog(), key); route != nil {
+		a.scheduler.stats.of(route.Priority).canceled++
+	}
+}
--- a/datagram/stats.go
+++ b/datagram/stats.go
@@ -74,9 +74,12 @@
 func (a *Agent) Collect(emit func(metrics.Sample)) {
 	a.mu.Lock()
 	flows, busy, records, meanServiceTime := a.openFlows, a.unansweredRequests, len(a.records), a.serviceTime.Mean()
+	waiting := a.scheduler.queue.Len()
+	a.scheduler.stats.collect(emit)
 	a.mu.Unlock()
 	emit(metrics.Sample{Name: "flows", Value: int64(flows), Gauge: true})
 	emit(metrics.Sample{Name: "requests_in_service", Value: int64(busy), Gauge: true})
+	emit(metrics.Sample{Name: "requests_waiting", Value: int64(waiting), Gauge: true})
 	emit(metrics.Sample{Name: "keeper_records", Value: int64(records), Gauge: true})
 	emit(metrics.Sample{Name: "service_time_us", Cause: "mean", Value: meanServiceTime.Microseconds(), Gauge: true})
 	a.answerLatency.Collect(emit)
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -45,12 +45,13 @@
 	askedAt time.Duration
 }
 
-// Tick announces the agent while its host is not listed, and resets the flows of
-// searches that have ended since their last packet. It is called at short
-// intervals.
+// Tick announces the agent while its host is not listed, resets the flows of
+// searches that have ended since their last packet, and ends the wait of requests
+// whose time limit has passed. It is called at short intervals.
 func (a *Agent) Tick(now time.Duration, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.expireRequests(now, out)
 	c := a.config.Catalog()
 	if c == nil {
 		return
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -79,6 +80,9 @@
 	Returned bool
 	// Size is the length of the payload in bytes.
 	Size int
+	// OpeningAge is, for an opening, how long ago its requester sent the first copy
+	// of it, at least.
+	OpeningAge time.Duration
 	// Seq is the sequence number of the sender's bytes; AckSeq acknowledges
 	// the bytes that it has received.
 	Seq, AckSeq uint32
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -324,6 +324,7 @@
 		}
 	}
 	n.onStop = func() {
+		a.ReleaseAll(node.Now(), node.NewOutput())
 		stopped := isHostStopped(n.settings.HostAddr)
 		n.log.WithField("host_ended", stopped).Info("leaving")
 		if stopped {
--- a/steering/outcomes.go
+++ b/steering/outcomes.go
@@ -47,7 +47,7 @@
 // decay reduces the weights of the recorded outcomes to those at the given
 // time.
 func (t *FailureTracker) decay(now time.Duration) {
-	factor := math.Exp2(-float64(now-t.decayedAt) / float64(outcomeHalfLife))
+	factor := halfLifeDecay(now-t.decayedAt, outcomeHalfLife)
 	t.failed, t.total, t.decayedAt = t.failed*factor, t.total*factor, now
 }
 
@@ -99,5 +99,10 @@
 	if l.failureShare == 0 || age > 2*outcomeHalfLife {
 		return 0
 	}
-	return l.failureShare * math.Exp2(-float64(age)/float64(outcomeHalfLife))
+	return l.failureShare * halfLifeDecay(age, outcomeHalfLife)
+}
+
+// halfLifeDecay returns the factor by which a value has decayed after a time.
+func halfLifeDecay(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(elapsed) / float64(halfLife))
 }
