--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -144,9 +144,11 @@
 	// unansweredRequests is the number of flows with an unanswered request,
 	// whether the host serves or queues it, or it waits here.
 	unansweredRequests int
-	openFlows          int
-	coldLimiter        steering.ColdRateLimiter
-	loads              *steering.LoadTable
+	// lastAnswerAt is when the host last answered a request.
+	lastAnswerAt time.Duration
+	openFlows    int
+	coldLimiter  steering.ColdRateLimiter
+	loads        *steering.LoadTable
 	// serviceHistory holds the services found to hold flows of routes that are
 	// configured for other services.
 	serviceHistory *steering.ServiceHistory
--- a/datagram/outcomes.go
+++ b/datagram/outcomes.go
@@ -26,7 +26,15 @@
 
 // checkOverdue counts a flow's pending request as failed once it is overdue.
 func (a *Agent) checkOverdue(now time.Duration, fl *ownedFlow, key flow.Key) {
-	if !fl.requestPending || fl.waiting || fl.overdue || now-fl.releasedAt <= a.overdueAfter(key) {
+	sentAt := fl.releasedAt
+	if fl.waiting {
+		// The host is at fault only if it has answered nothing since the request arrived.
+		if a.lastAnswerAt > fl.requestedAt {
+			return
+		}
+		sentAt = fl.requestedAt
+	}
+	if !fl.requestPending || fl.overdue || now-sentAt <= a.overdueAfter(key) {
 		return
 	}
 	fl.overdue = true
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -174,6 +174,7 @@
 // answerRequest records the host's answer to a flow's request.
 func (a *Agent) answerRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
 	a.answerLatency.Observe(now - fl.requestedAt)
+	a.lastAnswerAt = now
 	fl.requestPending = false
 	a.unansweredRequests--
 	if r, counted := a.scheduler.stop(now, fl, a.hostSlots()); counted && r.started {
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -209,10 +209,10 @@
 	// wait finite.
 	minServiceTime = time.Millisecond
 	minLateRate    = 0.01
-	// lateHalfLife is the half-life of the share of late releases. It is shorter
-	// than usual time limits, so that little is admitted late once a host is full
-	// of requests that can meet their objectives.
-	lateHalfLife = 500 * time.Millisecond
+	// lateHalfLife is the half-life of the deviation of the share from
+	// initialLateShare. It is long compared with the time between two releases, so
+	// that almost nothing is admitted late while late requests are not released.
+	lateHalfLife = 2 * time.Second
 	// initialLateShare is the share of releases that is assumed to go to late requests
 	// while nothing is known.
 	initialLateShare = 0.5
