--- a/datagram/outcomes_test.go
+++ b/datagram/outcomes_test.go
@@ -53,7 +53,9 @@
 		}
 	}
 	for _, r := range onHost {
-		r.send(ack, 777, 50)
+		// The data follows that of the first request; the same bytes again would be a
+		// retransmission.
+		r.send(ack, 777+50, 50)
 	}
 	c.now += 400 * time.Millisecond
 	c.confirmCatalog()
