--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -320,9 +320,14 @@
 // send sends a packet through the current entry and returns the packets that
 // the requester received in answer.
 func (r *requester) send(flags byte, ackSeq uint32, size int) []flow.Packet {
+	return r.sendFrom(1, flags, ackSeq, size)
+}
+
+// sendFrom sends a packet whose data begins at the given sequence number.
+func (r *requester) sendFrom(seq uint32, flags byte, ackSeq uint32, size int) []flow.Packet {
 	r.c.toRequester = nil
 	entry := addr(r.entry)
-	r.c.entries[entry].HandlePacket(r.c.now, packet(flags, r.endpoint, destination(), 1, ackSeq, size), &clusterOutput{r.c, entry})
+	r.c.entries[entry].HandlePacket(r.c.now, packet(flags, r.endpoint, destination(), seq, ackSeq, size), &clusterOutput{r.c, entry})
 	r.c.deliverAll()
 	return r.c.toRequester
 }
--- a/datagram/outcomes_test.go
+++ b/datagram/outcomes_test.go
@@ -55,7 +55,7 @@
 	for _, r := range onHost {
 		// The data follows that of the first request; the same bytes again would be a
 		// retransmission.
-		r.send(ack, 777+50, 50)
+		r.sendFrom(1+50, ack, 777, 50)
 	}
 	c.now += 400 * time.Millisecond
 	c.confirmCatalog()
