--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -272,13 +272,27 @@
 }
 
 // backlogAhead returns the host's backlog as far as it delays a new request of the
-// given priority.
+// given priority. Behind a host that has stalled everything waits.
 func (a *Agent) backlogAhead(now time.Duration, priority int) steering.Backlog {
-	q := &a.scheduler.queue
-	return steering.Backlog{
-		Busy:  a.unansweredRequests - q.Len() + q.Ahead(now, priority),
-		Slots: a.hostSlots(), ServiceTime: a.serviceTime.Mean(),
+	b := steering.Backlog{Busy: a.unansweredRequests, Slots: a.hostSlots(), ServiceTime: a.serviceTime.Mean()}
+	if !a.hostStalled(now) {
+		b.Busy += a.scheduler.queue.Ahead(now, priority) - a.scheduler.queue.Len()
 	}
+	return b
+}
+
+// stallFactor is the multiple of the mean service time without any answer after which
+// a host whose slots are all in use counts as stalled.
+const stallFactor = 4
+
+// hostStalled reports whether the host's slots are all in use and it has answered
+// nothing for much longer than its service time.
+func (a *Agent) hostStalled(now time.Duration) bool {
+	running := a.scheduler.running
+	if len(running) < a.hostSlots() {
+		return false
+	}
+	return now-max(a.lastAnswerAt, running[0].releasedAt) > stallFactor*a.serviceTime.Mean()
 }
 
 // countCanceled counts a waiting request whose requester ended or reset the flow.
