--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -43,6 +43,9 @@
 	queue steering.RequestQueue
 	// running holds the requests that occupy the host, in the order of their release.
 	running []runningRequest
+	// silentSince is when the host last answered a request or, if it had none then, was
+	// given one. It is valid while the host has unanswered requests.
+	silentSince time.Duration
 	// routeTimes holds the service times by route.
 	routeTimes map[flow.Endpoint]*steering.ServiceTime
 	stats      schedulerStats
@@ -113,9 +116,11 @@
 }
 
 // hasRoom reports whether the host may be given another request. The number of running
-// requests says nothing about a host that leaves requests unanswered.
-func (a *Agent) hasRoom() bool {
-	return len(a.scheduler.running) < a.hostSlots()+extraRequests || a.failureShare > 0
+// requests says nothing about a host that leaves requests unanswered; such a host is
+// given all of them, so that it refuses those that exceed its own queue and their
+// requesters turn to other hosts.
+func (a *Agent) hasRoom(now time.Duration) bool {
+	return len(a.scheduler.running) < a.hostSlots()+extraRequests || a.failureShare > 0 || a.hostStalled(now)
 }
 
 // beginRequest records a new request on a flow and decides whether it waits.
@@ -124,7 +129,7 @@
 	a.unansweredRequests++
 	route := schedulable(a.config.Catalog(), key)
 	switch {
-	case route == nil || a.hasRoom():
+	case route == nil || a.hasRoom(now):
 	case a.scheduler.queue.Len() >= maxHeldRequests:
 		a.scheduler.stats.of(route.Priority).overflow++
 	default:
@@ -142,10 +147,24 @@
 	// Only the first request of a flow was sent together with its opening.
 	fl.openingSentAt = 0
 	if !fl.waiting {
-		a.scheduler.start(now, fl, key, a.hostSlots())
+		a.startRequest(now, fl, key)
 	}
 }
 
+// startRequest records that a request, already counted as unanswered, is given to the
+// host.
+func (a *Agent) startRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
+	if a.requestsAtHost() == 1 {
+		a.scheduler.silentSince = now
+	}
+	a.scheduler.start(now, fl, key, a.hostSlots())
+}
+
+// requestsAtHost returns how many unanswered requests the host was given.
+func (a *Agent) requestsAtHost() int {
+	return a.unansweredRequests - a.scheduler.queue.Len()
+}
+
 // endRequest removes a flow's unanswered request from the counters, and from the queue
 // if it waits.
 func (a *Agent) endRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
@@ -174,7 +193,7 @@
 // answerRequest records the host's answer to a flow's request.
 func (a *Agent) answerRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
 	a.answerLatency.Observe(now - fl.requestedAt)
-	a.lastAnswerAt = now
+	a.lastAnswerAt, a.scheduler.silentSince = now, now
 	fl.requestPending = false
 	a.unansweredRequests--
 	if r, counted := a.scheduler.stop(now, fl, a.hostSlots()); counted && r.started {
@@ -198,7 +217,7 @@
 
 // releaseRequests gives the host as many waiting requests as it has room for.
 func (a *Agent) releaseRequests(now time.Duration, out Output) {
-	for a.scheduler.queue.Len() > 0 && a.hasRoom() {
+	for a.scheduler.queue.Len() > 0 && a.hasRoom(now) {
 		r, _ := a.scheduler.queue.Pop(now, a.hostSlots())
 		a.release(now, &r, out)
 	}
@@ -213,7 +232,7 @@
 	a.scheduler.stats.observeRelease(now, fl.requestedAt, r)
 	held := fl.held
 	fl.waiting, fl.held = false, nil
-	a.scheduler.start(now, fl, r.Key, a.hostSlots())
+	a.startRequest(now, fl, r.Key)
 	for _, h := range held {
 		a.hostLiveness.packetSent(now)
 		out.ToHost(h.data)
@@ -281,18 +300,18 @@
 	return b
 }
 
-// stallFactor is the multiple of the mean service time without any answer after which
-// a host whose slots are all in use counts as stalled.
-const stallFactor = 4
+const (
+	// stallFactor is the multiple of the mean service time without any answer after
+	// which a host whose slots are all in use counts as stalled, and minStallTime the
+	// lower limit of that time, since single requests may take far longer than the mean.
+	stallFactor  = 6
+	minStallTime = 200 * time.Millisecond
+)
 
 // hostStalled reports whether the host's slots are all in use and it has answered
 // nothing for much longer than its service time.
 func (a *Agent) hostStalled(now time.Duration) bool {
-	running := a.scheduler.running
-	if len(running) < a.hostSlots() {
-		return false
-	}
-	return now-max(a.lastAnswerAt, running[0].releasedAt) > stallFactor*a.serviceTime.Mean()
+	return a.requestsAtHost() >= a.hostSlots() && now-a.scheduler.silentSince > max(minStallTime, stallFactor*a.serviceTime.Mean())
 }
 
 // countCanceled counts a waiting request whose requester ended or reset the flow.
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,10 +15,10 @@
 	maxPassedOver = 7
 	// deliveryMargin is the part of a deadline that is set aside for carrying the
 	// answer to the requester.
-	deliveryMargin = 10 * time.Millisecond
-	// workMargin is the multiple of the expected work that has to fit before a
-	// deadline, since half of all requests need more than the mean.
-	workMargin = 1.5
+	deliveryMargin = 5 * time.Millisecond
+	// drainMargin is the multiple of the expected work that a backlog is assumed to
+	// take, since work scatters and requests of higher priority may still arrive.
+	drainMargin = 1.25
 )
 
 // QueuedRequest describes a request that waits for a slot of its host. Times are
@@ -35,11 +37,13 @@
 // meetsObjective reports whether the request would be answered in time if it
 // were released now.
 func (r *QueuedRequest) meetsObjective(now time.Duration) bool {
-	return r.finishesBy(r.Objective, now)
+	return now+r.Work+deliveryMargin <= r.Objective
 }
 
-func (r *QueuedRequest) finishesBy(deadline, now time.Duration) bool {
-	return now+time.Duration(workMargin*float64(r.Work))+deliveryMargin <= deadline
+// meetsLimit reports whether the request would be answered before its requester gives
+// up if it were released now.
+func (r *QueuedRequest) meetsLimit(now time.Duration) bool {
+	return now+r.Work+deliveryMargin <= r.Limit
 }
 
 // RequestQueue orders the requests that wait for a slot of one host by what
@@ -47,11 +51,12 @@
 // and the backlog that returns after an outage, in which a first-come queue serves
 // every request just too late.
 //
-// Requests that can still meet their objective go first, then those that can only
-// meet their time limit. Within both, a higher priority goes first, then the
-// earlier deadline. While the requests that wait cannot all meet their objectives,
-// the latest one goes first among equals: it has the most time left, and those that
-// are passed over would be served too late anyway.
+// Requests that can still meet their objectives go first, by earliest objective while
+// this order meets all of them. While it does not, a higher priority goes first, and
+// among equals the earliest objective, or the latest one if the requests of this
+// priority alone exceed the host: the latest has the most time left, and those that
+// are passed over would be served too late anyway. Requests that can only meet their
+// time limits go after them, by priority and earliest limit.
 //
 // It is not safe for concurrent use.
 type RequestQueue struct {
@@ -98,69 +103,113 @@
 	if len(q.waiting) == 0 {
 		return QueuedRequest{}, false
 	}
-	order := releaseOrder{now: now, newestFirst: q.exceedsObjectives(now, slots), lowestFirst: q.passedOver >= maxPassedOver}
-	best := 0
-	lowest := q.waiting[0].Priority
-	for i := range q.waiting {
-		if order.precedes(&q.waiting[i], &q.waiting[best]) {
-			best = i
-		}
-		lowest = max(lowest, q.waiting[i].Priority)
-	}
-	if q.waiting[best].Priority < lowest {
+	next := q.next(now, slots)
+	if slices.ContainsFunc(q.waiting, func(r QueuedRequest) bool { return r.Priority > q.waiting[next].Priority }) {
 		q.passedOver++
 	} else {
 		q.passedOver = 0
 	}
-	q.late.observeRelease(now, !q.waiting[best].meetsObjective(now), q.lateWaiting(now))
-	return q.take(best), true
+	q.late.observeRelease(now, !q.waiting[next].meetsObjective(now), q.lateWaiting(now))
+	return q.take(next), true
 }
 
-func (q *RequestQueue) take(i int) QueuedRequest {
-	r := q.waiting[i]
-	q.waiting = slices.Delete(q.waiting, i, i+1)
-	return r
+// next returns the index of the request to release next.
+func (q *RequestQueue) next(now time.Duration, slots int) int {
+	// The order by objective is that of the queue but for the ages of openings.
+	slices.SortStableFunc(q.waiting, func(a, b QueuedRequest) int { return cmp.Compare(a.Objective, b.Objective) })
+	if q.passedOver >= maxPassedOver {
+		return q.best(func(a, b *QueuedRequest) bool { return a.Priority > b.Priority }, now)
+	}
+	if q.meetsObjectives(now, slots, lowestOfAll) {
+		return q.best(func(a, b *QueuedRequest) bool { return false }, now)
+	}
+	urgent := q.best(func(a, b *QueuedRequest) bool { return a.Priority < b.Priority }, now)
+	priority := q.waiting[urgent].Priority
+	if !q.waiting[urgent].meetsObjective(now) || q.meetsObjectives(now, slots, priority) {
+		return urgent
+	}
+	return q.latest(now, priority)
 }
 
-// exceedsObjectives reports whether the waiting requests that can still meet their
-// objectives take longer than the time that the latest of them has left.
-func (q *RequestQueue) exceedsObjectives(now time.Duration, slots int) bool {
-	var work, left time.Duration
+// lowestOfAll is a priority number that is not below that of any request.
+const lowestOfAll = math.MaxInt
+
+// best returns the index of the first request in the order: those that meet their
+// objectives, then those that meet their limits, then the rest; within each by the given
+// order, then by the earliest objective or, for requests that miss it, limit.
+func (q *RequestQueue) best(precedes func(a, b *QueuedRequest) bool, now time.Duration) int {
+	best := 0
 	for i := range q.waiting {
-		r := &q.waiting[i]
-		if r.meetsObjective(now) {
-			work += r.Work
-			left = max(left, r.Objective-now-deliveryMargin)
+		a, b := &q.waiting[i], &q.waiting[best]
+		rankA, rankB := a.rank(now), b.rank(now)
+		switch {
+		case rankA != rankB:
+			if rankA < rankB {
+				best = i
+			}
+		case precedes(a, b):
+			best = i
+		case precedes(b, a):
+		case rankA != meetsObjective && a.Limit < b.Limit, a.Objective < b.Objective:
+			best = i
 		}
 	}
-	return work/time.Duration(max(1, slots)) > left
+	return best
 }
 
-// releaseOrder compares requests at one release.
-type releaseOrder struct {
-	now time.Duration
-	// newestFirst prefers the latest among requests of equal rank, lowestFirst the
-	// lowest priority.
-	newestFirst, lowestFirst bool
-}
+// The ranks of a request by what it can still meet.
+const (
+	meetsObjective = iota
+	meetsLimit
+	meetsNothing
+)
 
-// precedes reports whether a is to be released before b.
-func (o releaseOrder) precedes(a, b *QueuedRequest) bool {
-	aMeets, bMeets := a.meetsObjective(o.now), b.meetsObjective(o.now)
-	if aMeets != bMeets {
-		return aMeets
-	}
-	if a.Priority != b.Priority {
-		return (a.Priority < b.Priority) != o.lowestFirst
+func (r *QueuedRequest) rank(now time.Duration) int {
+	switch {
+	case r.meetsObjective(now):
+		return meetsObjective
+	case r.meetsLimit(now):
+		return meetsLimit
+	default:
+		return meetsNothing
 	}
-	if aMeets {
-		return (a.Objective < b.Objective) != o.newestFirst
+}
+
+// latest returns the index of the request with the latest objective among those of a
+// priority.
+func (q *RequestQueue) latest(now time.Duration, priority int) int {
+	latest := -1
+	for i := range q.waiting {
+		if r := &q.waiting[i]; r.Priority == priority && r.meetsObjective(now) && (latest < 0 || r.Objective >= q.waiting[latest].Objective) {
+			latest = i
+		}
 	}
-	aFinishes, bFinishes := a.finishesBy(a.Limit, o.now), b.finishesBy(b.Limit, o.now)
-	if aFinishes != bFinishes {
-		return aFinishes
+	return latest
+}
+
+// meetsObjectives reports whether all waiting requests of the given priority and higher
+// ones that can still meet their objectives do so if they are released in the order of
+// these, in which the queue has to be.
+func (q *RequestQueue) meetsObjectives(now time.Duration, slots, priority int) bool {
+	var work time.Duration
+	for i := range q.waiting {
+		r := &q.waiting[i]
+		if r.Priority > priority || !r.meetsObjective(now) {
+			continue
+		}
+		start := now + time.Duration(drainMargin*float64(work))/time.Duration(max(1, slots))
+		if !r.meetsObjective(start) {
+			return false
+		}
+		work += r.Work
 	}
-	return a.Limit < b.Limit
+	return true
+}
+
+func (q *RequestQueue) take(i int) QueuedRequest {
+	r := q.waiting[i]
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return r
 }
 
 // Ahead returns how many waiting requests would be released before a new one of the
