--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -64,6 +64,8 @@
 	// serviceTime is how long a request takes.
 	serviceTime time.Duration
 	lastSeq     uint32
+	// received holds the decoded packets that reached the host.
+	received []flow.Packet
 }
 
 func addr(n byte) [4]byte { return [4]byte{10, 0, 0, n} }
@@ -239,6 +241,7 @@
 func (h *host) receive(c *cluster, at [4]byte, data []byte) {
 	var p flow.Packet
 	must.True(c.t, platform.Codec{}.Decode(data, &p))
+	h.received = append(h.received, p)
 	if h.down {
 		return
 	}
@@ -302,11 +305,13 @@
 type requester struct {
 	c        *cluster
 	endpoint flow.Endpoint
-	entry    byte
+	// to is the address and port of the route.
+	to    flow.Endpoint
+	entry byte
 }
 
 func (c *cluster) requester(port uint16, via byte) *requester {
-	return &requester{c: c, endpoint: flow.Endpoint{Addr: [4]byte{100, 64, 0, 1}, Port: port}, entry: via}
+	return &requester{c: c, endpoint: flow.Endpoint{Addr: [4]byte{100, 64, 0, 1}, Port: port}, to: destination(), entry: via}
 }
 
 func destination() flow.Endpoint {
@@ -314,7 +319,7 @@
 }
 
 func (r *requester) key() flow.Key {
-	return flow.Key{Requester: r.endpoint, Destination: destination()}
+	return flow.Key{Requester: r.endpoint, Destination: r.to}
 }
 
 // send sends a packet through the current entry and returns the packets that
@@ -327,7 +332,7 @@
 func (r *requester) sendFrom(seq uint32, flags byte, ackSeq uint32, size int) []flow.Packet {
 	r.c.toRequester = nil
 	entry := addr(r.entry)
-	r.c.entries[entry].HandlePacket(r.c.now, packet(flags, r.endpoint, destination(), seq, ackSeq, size), &clusterOutput{r.c, entry})
+	r.c.entries[entry].HandlePacket(r.c.now, packet(flags, r.endpoint, r.to, seq, ackSeq, size), &clusterOutput{r.c, entry})
 	r.c.deliverAll()
 	return r.c.toRequester
 }
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -59,6 +59,7 @@
 	if p.Returned {
 		a.config.Codec.ClearReturned(data)
 		a.handleReturned(now, p, data, out)
+		a.releaseRequests(now, out)
 		return
 	}
 	key := p.FromHost()
