Average the first ten service times with equal weights

Cause: the moving average of a host's service time began with the first request and gave each further one a weight of 0.1, so that after ten requests the first still had 0.39 of the weight. Estimates of equal hosts then differ by more than half, which makes them useless for comparing hosts.

Change: the first ten requests have equal weights, later ones a weight of 0.1 as before. ServiceTime.Comparable returns the estimate only once it rests on ten requests. Mean, which admission uses, is available from the first request as before.

Ruled out: a longer average for all requests, which would notice a host that becomes slow later.

--- a/steering/admission.go
+++ b/steering/admission.go
@@ -20,9 +20,10 @@
 	// lowestPriority is the priority of the routes that are refused first. A
 	// smaller number is a higher priority.
 	lowestPriority = 2
-	// serviceSmoothing is the weight of a new sample in the moving average of the
-	// service time.
-	serviceSmoothing = 0.1
+	// serviceSamples is the number of requests over which the service time is
+	// averaged, by a moving average once there are more. With fewer, the estimates of
+	// equal hosts scatter by more than minServiceTimeRatio.
+	serviceSamples = 10
 )
 
 // Decision says what to do with a new flow.
@@ -81,18 +82,26 @@
 // safe for concurrent use.
 type ServiceTime struct {
 	mean time.Duration
+	// samples counts the observed requests, up to serviceSamples.
+	samples int
 }
 
 // Observe records the duration of a request that arrived while a slot was free.
 func (s *ServiceTime) Observe(took time.Duration) {
-	if s.mean == 0 {
-		s.mean = took
-		return
-	}
-	s.mean += time.Duration(serviceSmoothing * float64(took-s.mean))
+	s.samples = min(s.samples+1, serviceSamples)
+	s.mean += (took - s.mean) / time.Duration(s.samples)
 }
 
 // Mean returns the estimate, or 0 before the first observation.
 func (s *ServiceTime) Mean() time.Duration {
 	return s.mean
 }
+
+// Comparable returns the estimate if it rests on enough requests to be compared with
+// those of other hosts, or 0 if not.
+func (s *ServiceTime) Comparable() time.Duration {
+	if s.samples < serviceSamples {
+		return 0
+	}
+	return s.mean
+}
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -238,6 +238,18 @@
 	must.Between(t, 70*time.Millisecond, s.Mean(), 76*time.Millisecond)
 }
 
+// Guards against the first requests after a start deciding how a host compares with
+// others.
+func TestServiceTimeIsComparableAfterTenRequests(t *testing.T) {
+	var s steering.ServiceTime
+	for n := range 10 {
+		must.Zero(t, s.Comparable())
+		s.Observe(time.Duration(10+10*n) * time.Millisecond)
+	}
+	must.Eq(t, s.Mean(), s.Comparable())
+	must.Between(t, 54*time.Millisecond, s.Mean(), 56*time.Millisecond, must.Sprint("each of the first requests has the same weight"))
+}
+
 // A busy host forwards a new flow when another host may take it.
 func ExampleBacklog_Admit() {
 	backlog := steering.Backlog{Busy: 6, Slots: 2, ServiceTime: 15 * time.Millisecond}
