Place new flows by the measured service time of hosts

Cause: the cost of a host counted its unanswered requests and open flows, but not how long it takes for a request. A host that is several times as slow looks as free as the others until its queue has grown, and a wait of the length of the objective weighed no more than any other load.

Change: report frames carry the host's service time (ServiceMillis, 2 bytes at offset 38, 0 for unknown). ChooseHost weights the unanswered requests by its ratio to the median of the service's hosts with a recent report. A host whose service time exceeds the target latency is chosen last among those that take flows. A wait of more than half of the target latency costs up to as much as leaving the zone. One placement in 64 ignores service times. Entries and agents pass the target latency of the route.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -391,8 +391,8 @@
 func (a *Agent) newReport(kind flow.Kind, key flow.Key) flow.Frame {
 	return flow.Frame{
 		Kind: kind, Key: key, Sender: a.config.Self.Addr, ServiceTag: a.tag, StartedAt: uint32(a.config.StartedAt.Unix()),
-		FailureShare: a.failureShare,
-		Flows:        uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
+		FailureShare: a.failureShare, ServiceMillis: serviceMillis(a.serviceTime.Comparable()),
+		Flows: uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
 	}
 }
 
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -68,6 +68,16 @@
 	}
 	loads.Report(f.Sender, int(f.Flows), int(f.Busy), now)
 	loads.SetFailureShare(f.Sender, float64(f.FailureShare)/math.MaxUint8)
+	loads.SetServiceTime(f.Sender, time.Duration(f.ServiceMillis)*time.Millisecond)
+}
+
+// serviceMillis returns a service time as frames carry it. It is 0 only if the time
+// is not known.
+func serviceMillis(t time.Duration) uint16 {
+	if t <= 0 {
+		return 0
+	}
+	return uint16(min(max(1, t.Round(time.Millisecond).Milliseconds()), math.MaxUint16))
 }
 
 // reasonBusy is the reason for forwarding an opening that the host could still
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -109,7 +109,7 @@
 		e.send(flow.Deliver, c, service, o.agent, data, out)
 		return
 	}
-	request := steering.PlacementRequest{Hash: hash, Zone: e.config.Zone, Bulk: route.Bulk, Now: now}
+	request := steering.PlacementRequest{Hash: hash, Zone: e.config.Zone, Bulk: route.Bulk, TargetLatency: route.TargetLatency, Now: now}
 	if o != nil {
 		// A retransmitted opening shows that the first agent did not answer.
 		e.loads.MarkSuspect(o.agent, now)
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -178,8 +178,12 @@
 	}
 	service := c.ByTag[f.ServiceTag]
 	hash := key.Hash()
+	route := c.Config.Routes[key.Destination]
+	request := steering.PlacementRequest{Hash: hash, Avoid: f.Avoids, Now: now}
+	if route != nil {
+		request.TargetLatency = route.TargetLatency
+	}
 	if c.Config.Version >= f.ConfigVersion {
-		route := c.Config.Routes[key.Destination]
 		if route == nil {
 			return nil
 		}
@@ -190,5 +194,5 @@
 		return nil
 	}
 	f.ServiceTag = service.Tag
-	return steering.ChooseHost(c, service, a.loads, steering.PlacementRequest{Hash: hash, Avoid: f.Avoids, Now: now})
+	return steering.ChooseHost(c, service, a.loads, request)
 }
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -117,6 +117,9 @@
 	// ListeningMS is, in an UnlistedReport, how long its sender has been listening for
 	// announcements, in milliseconds.
 	ListeningMS uint32
+	// ServiceMillis is the mean service time of a request at the sender's host, in
+	// milliseconds, or 0 if it is not known.
+	ServiceMillis uint16
 }
 
 // Append appends the encoded header to to and returns the extended slice.
@@ -146,6 +149,7 @@
 		binary.LittleEndian.PutUint32(b[24:], f.ServiceTag)
 		binary.LittleEndian.PutUint32(b[28:], f.StartedAt)
 		binary.LittleEndian.PutUint32(b[32:], f.ListeningMS)
+		binary.LittleEndian.PutUint16(b[38:], f.ServiceMillis)
 	}
 	return append(to, b[:]...)
 }
@@ -178,6 +182,7 @@
 		f.ServiceTag = binary.LittleEndian.Uint32(data[24:])
 		f.StartedAt = binary.LittleEndian.Uint32(data[28:])
 		f.ListeningMS = binary.LittleEndian.Uint32(data[32:])
+		f.ServiceMillis = binary.LittleEndian.Uint16(data[38:])
 	default:
 		return nil, false
 	}
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -58,6 +58,9 @@
 	flows, busy int
 	// failureShare is the fraction of the host's requests that fail, from 0 to 1.
 	failureShare float64
+	// serviceTime is the reported mean time that a request is in service, or 0 if it
+	// is not known.
+	serviceTime time.Duration
 	// reportedAt is when the host last reported its load.
 	reportedAt time.Duration
 	// placedSinceReport counts the flows sent to the host since that report.
@@ -75,6 +78,8 @@
 // not safe for concurrent use.
 type LoadTable struct {
 	hosts map[[4]byte]*hostLoad
+	// serviceTimes is reused by medianServiceTime.
+	serviceTimes []time.Duration
 }
 
 // NewLoadTable returns an empty table.
@@ -153,6 +158,9 @@
 	Zone string
 	// Bulk is set for flows that carry much data.
 	Bulk bool
+	// TargetLatency is the latency objective of the flow's requests, or 0 if there is
+	// none.
+	TargetLatency time.Duration
 	// Avoid reports whether the flow must not go to the host of an agent, for
 	// instance because that host could not take it. It may be nil.
 	Avoid func(agent [4]byte) bool
@@ -164,6 +172,9 @@
 // answer are chosen only if there are no others.
 func ChooseHost(c *catalog.Catalog, s *catalog.Service, loads *LoadTable, request PlacementRequest) *catalog.Host {
 	means := loads.means(s, request.Now)
+	if !request.ignoresServiceTime() {
+		means.serviceTime = loads.medianServiceTime(s, request.Now)
+	}
 	avoidFailing := loads.avoidFailing(c, s, request.Now)
 	var best *catalog.Host
 	bestCost := 0.0
@@ -191,6 +202,8 @@
 type loadMeans struct {
 	// flows is the mean number of open flows per slot, and cost the mean cost.
 	flows, cost float64
+	// serviceTime is the median service time, or 0 if it is to be ignored.
+	serviceTime time.Duration
 }
 
 // means returns the means over the hosts of a service.
@@ -259,7 +272,7 @@
 	cost := means.unknownCost(sameZone)
 	if load := loads.hosts[h.Addr.Addr]; load != nil {
 		if request.Now-load.reportedAt < maxLoadAge {
-			cost = load.cost(h, means)
+			cost = load.cost(h, means) + load.serviceTimeCost(h, request, means)
 		} else {
 			cost += busyWeight * float64(load.placedSinceReport) / float64(max(1, h.Slots))
 		}
