Count no requests on closed flows

A packet with data that arrived on a closed flow began a request. Closing a closed flow has no effect, so that the request was never subtracted again: it inflated the reported load for the life of the process, and if it waited, its entry in the queue outlived its flow.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -371,8 +371,11 @@
 }
 
 // trackRequesterData finds out whether a packet with data begins a request: its data
-// is new, and no request is unanswered.
+// is new, the flow is open, and no request of it is unanswered.
 func (a *Agent) trackRequesterData(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet) {
+	if fl.state == flowClosed {
+		return
+	}
 	end := p.Seq + uint32(p.Size)
 	if fl.dataSeen && int32(end-fl.dataEnd) <= 0 {
 		return
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -35,16 +35,20 @@
 	c := newCluster(t)
 	c.addEntry(1)
 	s := &scheduled{cluster: c, host: c.addHost(11, "s"), at: addr(11)}
-	c.publish(1, func(values *[]catalog.Value) {
-		config := string((*values)[0].Data)
-		route := config[strings.Index(config, `{"name":"r"`):strings.Index(config, `],"services"`)]
-		route = strings.ReplaceAll(route, `"target_latency_ms":100`, `"target_latency_ms":300,"timeout_ms":1500`)
-		urgent := strings.NewReplacer(`"name":"r"`, `"name":"r1"`, "/8443/", "/8080/", `"priority":2`, `"priority":1`).Replace(route)
-		(*values)[0].Data = []byte(config[:strings.Index(config, `{"name":"r"`)] + route + "," + urgent + config[strings.Index(config, `],"services"`):])
-	}, "s")
+	c.publish(1, withTwoRoutes, "s")
 	return s
 }
 
+// withTwoRoutes gives the route an objective and a time limit, and adds a route of
+// higher priority.
+func withTwoRoutes(values *[]catalog.Value) {
+	config := string((*values)[0].Data)
+	begin, end := strings.Index(config, `{"name":"r"`), strings.Index(config, `],"services"`)
+	route := strings.ReplaceAll(config[begin:end], `"target_latency_ms":100`, `"target_latency_ms":300,"timeout_ms":1500`)
+	urgent := strings.NewReplacer(`"name":"r"`, `"name":"r1"`, "/8443/", "/8080/", `"priority":2`, `"priority":1`).Replace(route)
+	(*values)[0].Data = []byte(config[:begin] + route + "," + urgent + config[end:])
+}
+
 // open opens flows of the route with the given port.
 func (s *scheduled) open(first, count, routePort uint16) []*requester {
 	s.host.down = false
@@ -270,3 +274,14 @@
 	s.host.down = false
 	must.False(t, flows[heldFrom].sendFrom(1, ack, 777, 50)[0].Rst)
 }
+
+// Late data of a flow that has ended begins no request. Guards against requests that are
+// counted for ever, since a closed flow is not closed again.
+func TestDataOfAClosedFlowIsNotCounted(t *testing.T) {
+	s := newScheduled(t)
+	r := s.open(1000, 1, servicePort)[0]
+	r.sendFrom(1, rst, 777, 0)
+	r.request()
+	must.Eq(t, 0, s.counter("requests_in_service", ""))
+	must.Len(t, 1, s.requestsAtHost(), must.Sprint("the host answers late packets itself"))
+}
