Keep the number of slots of a host whose entry has lapsed

An agent took the number of slots of a host that was not listed for 1. Since requests that exceed the slots are held, a running host whose entry had lapsed, while the store was unavailable, was given two requests at a time however many it serves. Use the number that was listed last. While none is known, as after a restart of the agent in such a time, give the host all requests. Tests: TestUnlistedHostKeepsItsSlots (2 requests of 3 at the host before, 3 after) and TestHostWithUnknownSlotsIsGivenAllRequests (2 of 8 before, 8 after).

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -155,6 +155,9 @@
 	serviceTime    steering.ServiceTime
 	failureTracker steering.FailureTracker
 	scheduler      requestScheduler
+	// listedSlots is the number of the host's slots when it was last listed, or 0. The
+	// entry of a running host may lapse while the store is unavailable.
+	listedSlots int
 	// failureShare is the share of the host's requests that fail, in units of
 	// 1/255 as in frames.
 	failureShare uint8
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -83,14 +83,15 @@
 	return ""
 }
 
-// hostSlots returns how many requests the host serves concurrently.
+// hostSlots returns how many requests the host serves concurrently, as last listed. It
+// is 1 if that is not known.
 func (a *Agent) hostSlots() int {
 	if c := a.config.Catalog(); c != nil {
 		if host := c.Hosts[a.config.Self.Addr]; host != nil {
-			return host.Slots
+			a.listedSlots = host.Slots
 		}
 	}
-	return 1
+	return max(1, a.listedSlots)
 }
 
 // admit decides whether the host has capacity for another flow. hasAlternative
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -118,9 +118,10 @@
 // hasRoom reports whether the host may be given another request. The number of running
 // requests says nothing about a host that leaves requests unanswered; such a host is
 // given all of them, so that it refuses those that exceed its own queue and their
-// requesters turn to other hosts.
+// requesters turn to other hosts. The same applies while the number of slots is not known.
 func (a *Agent) hasRoom(now time.Duration) bool {
-	return len(a.scheduler.running) < a.hostSlots()+extraRequests || a.failureShare > 0 || a.hostStalled(now)
+	slots := a.hostSlots()
+	return len(a.scheduler.running) < slots+extraRequests || a.listedSlots == 0 || a.failureShare > 0 || a.hostStalled(now)
 }
 
 // beginRequest records a new request on a flow and decides whether it waits.
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -285,3 +285,42 @@
 	must.Eq(t, 0, s.counter("requests_in_service", ""))
 	must.Len(t, 1, s.requestsAtHost(), must.Sprint("the host answers late packets itself"))
 }
+
+// unlistHost publishes a catalog without the host, as after its entry has lapsed while the
+// store was unavailable.
+func (s *scheduled) unlistHost(version int64) {
+	s.publish(version, func(values *[]catalog.Value) {
+		withTwoRoutes(values)
+		*values = (*values)[:1]
+	}, "s")
+}
+
+// Guards against a host whose entry has lapsed being given one request at a time and one
+// more: it has as many slots as before.
+func TestUnlistedHostKeepsItsSlots(t *testing.T) {
+	s := newScheduled(t)
+	flows := s.open(1000, heldFrom+1, servicePort)
+	s.unlistHost(2)
+	for _, r := range flows {
+		r.request()
+	}
+	must.Len(t, heldFrom, s.requestsAtHost())
+}
+
+// Guards against an agent that starts while its host is not listed holding requests that
+// the host has slots for.
+func TestHostWithUnknownSlotsIsGivenAllRequests(t *testing.T) {
+	s := newScheduled(t)
+	s.unlistHost(2)
+	s.startAgent(11, true)
+	for port := uint16(1000); port < 1008; port++ {
+		r := s.requester(port, 1)
+		s.host.initialSeqs[r.key()], s.host.established[r.key()] = 7, true
+		s.answer(r) // The agent learns of the flow.
+		s.host.down = true
+		frame := flow.Frame{Kind: flow.Deliver, ServiceTag: catalog.Tag("s"), ConfigVersion: 2, Origin: flow.Endpoint{Addr: addr(1), Port: peerPort}}
+		s.agents[s.at].HandleFrame(s.now, addr(1), append(frame.Append(nil), packet(ack, r.endpoint, r.to, 51, 777, 50)...), &clusterOutput{s.cluster, s.at})
+		s.deliverAll()
+	}
+	must.Len(t, 8, s.requestsAtHost())
+}
