Mark requests as in service when the number of slots has grown

A request was marked as in service when another left the host only. After the number of slots had grown, it counted as waiting in the host's queue until then, so that its service time was measured too short or not at all. Found by the randomized test: running request 1 of 2 slots was not in service.

--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -61,6 +61,8 @@
 	down, refusing bool
 	// A failing host resets flows instead of answering requests.
 	failing bool
+	// A host that keeps requests leaves them for the test to answer.
+	keepsRequests bool
 	// serviceTime is how long a request takes.
 	serviceTime time.Duration
 	lastSeq     uint32
@@ -267,6 +269,7 @@
 	case held && p.Size > 0 && h.failing:
 		answer(rst, 0)
 		delete(h.initialSeqs, key)
+	case held && p.Size > 0 && h.keepsRequests:
 	case held && p.Size > 0:
 		c.now += h.serviceTime
 		answer(ack, 100)
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -267,13 +267,11 @@
 			a.discardHeld(fl)
 		}
 	}
-	before := len(a.scheduler.running)
 	a.scheduler.running = slices.DeleteFunc(a.scheduler.running, func(r runningRequest) bool {
 		return now-r.releasedAt > a.overdueAfter(r.key)
 	})
-	if len(a.scheduler.running) < before {
-		a.scheduler.fillSlots(now, a.hostSlots())
-	}
+	// The number of slots may have changed, too.
+	a.scheduler.fillSlots(now, a.hostSlots())
 	a.releaseRequests(now, out)
 }
 
