Release no requests whose requesters have given up

Waiting requests whose time limit had passed were removed at each tick, every 100 ms. Between two ticks, an answer or the stop of the agent released them, and the host worked for nobody. Remove them before each release.

--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -218,6 +218,10 @@
 
 // releaseRequests gives the host as many waiting requests as it has room for.
 func (a *Agent) releaseRequests(now time.Duration, out Output) {
+	if a.scheduler.queue.Len() == 0 || !a.hasRoom(now) {
+		return
+	}
+	a.expireWaiting(now)
 	for a.scheduler.queue.Len() > 0 && a.hasRoom(now) {
 		r, _ := a.scheduler.queue.Pop(now, a.hostSlots())
 		a.release(now, &r, out)
@@ -245,6 +249,7 @@
 func (a *Agent) ReleaseAll(now time.Duration, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.expireWaiting(now)
 	for a.scheduler.queue.Len() > 0 {
 		r, _ := a.scheduler.queue.Pop(now, a.hostSlots())
 		a.release(now, &r, out)
@@ -255,10 +260,21 @@
 // requests that have been unanswered for too long to be in service from the running
 // ones, and fills the room that they leave.
 func (a *Agent) expireRequests(now time.Duration, out Output) {
+	a.expireWaiting(now)
+	a.scheduler.running = slices.DeleteFunc(a.scheduler.running, func(r runningRequest) bool {
+		return now-r.releasedAt > a.overdueAfter(r.key)
+	})
+	// The number of slots may have changed, too.
+	a.scheduler.fillSlots(now, a.hostSlots())
+	a.releaseRequests(now, out)
+}
+
+// expireWaiting removes requests whose requesters have given up from the queue.
+func (a *Agent) expireWaiting(now time.Duration) {
 	for {
 		r, found := a.scheduler.queue.PopExpired(now)
 		if !found {
-			break
+			return
 		}
 		a.scheduler.stats.of(r.Priority).expired++
 		if fl := a.flows[r.Key]; fl != nil && fl.waiting {
@@ -267,12 +283,6 @@
 			a.discardHeld(fl)
 		}
 	}
-	a.scheduler.running = slices.DeleteFunc(a.scheduler.running, func(r runningRequest) bool {
-		return now-r.releasedAt > a.overdueAfter(r.key)
-	})
-	// The number of slots may have changed, too.
-	a.scheduler.fillSlots(now, a.hostSlots())
-	a.releaseRequests(now, out)
 }
 
 // abandonRequest ends the request of a flow whose requester no longer waits for the
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -324,3 +324,28 @@
 	}
 	must.Len(t, 8, s.requestsAtHost())
 }
+
+// A request whose time limit passes between two ticks. Guards against the host working
+// for requesters that have given up.
+func TestExpiredRequestsAreNotReleased(t *testing.T) {
+	for name, release := range map[string]func(s *scheduled, r *requester){
+		"answer": func(s *scheduled, r *requester) { s.answer(r) },
+		"stop": func(s *scheduled, r *requester) {
+			s.agents[s.at].ReleaseAll(s.now, &clusterOutput{s.cluster, s.at})
+			s.deliverAll()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScheduled(t)
+			flows := s.open(1000, heldFrom+1, servicePort)
+			for _, r := range flows {
+				r.request()
+			}
+			s.now += timeLimit
+			release(s, flows[0])
+			must.Len(t, heldFrom, s.requestsAtHost())
+			must.Eq(t, 1, s.counter("requests_expired", "priority_2"))
+			must.Eq(t, 0, s.counter("requests_waiting", ""))
+		})
+	}
+}
