Hold no requests once the agent stops

An agent that stops releases what it holds, then finds out whether its host has ended (up to 100 ms) and leaves. Requests that arrived meanwhile were held and lost with the process; their requesters sent them again after 200 ms. Test: TestStoppingAgentHoldsNothingMore (6 of 8 requests at the host before, 8 after).

--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -49,6 +49,8 @@
 	// routeTimes holds the service times by route.
 	routeTimes map[flow.Endpoint]*steering.ServiceTime
 	stats      schedulerStats
+	// stopping reports that the process stops and holds no more requests.
+	stopping bool
 }
 
 func newRequestScheduler() requestScheduler {
@@ -121,7 +123,8 @@
 // requesters turn to other hosts. The same applies while the number of slots is not known.
 func (a *Agent) hasRoom(now time.Duration) bool {
 	slots := a.hostSlots()
-	return len(a.scheduler.running) < slots+extraRequests || a.listedSlots == 0 || a.failureShare > 0 || a.hostStalled(now)
+	return len(a.scheduler.running) < slots+extraRequests || a.listedSlots == 0 || a.failureShare > 0 ||
+		a.hostStalled(now) || a.scheduler.stopping
 }
 
 // beginRequest records a new request on a flow and decides whether it waits.
@@ -244,16 +247,14 @@
 	}
 }
 
-// ReleaseAll gives the host all waiting requests. It is called before the process
-// stops, since a requester does not send them again until its retransmission timeout.
+// ReleaseAll gives the host all waiting requests, and from then on each one that
+// arrives. It is called before the process stops, since a requester does not send them
+// again until its retransmission timeout.
 func (a *Agent) ReleaseAll(now time.Duration, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expireWaiting(now)
-	for a.scheduler.queue.Len() > 0 {
-		r, _ := a.scheduler.queue.Pop(now, a.hostSlots())
-		a.release(now, &r, out)
-	}
+	a.scheduler.stopping = true
+	a.releaseRequests(now, out)
 }
 
 // expireRequests removes requests whose requesters have given up from the queue, and
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -325,6 +325,22 @@
 	must.Len(t, 8, s.requestsAtHost())
 }
 
+// Guards against an agent that stops holding requests that arrive after it has released
+// the others: nothing would release these.
+func TestStoppingAgentHoldsNothingMore(t *testing.T) {
+	s := newScheduled(t)
+	flows := s.open(1000, 8, servicePort)
+	for _, r := range flows[:6] {
+		r.request()
+	}
+	s.agents[s.at].ReleaseAll(s.now, &clusterOutput{s.cluster, s.at})
+	s.deliverAll()
+	for _, r := range flows[6:] {
+		r.request()
+	}
+	must.Len(t, 8, s.requestsAtHost())
+}
+
 // A request whose time limit passes between two ticks. Guards against the host working
 // for requesters that have given up.
 func TestExpiredRequestsAreNotReleased(t *testing.T) {
