Reset the count of running requests once per restart of the host

Each packet that the host returned discarded the count of requests that occupy it. After a restart, requesters find out one by one, over seconds, that their flows are lost; each of their packets let three more requests through on a host of two slots, so that nothing was held. A flow that is older than the last known restart is explained by it and no longer resets the count.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -65,6 +65,8 @@
 	// openingFrame is the frame that carried the opening.
 	openingFrame flow.Frame
 	lastSeenAt   time.Duration
+	// acceptedAt is when the host last accepted the opening, or the flow was adopted.
+	acceptedAt time.Duration
 	// openingSentAt is when the requester sent its opening, or 0 once its first
 	// request has arrived.
 	openingSentAt time.Duration
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -82,6 +82,9 @@
 // trackHostPacket updates the state of a flow by a packet from the host.
 func (a *Agent) trackHostPacket(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet, out Output) {
 	fl.lastSeenAt = now
+	if p.Syn && p.Ack {
+		fl.acceptedAt = now
+	}
 	if p.Syn && p.Ack && fl.state == flowOpening {
 		fl.state, fl.hostInitialSeq = flowAccepted, p.Seq
 		a.announce(key, fl.origin, false, out)
@@ -116,7 +119,7 @@
 	}
 	if fl != nil && a.matchesFlow(fl, p) {
 		// The host has most likely restarted and lost its flows.
-		a.hostRestarted()
+		a.scheduler.hostLostFlow(now, fl)
 		a.dropLostFlow(now, fl, key, "host_does_not_hold_flow", p, out)
 		return
 	}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -73,7 +73,7 @@
 // adopt registers a flow that the host has held since before the agent's
 // start.
 func (a *Agent) adopt(now time.Duration, key flow.Key, origin flow.Endpoint, out Output) *ownedFlow {
-	fl := &ownedFlow{state: flowEstablished, origin: origin, lastSeenAt: now}
+	fl := &ownedFlow{state: flowEstablished, origin: origin, lastSeenAt: now, acceptedAt: now}
 	a.flows[key] = fl
 	a.openFlows++
 	a.config.Events.Log(EventAdopted, key, "entry", origin.AddrPort().Addr())
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -43,6 +43,8 @@
 	queue steering.RequestQueue
 	// running holds the requests that occupy the host, in the order of their release.
 	running []runningRequest
+	// hostRestartedAt is when the host was last found to have restarted.
+	hostRestartedAt time.Duration
 	// silentSince is when the host last answered a request or, if it had none then, was
 	// given one. It is valid while the host has unanswered requests.
 	silentSince time.Duration
@@ -295,9 +297,13 @@
 	}
 }
 
-// hostRestarted forgets which requests occupy the host, because it has lost them.
-func (a *Agent) hostRestarted() {
-	a.scheduler.running = nil
+// hostLostFlow records that the host has lost a flow. Unless the flow is older than the
+// last known restart of the host, which then explains the loss, the host has restarted
+// and lost the requests that occupied it, too.
+func (s *requestScheduler) hostLostFlow(now time.Duration, fl *ownedFlow) {
+	if fl.acceptedAt > s.hostRestartedAt {
+		s.running, s.hostRestartedAt = nil, now
+	}
 }
 
 // backlogAhead returns the host's backlog as far as it delays a new request of the
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -365,3 +365,25 @@
 		})
 	}
 }
+
+// Guards against the packets of flows that a restarted host has lost letting all requests
+// through: requesters use such flows for a long time after the restart, and each returned
+// packet discarded the count of requests that occupy the host.
+func TestReturnedPacketsOfOneRestartResetTheCountOnce(t *testing.T) {
+	s := newScheduled(t)
+	lost := s.open(1000, 6, servicePort)
+	s.now += time.Millisecond
+	clear(s.host.initialSeqs)
+	s.host.keepsRequests = true
+	flows := s.open(2000, 20, servicePort)
+	s.host.down = false
+	for _, r := range flows {
+		r.request()
+	}
+	must.Len(t, heldFrom, s.requestsAtHost())
+	for _, r := range lost {
+		s.now += time.Millisecond
+		r.sendFrom(1, ack, 777, 0)
+	}
+	must.Len(t, 2*heldFrom, s.requestsAtHost())
+}
