Count a first request from an opening sent before the agent's start

The time of an opening was taken for unset if it was not after the start of the agent's clock, so that in the first 600 ms of the agent a request whose opening was a retransmission got up to 600 ms more than its requester waits. Test: TestFirstRequestCountsFromTheFirstCopyOfItsOpening (not expired 1.5 s after the opening at an agent of 600 ms before, expired after).

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -67,9 +67,10 @@
 	lastSeenAt   time.Duration
 	// acceptedAt is when the host last accepted the opening, or the flow was adopted.
 	acceptedAt time.Duration
-	// openingSentAt is when the requester sent its opening, or 0 once its first
-	// request has arrived.
-	openingSentAt time.Duration
+	// openingSentAt is when the requester sent its opening, valid until the first
+	// request arrives, for which awaitsFirstRequest is set.
+	openingSentAt      time.Duration
+	awaitsFirstRequest bool
 	// requestPending reports that a request arrived at requestedAt and is not
 	// answered yet. If waiting is set, it is held here, as the packets in held;
 	// otherwise it was given to the host at releasedAt.
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -43,7 +43,10 @@
 		a.forwardOpening(now, f, p, data, "cold", out)
 		return
 	}
-	a.flows[key] = &ownedFlow{state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now, openingSentAt: now - p.OpeningAge}
+	a.flows[key] = &ownedFlow{
+		state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now,
+		openingSentAt: now - p.OpeningAge, awaitsFirstRequest: true,
+	}
 	a.openFlows++
 	a.sendToHost(now, data, out)
 }
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -139,10 +139,7 @@
 	case a.scheduler.queue.Len() >= maxHeldRequests:
 		a.scheduler.stats.of(route.Priority).overflow++
 	default:
-		sentAt := now
-		if fl.openingSentAt > 0 {
-			sentAt = fl.openingSentAt
-		}
+		sentAt := fl.requestSentAt(now)
 		fl.waiting = true
 		a.scheduler.stats.of(route.Priority).waited++
 		a.scheduler.queue.Push(steering.QueuedRequest{
@@ -150,13 +147,21 @@
 			Work: a.expectedWork(key.Destination),
 		})
 	}
-	// Only the first request of a flow was sent together with its opening.
-	fl.openingSentAt = 0
+	fl.awaitsFirstRequest = false
 	if !fl.waiting {
 		a.startRequest(now, fl, key)
 	}
 }
 
+// requestSentAt returns when the requester sent a request that arrives now. The first one
+// of a flow was sent together with the opening.
+func (fl *ownedFlow) requestSentAt(now time.Duration) time.Duration {
+	if fl.awaitsFirstRequest {
+		return fl.openingSentAt
+	}
+	return now
+}
+
 // startRequest records that a request, already counted as unanswered, is given to the
 // host.
 func (a *Agent) startRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -387,3 +387,32 @@
 	}
 	must.Len(t, 2*heldFrom, s.requestsAtHost())
 }
+
+// A copy of an opening that arrives while the agent is younger than the opening. Guards
+// against its request being given more time than its requester waits.
+func TestFirstRequestCountsFromTheFirstCopyOfItsOpening(t *testing.T) {
+	for _, start := range []time.Duration{600 * time.Millisecond, time.Second} {
+		t.Run(start.String(), func(t *testing.T) {
+			s := newScheduled(t)
+			s.now = start - 400*time.Millisecond
+			// At this service time, the host does not count as stalled below.
+			s.measureServiceTime(160 * time.Millisecond)
+			s.now = start
+			busy := s.open(1000, heldFrom, servicePort)
+			for _, r := range busy {
+				r.request()
+			}
+			s.host.down = false
+			late := s.requester(2000, 1)
+			late.send(ack, late.send(syn, 2, 0)[0].Seq+1, 0)
+			s.host.down = true
+			late.request()
+			// The time limit is 1.5 s after the first copy, which is 600 ms older.
+			for range 9 {
+				s.tick(100 * time.Millisecond)
+			}
+			must.Eq(t, 1, s.counter("requests_expired", "priority_2"))
+			must.Len(t, heldFrom, s.requestsAtHost())
+		})
+	}
+}
