Count the first request of a flow opened in advance from its arrival

The first request of a flow counted as sent together with the opening, however late it came. On a flow that had been open for longer than the time limit, a request that had to wait was discarded at the next tick, and the requester sent it again after 200 ms. Count it from its arrival if it comes more than 400 ms after the host has accepted the flow.

--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -17,6 +17,9 @@
 	// packets of each, about 5 MB together. A requester has no more packets in flight.
 	maxHeldRequests = 256
 	maxHeldPackets  = 16
+	// maxFirstRequestDelay is the time after the host's answer to an opening within which
+	// a request that caused the opening arrives. It covers one retransmission after 200 ms.
+	maxFirstRequestDelay = 400 * time.Millisecond
 )
 
 // heldPacket is a packet of a request that waits.
@@ -154,9 +157,9 @@
 }
 
 // requestSentAt returns when the requester sent a request that arrives now. The first one
-// of a flow was sent together with the opening.
+// of a flow was sent together with the opening, unless the flow was opened in advance.
 func (fl *ownedFlow) requestSentAt(now time.Duration) time.Duration {
-	if fl.awaitsFirstRequest {
+	if fl.awaitsFirstRequest && now-fl.acceptedAt <= maxFirstRequestDelay {
 		return fl.openingSentAt
 	}
 	return now
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -388,6 +388,21 @@
 	must.Len(t, 2*heldFrom, s.requestsAtHost())
 }
 
+// A flow that was opened in advance: its first request is made later. Guards against it
+// counting as sent with the opening, past its time limit on arrival.
+func TestFirstRequestOfAnIdleFlowIsNotExpired(t *testing.T) {
+	s := newScheduled(t)
+	flows := s.open(1000, heldFrom+1, servicePort)
+	s.tick(2 * time.Second)
+	for _, r := range flows {
+		r.request()
+	}
+	s.tick(100 * time.Millisecond)
+	s.answer(flows[0])
+	must.Eq(t, 0, s.counter("requests_expired", "priority_2"))
+	must.Len(t, heldFrom+1, s.requestsAtHost())
+}
+
 // A copy of an opening that arrives while the agent is younger than the opening. Guards
 // against its request being given more time than its requester waits.
 func TestFirstRequestCountsFromTheFirstCopyOfItsOpening(t *testing.T) {
