Count a host's silence from when its slots are all in use

A host counted as stalled if it had answered nothing for 200 ms or more and its slots were all in use. With one long request in service and the other slots idle, it had no reason to answer; the request that filled the slots then switched the scheduler off.

--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -48,8 +48,8 @@
 	running []runningRequest
 	// hostRestartedAt is when the host was last found to have restarted.
 	hostRestartedAt time.Duration
-	// silentSince is when the host last answered a request or, if it had none then, was
-	// given one. It is valid while the host has unanswered requests.
+	// silentSince is when the host last answered a request or, if its slots were not all
+	// in use then, was given the one that may have filled them.
 	silentSince time.Duration
 	// routeTimes holds the service times by route.
 	routeTimes map[flow.Endpoint]*steering.ServiceTime
@@ -168,7 +168,7 @@
 // startRequest records that a request, already counted as unanswered, is given to the
 // host.
 func (a *Agent) startRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
-	if a.requestsAtHost() == 1 {
+	if a.requestsAtHost() <= a.hostSlots() {
 		a.scheduler.silentSince = now
 	}
 	a.scheduler.start(now, fl, key, a.hostSlots())
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -431,3 +431,16 @@
 		})
 	}
 }
+
+// One request takes long while the other slots are idle. Guards against the host counting
+// as stalled as soon as its slots are all in use, because it has had no reason to answer.
+func TestHostIsNotStalledByOneLongRequest(t *testing.T) {
+	s := newScheduled(t)
+	flows := s.open(1000, 8, servicePort)
+	flows[0].request()
+	s.tick(600 * time.Millisecond)
+	for _, r := range flows[1:] {
+		r.request()
+	}
+	must.Len(t, heldFrom, s.requestsAtHost())
+}
