Count no copies of requests answered before a flow's adoption

An agent that restarts learns of a flow from its host's answer. It took the next data of the requester for a new request, also if it was a copy of the answered one, which was under way. The host does not answer again, so that the request counted as running until it was overdue and then as a failure of the host; behind a busy host the copy was even held. The host's packet acknowledges the data that it has: copies of that begin no request.

--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -70,7 +70,7 @@
 			origin = t.frame.Origin
 			delete(a.trials, key)
 		}
-		fl = a.adopt(now, key, origin, out)
+		fl = a.adopt(now, key, p, origin, out)
 	}
 	if fl != nil {
 		a.trackHostPacket(now, fl, key, p, out)
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -71,9 +71,14 @@
 }
 
 // adopt registers a flow that the host has held since before the agent's
-// start.
-func (a *Agent) adopt(now time.Duration, key flow.Key, origin flow.Endpoint, out Output) *ownedFlow {
-	fl := &ownedFlow{state: flowEstablished, origin: origin, lastSeenAt: now, acceptedAt: now}
+// start, as a packet from the host shows.
+func (a *Agent) adopt(now time.Duration, key flow.Key, p *flow.Packet, origin flow.Endpoint, out Output) *ownedFlow {
+	// The host has received the data that it acknowledges, so copies of it begin no
+	// request.
+	fl := &ownedFlow{
+		state: flowEstablished, origin: origin, lastSeenAt: now, acceptedAt: now,
+		dataEnd: p.AckSeq, dataSeen: p.Ack,
+	}
 	a.flows[key] = fl
 	a.openFlows++
 	a.config.Events.Log(EventAdopted, key, "entry", origin.AddrPort().Addr())
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -444,3 +444,21 @@
 	}
 	must.Len(t, heldFrom, s.requestsAtHost())
 }
+
+// A restarted agent tries a retransmitted request at its host, whose answer shows that it
+// holds the flow and has the request. Guards against a further copy, which arrives after
+// the answer, counting as a request: the host would never answer it.
+func TestCopyOfARequestAnsweredBeforeAdoptionIsNotCounted(t *testing.T) {
+	s := newScheduled(t)
+	flows := s.open(1000, heldFrom+1, servicePort)
+	s.host.keepsRequests = true
+	s.startAgent(11, true)
+	r := flows[0]
+	r.request()
+	s.answer(r)
+	r.request()
+	must.Eq(t, 0, s.counter("requests_in_service", ""))
+	must.Len(t, 2, s.requestsAtHost(), must.Sprint("the host sends its answer again"))
+	r.sendFrom(51, ack, 777, 50)
+	must.Eq(t, 1, s.counter("requests_in_service", ""))
+}
