Do not count a pause of the agent against its host

After an agent had not run for a second, for instance for lack of CPU time, its first event found that the host had answered nothing for long: the host counted as stalled and was given all waiting requests at once, and the next Expire counted all requests as failed. The answers were in the socket. The pause also went into the measured service time. Ticks come every 100 ms, so that 500 ms without an event show a pause; silence, overdue requests and service times count from its end. Ruled out: reading the host's socket first, since its reader is another goroutine.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -149,9 +149,11 @@
 	unansweredRequests int
 	// lastAnswerAt is when the host last answered a request.
 	lastAnswerAt time.Duration
-	openFlows    int
-	coldLimiter  steering.ColdRateLimiter
-	loads        *steering.LoadTable
+	// pause finds out when the agent last could not receive the host's packets.
+	pause       pauseDetector
+	openFlows   int
+	coldLimiter steering.ColdRateLimiter
+	loads       *steering.LoadTable
 	// serviceHistory holds the services found to hold flows of routes that are
 	// configured for other services.
 	serviceHistory *steering.ServiceHistory
@@ -196,6 +198,7 @@
 func (a *Agent) HandleFrame(now time.Duration, from [4]byte, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	f := &a.frame
 	packet, ok := f.Parse(data)
 	if !ok {
@@ -458,6 +461,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	for key, fl := range a.flows {
 		idleFor := now - fl.lastSeenAt
 		a.checkOverdue(now, fl, key)
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -29,6 +29,31 @@
 // an answer.
 func (h *hostLiveness) packetReceived() { h.waiting = false }
 
+// maxEventGap is the time between two events after which the agent counts as having been
+// stopped, for instance by a lack of CPU time. It is five ticks long.
+const maxEventGap = 5 * tickInterval
+
+// pauseDetector finds out when the process did not run. Packets that the host sent in such
+// a time are received later than the next event, so it is no evidence against the host.
+type pauseDetector struct {
+	// lastEventAt is the time of the last event, resumedAt that of the first one after the
+	// last pause.
+	lastEventAt, resumedAt time.Duration
+}
+
+// observe records an event. Ticks are events, too.
+func (d *pauseDetector) observe(now time.Duration) {
+	if now-d.lastEventAt > maxEventGap {
+		d.resumedAt = now
+	}
+	d.lastEventAt = max(d.lastEventAt, now)
+}
+
+// since returns for how long the agent has run without pause since an event.
+func (d *pauseDetector) since(now, event time.Duration) time.Duration {
+	return now - max(event, d.resumedAt)
+}
+
 // sendToHost sends the packet that is being processed to the host. Only
 // payload and openings call for an answer and start the liveness timeout.
 func (a *Agent) sendToHost(now time.Duration, data []byte, out Output) {
@@ -50,6 +75,7 @@
 func (a *Agent) HandleHost(now time.Duration, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	p := &a.packet
 	if !a.config.Codec.Decode(data, p) {
 		a.config.Events.Drop(DropMalformed)
--- a/datagram/outcomes.go
+++ b/datagram/outcomes.go
@@ -34,7 +34,7 @@
 		}
 		sentAt = fl.requestedAt
 	}
-	if !fl.requestPending || fl.overdue || now-sentAt <= a.overdueAfter(key) {
+	if !fl.requestPending || fl.overdue || a.pause.since(now, sentAt) <= a.overdueAfter(key) {
 		return
 	}
 	fl.overdue = true
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -210,7 +210,7 @@
 	a.lastAnswerAt, a.scheduler.silentSince = now, now
 	fl.requestPending = false
 	a.unansweredRequests--
-	if r, counted := a.scheduler.stop(now, fl, a.hostSlots()); counted && r.started {
+	if r, counted := a.scheduler.stop(now, fl, a.hostSlots()); counted && r.started && r.startedAt >= a.pause.resumedAt {
 		a.serviceTime.Observe(now - r.startedAt)
 		a.scheduler.observeServiceTime(key.Destination, now-r.startedAt)
 	}
@@ -273,7 +273,7 @@
 func (a *Agent) expireRequests(now time.Duration, out Output) {
 	a.expireWaiting(now)
 	a.scheduler.running = slices.DeleteFunc(a.scheduler.running, func(r runningRequest) bool {
-		return now-r.releasedAt > a.overdueAfter(r.key)
+		return a.pause.since(now, r.releasedAt) > a.overdueAfter(r.key)
 	})
 	// The number of slots may have changed, too.
 	a.scheduler.fillSlots(now, a.hostSlots())
@@ -335,7 +335,7 @@
 // hostStalled reports whether the host's slots are all in use and it has answered
 // nothing for much longer than its service time.
 func (a *Agent) hostStalled(now time.Duration) bool {
-	return a.requestsAtHost() >= a.hostSlots() && now-a.scheduler.silentSince > max(minStallTime, stallFactor*a.serviceTime.Mean())
+	return a.requestsAtHost() >= a.hostSlots() && a.pause.since(now, a.scheduler.silentSince) > max(minStallTime, stallFactor*a.serviceTime.Mean())
 }
 
 // countCanceled counts a waiting request whose requester ended or reset the flow.
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -462,3 +462,30 @@
 	r.sendFrom(51, ack, 777, 50)
 	must.Eq(t, 1, s.counter("requests_in_service", ""))
 }
+
+// An agent that did not run for a while, with answers of its host in the socket. Guards
+// against time in which it could not receive them counting against the host: it would be
+// given all requests at once and reported as failing and slow.
+func TestPauseOfTheAgentIsNotTheHosts(t *testing.T) {
+	s := newScheduled(t)
+	s.measureServiceTime(40 * time.Millisecond)
+	flows := s.open(1000, 12, servicePort)
+	for _, r := range flows[:10] {
+		r.request()
+	}
+	serviceTime := s.counter("service_time_us", "mean")
+	s.now += time.Second
+	flows[10].request()
+	must.Len(t, heldFrom, s.requestsAtHost())
+	s.agents[s.at].Expire(s.now)
+	s.confirmCatalog()
+	must.Len(t, heldFrom, s.requestsAtHost())
+	s.answer(flows[0])
+	must.Len(t, heldFrom+1, s.requestsAtHost())
+	must.Eq(t, serviceTime, s.counter("service_time_us", "mean"))
+	// The silence counts again from then on.
+	for range 4 {
+		s.tick(100 * time.Millisecond)
+	}
+	must.Len(t, 11, s.requestsAtHost())
+}
