Request queue: order late requests by priority, then by limit

While no waiting request could still meet its objective, the order by objectives met all of them, in the empty sense, and late requests were released by limit or objective whatever their priority: one of priority 1 with a limit of 2.5 s after one of priority 2 with 1.5 s. Write the three orders down as functions of their own.

--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -118,14 +118,14 @@
 	// The order by objective is that of the queue but for the ages of openings.
 	slices.SortStableFunc(q.waiting, func(a, b QueuedRequest) int { return cmp.Compare(a.Objective, b.Objective) })
 	if q.passedOver >= maxPassedOver {
-		return q.best(func(a, b *QueuedRequest) bool { return a.Priority > b.Priority }, now)
+		return q.first(now, precedesByLowestPriority)
 	}
 	if q.meetsObjectives(now, slots, lowestOfAll) {
-		return q.best(func(a, b *QueuedRequest) bool { return false }, now)
+		return q.first(now, precedesByObjective)
 	}
-	urgent := q.best(func(a, b *QueuedRequest) bool { return a.Priority < b.Priority }, now)
+	urgent := q.first(now, precedesByPriority)
 	priority := q.waiting[urgent].Priority
-	if !q.waiting[urgent].meetsObjective(now) || q.meetsObjectives(now, slots, priority) {
+	if q.meetsObjectives(now, slots, priority) {
 		return urgent
 	}
 	return q.latest(now, priority)
@@ -134,29 +134,6 @@
 // lowestOfAll is a priority number that is not below that of any request.
 const lowestOfAll = math.MaxInt
 
-// best returns the index of the first request in the order: those that meet their
-// objectives, then those that meet their limits, then the rest; within each by the given
-// order, then by the earliest objective or, for requests that miss it, limit.
-func (q *RequestQueue) best(precedes func(a, b *QueuedRequest) bool, now time.Duration) int {
-	best := 0
-	for i := range q.waiting {
-		a, b := &q.waiting[i], &q.waiting[best]
-		rankA, rankB := a.rank(now), b.rank(now)
-		switch {
-		case rankA != rankB:
-			if rankA < rankB {
-				best = i
-			}
-		case precedes(a, b):
-			best = i
-		case precedes(b, a):
-		case rankA != meetsObjective && a.Limit < b.Limit, a.Objective < b.Objective:
-			best = i
-		}
-	}
-	return best
-}
-
 // The ranks of a request by what it can still meet.
 const (
 	meetsObjective = iota
@@ -164,15 +141,62 @@
 	meetsNothing
 )
 
-func (r *QueuedRequest) rank(now time.Duration) int {
+// rankedRequest is a waiting request with its rank.
+type rankedRequest struct {
+	*QueuedRequest
+	rank int
+}
+
+func (r *QueuedRequest) ranked(now time.Duration) rankedRequest {
 	switch {
 	case r.meetsObjective(now):
-		return meetsObjective
+		return rankedRequest{r, meetsObjective}
 	case r.meetsLimit(now):
-		return meetsLimit
+		return rankedRequest{r, meetsLimit}
+	default:
+		return rankedRequest{r, meetsNothing}
+	}
+}
+
+// first returns the index of the request that precedes all others, by the earliest
+// objective if the order says nothing. The queue has to be in the order of objectives.
+func (q *RequestQueue) first(now time.Duration, precedes func(a, b rankedRequest) bool) int {
+	index, first := 0, q.waiting[0].ranked(now)
+	for i := 1; i < len(q.waiting); i++ {
+		if r := q.waiting[i].ranked(now); precedes(r, first) {
+			index, first = i, r
+		}
+	}
+	return index
+}
+
+// precedesByObjective orders requests that can meet their objectives by these, and the
+// rest after them by priority.
+func precedesByObjective(a, b rankedRequest) bool {
+	if a.rank == meetsObjective && b.rank == meetsObjective {
+		return false // The queue is in the order of objectives.
+	}
+	return precedesByPriority(a, b)
+}
+
+// precedesByPriority orders requests by what they can still meet, then by priority.
+func precedesByPriority(a, b rankedRequest) bool {
+	switch {
+	case a.rank != b.rank:
+		return a.rank < b.rank
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
 	default:
-		return meetsNothing
+		return a.rank != meetsObjective && a.Limit < b.Limit
+	}
+}
+
+// precedesByLowestPriority prefers lower priorities instead.
+func precedesByLowestPriority(a, b rankedRequest) bool {
+	if a.rank == b.rank && a.Priority != b.Priority {
+		return a.Priority > b.Priority
 	}
+	return precedesByPriority(a, b)
 }
 
 // latest returns the index of the request with the latest objective among those of a
