Request queue: bound the starvation of late requests, too

After seven releases that passed over a lower priority, the next one went to the lowest priority among the requests that can meet their objectives. If those of the lowest priority were all late, a higher priority went first for as long as it kept arriving. Prefer the lowest priority among all that can still be answered, and do not count passing over those that cannot. Test: TestOneReleaseInEightGoesToTheLowestPriority/late (none of 24 releases before, 3 after).

--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -104,7 +104,7 @@
 		return QueuedRequest{}, false
 	}
 	next := q.next(now, slots)
-	if slices.ContainsFunc(q.waiting, func(r QueuedRequest) bool { return r.Priority > q.waiting[next].Priority }) {
+	if q.passesOver(next, now) {
 		q.passedOver++
 	} else {
 		q.passedOver = 0
@@ -113,6 +113,16 @@
 	return q.take(next), true
 }
 
+// passesOver reports whether a request of lower priority waits that could be answered.
+func (q *RequestQueue) passesOver(next int, now time.Duration) bool {
+	for i := range q.waiting {
+		if r := &q.waiting[i]; r.Priority > q.waiting[next].Priority && r.meetsLimit(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // next returns the index of the request to release next.
 func (q *RequestQueue) next(now time.Duration, slots int) int {
 	// The order by objective is that of the queue but for the ages of openings.
@@ -191,9 +201,10 @@
 	}
 }
 
-// precedesByLowestPriority prefers lower priorities instead.
+// precedesByLowestPriority prefers lower priorities instead, also if they are late.
 func precedesByLowestPriority(a, b rankedRequest) bool {
-	if a.rank == b.rank && a.Priority != b.Priority {
+	answerable := a.rank != meetsNothing && b.rank != meetsNothing
+	if a.Priority != b.Priority && (answerable || a.rank == b.rank) {
 		return a.Priority > b.Priority
 	}
 	return precedesByPriority(a, b)
--- a/steering/request_queue_test.go
+++ b/steering/request_queue_test.go
@@ -69,9 +69,9 @@
 }
 
 // Higher priorities keep arriving. Guards against requests of the lowest priority waiting
-// for ever.
+// for ever, also those that are late already.
 func TestOneReleaseInEightGoesToTheLowestPriority(t *testing.T) {
-	for name, objective := range map[string]int{"in time": 1300} {
+	for name, objective := range map[string]int{"in time": 1300, "late": 900} {
 		t.Run(name, func(t *testing.T) {
 			const now = time.Second
 			var q steering.RequestQueue
