--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -31,7 +31,7 @@
 
 // newScheduled returns a cluster whose host accepts flows and leaves requests
 // unanswered until answer is called.
-func newScheduled(t *testing.T) *scheduled {
+func newScheduled(t testing.TB) *scheduled {
 	c := newCluster(t)
 	c.addEntry(1)
 	s := &scheduled{cluster: c, host: c.addHost(11, "s"), at: addr(11)}
--- a/steering/request_queue_test.go
+++ b/steering/request_queue_test.go
@@ -157,3 +157,18 @@
 	now += 10 * time.Second
 	must.True(t, admits(&q, 360), must.Sprint("nothing has been released for long"))
 }
+
+// BenchmarkRequestQueuePop releases one of 256 waiting requests, of which those of the
+// higher priority cannot all meet their objectives, and adds another.
+func BenchmarkRequestQueuePop(b *testing.B) {
+	var q steering.RequestQueue
+	now := time.Second
+	for id := range 256 {
+		q.Push(queued(id, 1+id%2, 1050+id, 2500))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r, _ := q.Pop(now, 3)
+		q.Push(r)
+	}
+}
