Let waiting requests keep their limits when the route's changes

Expire ended requests by the route's present time limit, also those that wait under the one at their arrival. A shorter limit so discarded requests whose requesters wait on, without counting them as expired. Test: TestWaitingRequestKeepsItsTimeLimit (0 requests waiting before, 1 after).

--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -296,11 +296,11 @@
 	}
 }
 
-// abandonRequest ends the request of a flow whose requester no longer waits for the
-// answer.
+// abandonRequest ends the request of a flow that the host was given and whose requester
+// no longer waits for the answer. Requests that wait end by their own limits.
 func (a *Agent) abandonRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
 	route := schedulable(a.config.Catalog(), key)
-	if fl.requestPending && route != nil && now-fl.requestedAt > route.Timeout {
+	if fl.requestPending && !fl.waiting && route != nil && now-fl.requestedAt > route.Timeout {
 		a.endRequest(now, fl, key)
 	}
 }
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -489,3 +489,25 @@
 	}
 	must.Len(t, 11, s.requestsAtHost())
 }
+
+// Guards against a change of the route's time limit ending requests that wait under the
+// earlier one.
+func TestWaitingRequestKeepsItsTimeLimit(t *testing.T) {
+	s := newScheduled(t)
+	s.measureServiceTime(300 * time.Millisecond)
+	flows := s.open(1000, heldFrom+1, servicePort)
+	for _, r := range flows {
+		r.request()
+	}
+	s.publish(2, func(values *[]catalog.Value) {
+		withTwoRoutes(values)
+		(*values)[0].Data = []byte(strings.ReplaceAll(string((*values)[0].Data), `"timeout_ms":1500`, `"timeout_ms":200`))
+	}, "s")
+	for range 4 {
+		s.tick(100 * time.Millisecond)
+	}
+	s.agents[s.at].Expire(s.now)
+	must.Eq(t, 1, s.counter("requests_waiting", ""))
+	s.tick(0)
+	must.SliceContains(t, s.requestsAtHost(), flows[heldFrom].endpoint.Port)
+}
