Forget all data of a discarded request

A request that leaves the queue without reaching the host counts as a new one when it is sent again. The agent forgot its data from the first packet that had arrived on. If an earlier one had arrived later, it counted as a copy and went to the host while the rest waited. Restore what was received before the request. Test: TestDiscardedRequestIsHeldAgainAsAWhole (a packet at the host before, none after).

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -77,15 +77,26 @@
 	requestPending, waiting bool
 	requestedAt, releasedAt time.Duration
 	held                    []heldPacket
-	// dataEnd is the sequence number after the last byte that has arrived from the
-	// requester, valid if dataSeen is set. Data up to it is a retransmission.
-	dataEnd  uint32
-	dataSeen bool
+	// received is the data that has arrived from the requester, receivedBefore that
+	// before the latest request.
+	received, receivedBefore receivedData
 	// overdue reports that the request has been counted as failed.
 	overdue               bool
 	requesterFin, hostFin bool
 }
 
+// receivedData is the data of a requester up to a sequence number.
+type receivedData struct {
+	// end is the number after the last byte, valid if known is set.
+	end   uint32
+	known bool
+}
+
+// includes reports whether data that ends before a sequence number is a retransmission.
+func (d receivedData) includes(end uint32) bool {
+	return d.known && int32(end-d.end) <= 0
+}
+
 // ownerRecord is what a keeper stores of a flow that another agent owns.
 type ownerRecord struct {
 	owner     [4]byte
@@ -386,11 +397,13 @@
 		return
 	}
 	end := p.Seq + uint32(p.Size)
-	if fl.dataSeen && int32(end-fl.dataEnd) <= 0 {
+	if fl.received.includes(end) {
 		return
 	}
-	fl.dataEnd, fl.dataSeen = end, true
+	before := fl.received
+	fl.received = receivedData{end: end, known: true}
 	if !fl.requestPending {
+		fl.receivedBefore = before
 		a.beginRequest(now, fl, key)
 	}
 }
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -77,7 +77,7 @@
 	// request.
 	fl := &ownedFlow{
 		state: flowEstablished, origin: origin, lastSeenAt: now, acceptedAt: now,
-		dataEnd: p.AckSeq, dataSeen: p.Ack,
+		received: receivedData{end: p.AckSeq, known: p.Ack},
 	}
 	a.flows[key] = fl
 	a.openFlows++
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -198,9 +198,7 @@
 // discardHeld drops the packets of a request that left the queue without being
 // released. If they arrive again, they count as a new request.
 func (a *Agent) discardHeld(fl *ownedFlow) {
-	if len(fl.held) > 0 {
-		fl.dataEnd = fl.held[0].seq
-	}
+	fl.received = fl.receivedBefore
 	fl.waiting, fl.held = false, nil
 }
 
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -490,6 +490,27 @@
 	must.Len(t, 11, s.requestsAtHost())
 }
 
+// The packets of a request arrive in another order, and it is discarded. Guards against
+// the earlier packet counting as a copy of data that the host has, when both are sent
+// again: it would go to the host while the rest waits.
+func TestDiscardedRequestIsHeldAgainAsAWhole(t *testing.T) {
+	s := newScheduled(t)
+	s.measureServiceTime(300 * time.Millisecond)
+	flows := s.open(1000, heldFrom+1, servicePort)
+	for _, r := range flows[:heldFrom] {
+		r.request()
+	}
+	reordered := flows[heldFrom]
+	reordered.sendFrom(201, ack, 777, 100)
+	reordered.sendFrom(1, ack, 777, 200)
+	reordered.sendFrom(301, ack|fin, 777, 0)
+	must.Eq(t, 1, s.counter("requests_canceled", "priority_2"))
+	reordered.sendFrom(1, ack, 777, 200)
+	reordered.sendFrom(201, ack, 777, 100)
+	must.SliceNotContains(t, s.requestsAtHost(), reordered.endpoint.Port)
+	must.Eq(t, 2, s.counter("requests_waited", "priority_2"))
+}
+
 // Guards against a change of the route's time limit ending requests that wait under the
 // earlier one.
 func TestWaitingRequestKeepsItsTimeLimit(t *testing.T) {
