Discard the service times of routes that are no longer configured

They were kept for the life of the process, one for each destination that had ever been answered. Test: TestServiceTimesOfRemovedRoutesAreDiscarded (2 kept before, 1 after).

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -470,6 +470,7 @@
 		a.loads.Retain(c, now)
 		a.liveness.expire(c, now)
 		a.lookups.expire(now)
+		a.scheduler.discardRoutes(c)
 		a.mu.Unlock()
 	}
 	a.mu.Lock()
--- a/datagram/export_test.go
+++ b/datagram/export_test.go
@@ -51,3 +51,6 @@
 	}
 	return nil
 }
+
+// RouteTimes returns the number of routes whose service times are known.
+func (a *Agent) RouteTimes() int { return len(a.scheduler.routeTimes) }
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -1,6 +1,7 @@
 package datagram
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -101,6 +102,13 @@
 	t.Observe(took)
 }
 
+// discardRoutes discards the service times of routes that are no longer configured.
+func (s *requestScheduler) discardRoutes(c *catalog.Catalog) {
+	maps.DeleteFunc(s.routeTimes, func(destination flow.Endpoint, _ *steering.ServiceTime) bool {
+		return c.Config.Routes[destination] == nil
+	})
+}
+
 // expectedWork returns the mean service time of a route's requests, or that of all
 // requests of the host while none of the route was observed.
 func (a *Agent) expectedWork(destination flow.Endpoint) time.Duration {
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -532,3 +532,13 @@
 	s.tick(0)
 	must.SliceContains(t, s.requestsAtHost(), flows[heldFrom].endpoint.Port)
 }
+
+// Guards against memory that grows with the routes that there have been.
+func TestServiceTimesOfRemovedRoutesAreDiscarded(t *testing.T) {
+	s := newScheduled(t)
+	s.measureServiceTime(40 * time.Millisecond)
+	must.Eq(t, 2, s.agents[s.at].RouteTimes())
+	s.publish(2, nil, "s")
+	s.agents[s.at].Expire(s.now)
+	must.Eq(t, 1, s.agents[s.at].RouteTimes())
+}
