--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -85,18 +85,6 @@
 	requesterFin, hostFin bool
 }
 
-// receivedData is the data of a requester up to a sequence number.
-type receivedData struct {
-	// end is the number after the last byte, valid if known is set.
-	end   uint32
-	known bool
-}
-
-// includes reports whether data that ends before a sequence number is a retransmission.
-func (d receivedData) includes(end uint32) bool {
-	return d.known && int32(end-d.end) <= 0
-}
-
 // ownerRecord is what a keeper stores of a flow that another agent owns.
 type ownerRecord struct {
 	owner     [4]byte
@@ -390,24 +378,6 @@
 	}
 }
 
-// trackRequesterData finds out whether a packet with data begins a request: its data
-// is new, the flow is open, and no request of it is unanswered.
-func (a *Agent) trackRequesterData(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet) {
-	if fl.state == flowClosed {
-		return
-	}
-	end := p.Seq + uint32(p.Size)
-	if fl.received.includes(end) {
-		return
-	}
-	before := fl.received
-	fl.received = receivedData{end: end, known: true}
-	if !fl.requestPending {
-		fl.receivedBefore = before
-		a.beginRequest(now, fl, key)
-	}
-}
-
 // close marks a flow as closed and subtracts it and its unanswered request from
 // the counters. The flow stays in the table until it expires.
 func (a *Agent) close(now time.Duration, fl *ownedFlow, key flow.Key) {
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -29,6 +29,18 @@
 	data []byte
 }
 
+// receivedData is the data of a requester up to a sequence number.
+type receivedData struct {
+	// end is the number after the last byte, valid if known is set.
+	end   uint32
+	known bool
+}
+
+// includes reports whether data that ends before a sequence number is a retransmission.
+func (d receivedData) includes(end uint32) bool {
+	return d.known && int32(end-d.end) <= 0
+}
+
 // runningRequest is a request that the host has and has not answered.
 type runningRequest struct {
 	flow       *ownedFlow
@@ -140,30 +152,52 @@
 		a.hostStalled(now) || a.scheduler.stopping
 }
 
+// trackRequesterData finds out whether a packet with data begins a request: its data
+// is new, the flow is open, and no request of it is unanswered.
+func (a *Agent) trackRequesterData(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet) {
+	if fl.state == flowClosed {
+		return
+	}
+	end := p.Seq + uint32(p.Size)
+	if fl.received.includes(end) {
+		return
+	}
+	before := fl.received
+	fl.received = receivedData{end: end, known: true}
+	if !fl.requestPending {
+		fl.receivedBefore = before
+		a.beginRequest(now, fl, key)
+	}
+}
+
 // beginRequest records a new request on a flow and decides whether it waits.
 func (a *Agent) beginRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
 	fl.requestPending, fl.requestedAt, fl.overdue = true, now, false
 	a.unansweredRequests++
+	sentAt := fl.requestSentAt(now)
+	fl.awaitsFirstRequest = false
 	route := schedulable(a.config.Catalog(), key)
 	switch {
 	case route == nil || a.hasRoom(now):
+		a.startRequest(now, fl, key)
 	case a.scheduler.queue.Len() >= maxHeldRequests:
 		a.scheduler.stats.of(route.Priority).overflow++
-	default:
-		sentAt := fl.requestSentAt(now)
-		fl.waiting = true
-		a.scheduler.stats.of(route.Priority).waited++
-		a.scheduler.queue.Push(steering.QueuedRequest{
-			Key: key, Priority: route.Priority, Objective: sentAt + route.TargetLatency, Limit: sentAt + route.Timeout,
-			Work: a.expectedWork(key.Destination),
-		})
-	}
-	fl.awaitsFirstRequest = false
-	if !fl.waiting {
 		a.startRequest(now, fl, key)
+	default:
+		a.queueRequest(fl, key, route, sentAt)
 	}
 }
 
+// queueRequest lets a request of a route wait. The caller holds its packets.
+func (a *Agent) queueRequest(fl *ownedFlow, key flow.Key, route *catalog.Route, sentAt time.Duration) {
+	fl.waiting = true
+	a.scheduler.stats.of(route.Priority).waited++
+	a.scheduler.queue.Push(steering.QueuedRequest{
+		Key: key, Priority: route.Priority, Objective: sentAt + route.TargetLatency, Limit: sentAt + route.Timeout,
+		Work: a.expectedWork(key.Destination),
+	})
+}
+
 // requestSentAt returns when the requester sent a request that arrives now. The first one
 // of a flow was sent together with the opening, unless the flow was opened in advance.
 func (fl *ownedFlow) requestSentAt(now time.Duration) time.Duration {
@@ -247,7 +281,7 @@
 	}
 }
 
-// release gives the host a request that has left the queue.
+// release gives the host a request that Pop has returned.
 func (a *Agent) release(now time.Duration, r *steering.QueuedRequest, out Output) {
 	fl := a.flows[r.Key]
 	if fl == nil || !fl.waiting {
--- a/steering/admission.go
+++ b/steering/admission.go
@@ -43,8 +43,8 @@
 // handles bursts of more requests than the hosts can serve: queueing alone would
 // delay all requests beyond their target instead of refusing some of them.
 type Backlog struct {
-	// Busy is the number of unanswered requests, in service or queued at the host.
-	// Slots is the maximum number in service.
+	// Busy is the number of unanswered requests, in service or queued, that delay a
+	// new one. Slots is the maximum number in service.
 	Busy, Slots int
 	// ServiceTime is the mean time that a request is in service, without waiting.
 	ServiceTime time.Duration
@@ -77,16 +77,15 @@
 	}
 }
 
-// ServiceTime estimates the mean service time of a host's requests by an
-// exponential moving average over those that did not have to wait. It is not
-// safe for concurrent use.
+// ServiceTime estimates the mean service time of requests, without the time that
+// they wait, by an exponential moving average. It is not safe for concurrent use.
 type ServiceTime struct {
 	mean time.Duration
 	// samples counts the observed requests, up to serviceSamples.
 	samples int
 }
 
-// Observe records the duration of a request that arrived while a slot was free.
+// Observe records for how long a request was in service.
 func (s *ServiceTime) Observe(took time.Duration) {
 	s.samples = min(s.samples+1, serviceSamples)
 	s.mean += (took - s.mean) / time.Duration(s.samples)
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -300,17 +300,20 @@
 	// initialLateShare is the share of releases that is assumed to go to late requests
 	// while nothing is known.
 	initialLateShare = 0.5
+	// lateSmoothing is the weight of a release in the share of late releases.
+	lateSmoothing = 0.1
 )
 
 // lateRate tracks which share of a host's releases goes to late requests while such
 // requests wait.
 type lateRate struct {
-	value      float64
+	// observed is the share as of observedAt, valid if known is set.
+	observed   float64
 	observedAt time.Duration
 	known      bool
 }
 
-// observeRelease records a release.
+// observeRelease records a release, given how many late requests waited.
 func (l *lateRate) observeRelease(now time.Duration, late bool, lateWaiting int) {
 	if lateWaiting == 0 {
 		return
@@ -319,13 +322,11 @@
 	if late {
 		sample = 1
 	}
-	l.value = l.share(now) + lateSmoothing*(sample-l.share(now))
+	share := l.share(now)
+	l.observed = share + lateSmoothing*(sample-share)
 	l.observedAt, l.known = now, true
 }
 
-// lateSmoothing is the weight of a release in the share of late releases.
-const lateSmoothing = 0.1
-
 // share returns the share of releases that late requests can count on. It returns to
 // initialLateShare while no late request waits.
 func (l *lateRate) share(now time.Duration) float64 {
@@ -333,5 +334,5 @@
 		return initialLateShare
 	}
 	keep := halfLifeDecay(now-l.observedAt, lateHalfLife)
-	return initialLateShare + keep*(l.value-initialLateShare)
+	return initialLateShare + keep*(l.observed-initialLateShare)
 }
