Count what the host queues when admitting late requests

A host that leaves requests unanswered is given all of them, so that none waits at the agent. Admission then took the empty queue for room and accepted all openings that the backlog forbade, however many requests the host had. Count the requests at the host beyond its slots as ahead. Tests: TestAdmitsLateCountsWhatTheHostQueues (80 requests at a host of 3 slots: admitted before, refused after), TestStalledHostAdmitsFewLateRequests (100 requests at a host of 2 slots: accepted before, reset after).

--- a/datagram/scheduler_faults_test.go
+++ b/datagram/scheduler_faults_test.go
@@ -267,3 +267,22 @@
 	s.agents[s.at].Expire(s.now)
 	must.Eq(t, 1, s.agents[s.at].RouteTimes())
 }
+
+// A host that answers nothing has been given all requests, so that none waits here. Guards
+// against the empty queue being taken for a host that soon releases late requests.
+func TestStalledHostAdmitsFewLateRequests(t *testing.T) {
+	s := newScheduled(t)
+	s.measureServiceTime(40 * time.Millisecond)
+	flows := s.open(1000, 100, servicePort)
+	for _, r := range flows {
+		r.request()
+	}
+	for range 4 {
+		s.tick(100 * time.Millisecond)
+	}
+	must.Len(t, len(flows), s.requestsAtHost())
+	s.host.down = false
+	answers := s.requester(2000, 1).send(syn, 0, 0)
+	must.Len(t, 1, answers)
+	must.True(t, answers[0].Rst)
+}
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -264,9 +264,11 @@
 // limit. It answers the backlog after an outage: requests that come at once and are
 // refused use up their tries although there is room a moment later. While requests
 // that can meet their objectives fill the host, late ones are not released, and
-// nothing more is admitted late.
+// nothing more is admitted late. Requests that the host was given beyond its slots are
+// served first.
 func (q *RequestQueue) AdmitsLate(now time.Duration, priority int, limit time.Duration, backlog Backlog) bool {
-	ahead := 0
+	atHost := backlog.Busy - q.Ahead(now, priority)
+	ahead := max(0, atHost-backlog.Slots)
 	for i := range q.waiting {
 		if r := &q.waiting[i]; r.Priority <= priority || r.meetsObjective(now) {
 			ahead++
--- a/steering/request_queue_test.go
+++ b/steering/request_queue_test.go
@@ -158,6 +158,16 @@
 	must.True(t, admits(&q, 360), must.Sprint("nothing has been released for long"))
 }
 
+// A host that fails requests is given all of them and queues them itself. Guards against
+// counting only what waits here.
+func TestAdmitsLateCountsWhatTheHostQueues(t *testing.T) {
+	var q steering.RequestQueue
+	for busy, want := range map[int]bool{4: true, 30: true, 80: false} {
+		backlog := steering.Backlog{Busy: busy, Slots: 3, ServiceTime: 40 * time.Millisecond}
+		must.Eq(t, want, q.AdmitsLate(0, 2, 1500*time.Millisecond, backlog), must.Sprint(busy))
+	}
+}
+
 // BenchmarkRequestQueuePop releases one of 256 waiting requests, of which those of the
 // higher priority cannot all meet their objectives, and adds another.
 func BenchmarkRequestQueuePop(b *testing.B) {
