Keep flows of an unlisted host after a pause of its agent

A host whose entry has lapsed counts as stopped if it leaves a packet unanswered for 600 ms. After an agent had not run for as long, its first packet found so although the answer was in the socket, and open flows of a living host were reset. Count the wait from the end of the pause, as for the silence of a listed host.

It now ticks each 100 ms, as datagram.Node does; what the tests require is unchanged, and all tests pass with it also without the fix, but for the new one. Test: TestPauseOfTheAgentDoesNotEndFlowsOfAnUnlistedHost (reset before, not after; a host that is silent without a pause is still found).

--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -67,7 +67,7 @@
 // away while the store was readable, and it does not answer.
 func (a *Agent) hostStopped(now time.Duration) bool {
 	c := a.config.Catalog()
-	return a.hostLiveness.waiting && now-a.hostLiveness.waitingSince >= hostResponseTimeout &&
+	return a.hostLiveness.waiting && a.pause.since(now, a.hostLiveness.waitingSince) >= hostResponseTimeout &&
 		c != nil && c.Hosts[a.config.Self.Addr] == nil && a.hostListEvidence(now, c).Complete()
 }
 
--- a/datagram/lost_test.go
+++ b/datagram/lost_test.go
@@ -55,10 +55,14 @@
 	return c, owner, flows
 }
 
-// advance moves the clock forward and confirms the catalog as current.
+// advance moves the clock forward in steps of a tick, and confirms the catalog as current
+// at each.
 func (c *cluster) advance(d time.Duration) {
-	c.now += d
-	c.confirmCatalog()
+	const tick = 100 * time.Millisecond
+	for end := c.now + d; c.now < end; {
+		c.now = min(c.now+tick, end)
+		c.confirmCatalog()
+	}
 }
 
 // sendWithRetries sends a request and retransmits it after the given pauses in
--- a/datagram/scheduler_faults_test.go
+++ b/datagram/scheduler_faults_test.go
@@ -286,3 +286,24 @@
 	must.Len(t, 1, answers)
 	must.True(t, answers[0].Rst)
 }
+
+// The same for a host whose entry has lapsed. Guards against resetting open flows of a
+// living host because the agent could not receive its answer.
+func TestPauseOfTheAgentDoesNotEndFlowsOfAnUnlistedHost(t *testing.T) {
+	s := newScheduled(t)
+	flows := s.open(1000, 2, servicePort)
+	s.unlistHost(2)
+	for range 30 {
+		s.tick(100 * time.Millisecond)
+	}
+	flows[0].request()
+	s.now += time.Second
+	must.SliceEmpty(t, flows[1].sendFrom(1, ack, 777, 50))
+	// Without a pause, the silence shows that the host has stopped.
+	for range 7 {
+		s.tick(100 * time.Millisecond)
+	}
+	answers := flows[1].sendFrom(51, ack, 777, 50)
+	must.Len(t, 1, answers)
+	must.True(t, answers[0].Rst)
+}
