--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -65,19 +65,21 @@
 	// openingFrame is the frame that carried the opening.
 	openingFrame flow.Frame
 	lastSeenAt   time.Duration
-	// openingSentAt is when the requester sent its opening, or 0 once its first
-	// request has arrived.
-	openingSentAt time.Duration
+	// acceptedAt is when the host last accepted the opening, or the flow was adopted.
+	acceptedAt time.Duration
+	// openingSentAt is when the requester sent its opening, valid until the first
+	// request arrives, for which awaitsFirstRequest is set.
+	openingSentAt      time.Duration
+	awaitsFirstRequest bool
 	// requestPending reports that a request arrived at requestedAt and is not
 	// answered yet. If waiting is set, it is held here, as the packets in held;
 	// otherwise it was given to the host at releasedAt.
 	requestPending, waiting bool
 	requestedAt, releasedAt time.Duration
 	held                    []heldPacket
-	// dataEnd is the sequence number after the last byte that has arrived from the
-	// requester, valid if dataSeen is set. Data up to it is a retransmission.
-	dataEnd  uint32
-	dataSeen bool
+	// received is the data that has arrived from the requester, receivedBefore that
+	// before the latest request.
+	received, receivedBefore receivedData
 	// overdue reports that the request has been counted as failed.
 	overdue               bool
 	requesterFin, hostFin bool
@@ -146,15 +148,20 @@
 	unansweredRequests int
 	// lastAnswerAt is when the host last answered a request.
 	lastAnswerAt time.Duration
-	openFlows    int
-	coldLimiter  steering.ColdRateLimiter
-	loads        *steering.LoadTable
+	// pause finds out when the agent last could not receive the host's packets.
+	pause       pauseDetector
+	openFlows   int
+	coldLimiter steering.ColdRateLimiter
+	loads       *steering.LoadTable
 	// serviceHistory holds the services found to hold flows of routes that are
 	// configured for other services.
 	serviceHistory *steering.ServiceHistory
 	serviceTime    steering.ServiceTime
 	failureTracker steering.FailureTracker
 	scheduler      requestScheduler
+	// listedSlots is the number of the host's slots when it was last listed, or 0. The
+	// entry of a running host may lapse while the store is unavailable.
+	listedSlots int
 	// failureShare is the share of the host's requests that fail, in units of
 	// 1/255 as in frames.
 	failureShare uint8
@@ -190,6 +197,7 @@
 func (a *Agent) HandleFrame(now time.Duration, from [4]byte, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	f := &a.frame
 	packet, ok := f.Parse(data)
 	if !ok {
@@ -370,19 +378,6 @@
 	}
 }
 
-// trackRequesterData finds out whether a packet with data begins a request: its data
-// is new, and no request is unanswered.
-func (a *Agent) trackRequesterData(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet) {
-	end := p.Seq + uint32(p.Size)
-	if fl.dataSeen && int32(end-fl.dataEnd) <= 0 {
-		return
-	}
-	fl.dataEnd, fl.dataSeen = end, true
-	if !fl.requestPending {
-		a.beginRequest(now, fl, key)
-	}
-}
-
 // close marks a flow as closed and subtracts it and its unanswered request from
 // the counters. The flow stays in the table until it expires.
 func (a *Agent) close(now time.Duration, fl *ownedFlow, key flow.Key) {
@@ -445,10 +440,12 @@
 		a.loads.Retain(c, now)
 		a.liveness.expire(c, now)
 		a.lookups.expire(now)
+		a.scheduler.discardRoutes(c)
 		a.mu.Unlock()
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	for key, fl := range a.flows {
 		idleFor := now - fl.lastSeenAt
 		a.checkOverdue(now, fl, key)
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -29,6 +29,31 @@
 // an answer.
 func (h *hostLiveness) packetReceived() { h.waiting = false }
 
+// maxEventGap is the time between two events after which the agent counts as having been
+// stopped, for instance by a lack of CPU time. It is five ticks long.
+const maxEventGap = 5 * tickInterval
+
+// pauseDetector finds out when the process did not run. Packets that the host sent in such
+// a time are received later than the next event, so it is no evidence against the host.
+type pauseDetector struct {
+	// lastEventAt is the time of the last event, resumedAt that of the first one after the
+	// last pause.
+	lastEventAt, resumedAt time.Duration
+}
+
+// observe records an event. Ticks are events, too.
+func (d *pauseDetector) observe(now time.Duration) {
+	if now-d.lastEventAt > maxEventGap {
+		d.resumedAt = now
+	}
+	d.lastEventAt = max(d.lastEventAt, now)
+}
+
+// since returns for how long the agent has run without pause since an event.
+func (d *pauseDetector) since(now, event time.Duration) time.Duration {
+	return now - max(event, d.resumedAt)
+}
+
 // sendToHost sends the packet that is being processed to the host. Only
 // payload and openings call for an answer and start the liveness timeout.
 func (a *Agent) sendToHost(now time.Duration, data []byte, out Output) {
@@ -42,7 +67,7 @@
 // away while the store was readable, and it does not answer.
 func (a *Agent) hostStopped(now time.Duration) bool {
 	c := a.config.Catalog()
-	return a.hostLiveness.waiting && now-a.hostLiveness.waitingSince >= hostResponseTimeout &&
+	return a.hostLiveness.waiting && a.pause.since(now, a.hostLiveness.waitingSince) >= hostResponseTimeout &&
 		c != nil && c.Hosts[a.config.Self.Addr] == nil && a.hostListEvidence(now, c).Complete()
 }
 
@@ -50,6 +75,7 @@
 func (a *Agent) HandleHost(now time.Duration, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	p := &a.packet
 	if !a.config.Codec.Decode(data, p) {
 		a.config.Events.Drop(DropMalformed)
@@ -70,7 +96,7 @@
 			origin = t.frame.Origin
 			delete(a.trials, key)
 		}
-		fl = a.adopt(now, key, origin, out)
+		fl = a.adopt(now, key, p, origin, out)
 	}
 	if fl != nil {
 		a.trackHostPacket(now, fl, key, p, out)
@@ -82,6 +108,9 @@
 // trackHostPacket updates the state of a flow by a packet from the host.
 func (a *Agent) trackHostPacket(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet, out Output) {
 	fl.lastSeenAt = now
+	if p.Syn && p.Ack {
+		fl.acceptedAt = now
+	}
 	if p.Syn && p.Ack && fl.state == flowOpening {
 		fl.state, fl.hostInitialSeq = flowAccepted, p.Seq
 		a.announce(key, fl.origin, false, out)
@@ -116,7 +145,7 @@
 	}
 	if fl != nil && a.matchesFlow(fl, p) {
 		// The host has most likely restarted and lost its flows.
-		a.hostRestarted()
+		a.scheduler.hostLostFlow(now, fl)
 		a.dropLostFlow(now, fl, key, "host_does_not_hold_flow", p, out)
 		return
 	}
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -43,7 +43,10 @@
 		a.forwardOpening(now, f, p, data, "cold", out)
 		return
 	}
-	a.flows[key] = &ownedFlow{state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now, openingSentAt: now - p.OpeningAge}
+	a.flows[key] = &ownedFlow{
+		state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now,
+		openingSentAt: now - p.OpeningAge, awaitsFirstRequest: true,
+	}
 	a.openFlows++
 	a.sendToHost(now, data, out)
 }
@@ -83,14 +86,15 @@
 	return ""
 }
 
-// hostSlots returns how many requests the host serves concurrently.
+// hostSlots returns how many requests the host serves concurrently, as last listed. It
+// is 1 if that is not known.
 func (a *Agent) hostSlots() int {
 	if c := a.config.Catalog(); c != nil {
 		if host := c.Hosts[a.config.Self.Addr]; host != nil {
-			return host.Slots
+			a.listedSlots = host.Slots
 		}
 	}
-	return 1
+	return max(1, a.listedSlots)
 }
 
 // admit decides whether the host has capacity for another flow. hasAlternative
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -1,6 +1,7 @@
 package datagram
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	// packets of each, about 5 MB together. A requester has no more packets in flight.
 	maxHeldRequests = 256
 	maxHeldPackets  = 16
+	// maxFirstRequestDelay is the time after the host's answer to an opening within which
+	// a request that caused the opening arrives. It covers one retransmission after 200 ms.
+	maxFirstRequestDelay = 400 * time.Millisecond
 )
 
 // heldPacket is a packet of a request that waits.
@@ -25,6 +29,18 @@
 	data []byte
 }
 
+// receivedData is the data of a requester up to a sequence number.
+type receivedData struct {
+	// end is the number after the last byte, valid if known is set.
+	end   uint32
+	known bool
+}
+
+// includes reports whether data that ends before a sequence number is a retransmission.
+func (d receivedData) includes(end uint32) bool {
+	return d.known && int32(end-d.end) <= 0
+}
+
 // runningRequest is a request that the host has and has not answered.
 type runningRequest struct {
 	flow       *ownedFlow
@@ -43,12 +59,16 @@
 	queue steering.RequestQueue
 	// running holds the requests that occupy the host, in the order of their release.
 	running []runningRequest
-	// silentSince is when the host last answered a request or, if it had none then, was
-	// given one. It is valid while the host has unanswered requests.
+	// hostRestartedAt is when the host was last found to have restarted.
+	hostRestartedAt time.Duration
+	// silentSince is when the host last answered a request or, if its slots were not all
+	// in use then, was given the one that may have filled them.
 	silentSince time.Duration
 	// routeTimes holds the service times by route.
 	routeTimes map[flow.Endpoint]*steering.ServiceTime
 	stats      schedulerStats
+	// stopping reports that the process stops and holds no more requests.
+	stopping bool
 }
 
 func newRequestScheduler() requestScheduler {
@@ -94,6 +114,13 @@
 	t.Observe(took)
 }
 
+// discardRoutes discards the service times of routes that are no longer configured.
+func (s *requestScheduler) discardRoutes(c *catalog.Catalog) {
+	maps.DeleteFunc(s.routeTimes, func(destination flow.Endpoint, _ *steering.ServiceTime) bool {
+		return c.Config.Routes[destination] == nil
+	})
+}
+
 // expectedWork returns the mean service time of a route's requests, or that of all
 // requests of the host while none of the route was observed.
 func (a *Agent) expectedWork(destination flow.Endpoint) time.Duration {
@@ -118,43 +145,72 @@
 // hasRoom reports whether the host may be given another request. The number of running
 // requests says nothing about a host that leaves requests unanswered; such a host is
 // given all of them, so that it refuses those that exceed its own queue and their
-// requesters turn to other hosts.
+// requesters turn to other hosts. The same applies while the number of slots is not known.
 func (a *Agent) hasRoom(now time.Duration) bool {
-	return len(a.scheduler.running) < a.hostSlots()+extraRequests || a.failureShare > 0 || a.hostStalled(now)
+	slots := a.hostSlots()
+	return len(a.scheduler.running) < slots+extraRequests || a.listedSlots == 0 || a.failureShare > 0 ||
+		a.hostStalled(now) || a.scheduler.stopping
+}
+
+// trackRequesterData finds out whether a packet with data begins a request: its data
+// is new, the flow is open, and no request of it is unanswered.
+func (a *Agent) trackRequesterData(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet) {
+	if fl.state == flowClosed {
+		return
+	}
+	end := p.Seq + uint32(p.Size)
+	if fl.received.includes(end) {
+		return
+	}
+	before := fl.received
+	fl.received = receivedData{end: end, known: true}
+	if !fl.requestPending {
+		fl.receivedBefore = before
+		a.beginRequest(now, fl, key)
+	}
 }
 
 // beginRequest records a new request on a flow and decides whether it waits.
 func (a *Agent) beginRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
 	fl.requestPending, fl.requestedAt, fl.overdue = true, now, false
 	a.unansweredRequests++
+	sentAt := fl.requestSentAt(now)
+	fl.awaitsFirstRequest = false
 	route := schedulable(a.config.Catalog(), key)
 	switch {
 	case route == nil || a.hasRoom(now):
+		a.startRequest(now, fl, key)
 	case a.scheduler.queue.Len() >= maxHeldRequests:
 		a.scheduler.stats.of(route.Priority).overflow++
+		a.startRequest(now, fl, key)
 	default:
-		sentAt := now
-		if fl.openingSentAt > 0 {
-			sentAt = fl.openingSentAt
-		}
-		fl.waiting = true
-		a.scheduler.stats.of(route.Priority).waited++
-		a.scheduler.queue.Push(steering.QueuedRequest{
-			Key: key, Priority: route.Priority, Objective: sentAt + route.TargetLatency, Limit: sentAt + route.Timeout,
-			Work: a.expectedWork(key.Destination),
-		})
+		a.queueRequest(fl, key, route, sentAt)
 	}
-	// Only the first request of a flow was sent together with its opening.
-	fl.openingSentAt = 0
-	if !fl.waiting {
-		a.startRequest(now, fl, key)
+}
+
+// queueRequest lets a request of a route wait. The caller holds its packets.
+func (a *Agent) queueRequest(fl *ownedFlow, key flow.Key, route *catalog.Route, sentAt time.Duration) {
+	fl.waiting = true
+	a.scheduler.stats.of(route.Priority).waited++
+	a.scheduler.queue.Push(steering.QueuedRequest{
+		Key: key, Priority: route.Priority, Objective: sentAt + route.TargetLatency, Limit: sentAt + route.Timeout,
+		Work: a.expectedWork(key.Destination),
+	})
+}
+
+// requestSentAt returns when the requester sent a request that arrives now. The first one
+// of a flow was sent together with the opening, unless the flow was opened in advance.
+func (fl *ownedFlow) requestSentAt(now time.Duration) time.Duration {
+	if fl.awaitsFirstRequest && now-fl.acceptedAt <= maxFirstRequestDelay {
+		return fl.openingSentAt
 	}
+	return now
 }
 
 // startRequest records that a request, already counted as unanswered, is given to the
 // host.
 func (a *Agent) startRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
-	if a.requestsAtHost() == 1 {
+	if a.requestsAtHost() <= a.hostSlots() {
 		a.scheduler.silentSince = now
 	}
 	a.scheduler.start(now, fl, key, a.hostSlots())
@@ -184,9 +240,7 @@
 // discardHeld drops the packets of a request that left the queue without being
 // released. If they arrive again, they count as a new request.
 func (a *Agent) discardHeld(fl *ownedFlow) {
-	if len(fl.held) > 0 {
-		fl.dataEnd = fl.held[0].seq
-	}
+	fl.received = fl.receivedBefore
 	fl.waiting, fl.held = false, nil
 }
 
@@ -196,7 +250,7 @@
 	a.lastAnswerAt, a.scheduler.silentSince = now, now
 	fl.requestPending = false
 	a.unansweredRequests--
-	if r, counted := a.scheduler.stop(now, fl, a.hostSlots()); counted && r.started {
+	if r, counted := a.scheduler.stop(now, fl, a.hostSlots()); counted && r.started && r.startedAt >= a.pause.resumedAt {
 		a.serviceTime.Observe(now - r.startedAt)
 		a.scheduler.observeServiceTime(key.Destination, now-r.startedAt)
 	}
@@ -217,13 +271,17 @@
 
 // releaseRequests gives the host as many waiting requests as it has room for.
 func (a *Agent) releaseRequests(now time.Duration, out Output) {
+	if a.scheduler.queue.Len() == 0 || !a.hasRoom(now) {
+		return
+	}
+	a.expireWaiting(now)
 	for a.scheduler.queue.Len() > 0 && a.hasRoom(now) {
 		r, _ := a.scheduler.queue.Pop(now, a.hostSlots())
 		a.release(now, &r, out)
 	}
 }
 
-// release gives the host a request that has left the queue.
+// release gives the host a request that Pop has returned.
 func (a *Agent) release(now time.Duration, r *steering.QueuedRequest, out Output) {
 	fl := a.flows[r.Key]
 	if fl == nil || !fl.waiting {
@@ -239,25 +297,35 @@
 	}
 }
 
-// ReleaseAll gives the host all waiting requests. It is called before the process
-// stops, since a requester does not send them again until its retransmission timeout.
+// ReleaseAll gives the host all waiting requests, and from then on each one that
+// arrives. It is called before the process stops, since a requester does not send them
+// again until its retransmission timeout.
 func (a *Agent) ReleaseAll(now time.Duration, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for a.scheduler.queue.Len() > 0 {
-		r, _ := a.scheduler.queue.Pop(now, a.hostSlots())
-		a.release(now, &r, out)
-	}
+	a.scheduler.stopping = true
+	a.releaseRequests(now, out)
 }
 
 // expireRequests removes requests whose requesters have given up from the queue, and
 // requests that have been unanswered for too long to be in service from the running
 // ones, and fills the room that they leave.
 func (a *Agent) expireRequests(now time.Duration, out Output) {
+	a.expireWaiting(now)
+	a.scheduler.running = slices.DeleteFunc(a.scheduler.running, func(r runningRequest) bool {
+		return a.pause.since(now, r.releasedAt) > a.overdueAfter(r.key)
+	})
+	// The number of slots may have changed, too.
+	a.scheduler.fillSlots(now, a.hostSlots())
+	a.releaseRequests(now, out)
+}
+
+// expireWaiting removes requests whose requesters have given up from the queue.
+func (a *Agent) expireWaiting(now time.Duration) {
 	for {
 		r, found := a.scheduler.queue.PopExpired(now)
 		if !found {
-			break
+			return
 		}
 		a.scheduler.stats.of(r.Priority).expired++
 		if fl := a.flows[r.Key]; fl != nil && fl.waiting {
@@ -266,28 +334,24 @@
 			a.discardHeld(fl)
 		}
 	}
-	before := len(a.scheduler.running)
-	a.scheduler.running = slices.DeleteFunc(a.scheduler.running, func(r runningRequest) bool {
-		return now-r.releasedAt > a.overdueAfter(r.key)
-	})
-	if len(a.scheduler.running) < before {
-		a.scheduler.fillSlots(now, a.hostSlots())
-	}
-	a.releaseRequests(now, out)
 }
 
-// abandonRequest ends the request of a flow whose requester no longer waits for the
-// answer.
+// abandonRequest ends the request of a flow that the host was given and whose requester
+// no longer waits for the answer. Requests that wait end by their own limits.
 func (a *Agent) abandonRequest(now time.Duration, fl *ownedFlow, key flow.Key) {
 	route := schedulable(a.config.Catalog(), key)
-	if fl.requestPending && route != nil && now-fl.requestedAt > route.Timeout {
+	if fl.requestPending && !fl.waiting && route != nil && now-fl.requestedAt > route.Timeout {
 		a.endRequest(now, fl, key)
 	}
 }
 
-// hostRestarted forgets which requests occupy the host, because it has lost them.
-func (a *Agent) hostRestarted() {
-	a.scheduler.running = nil
+// hostLostFlow records that the host has lost a flow. Unless the flow is older than the
+// last known restart of the host, which then explains the loss, the host has restarted
+// and lost the requests that occupied it, too.
+func (s *requestScheduler) hostLostFlow(now time.Duration, fl *ownedFlow) {
+	if fl.acceptedAt > s.hostRestartedAt {
+		s.running, s.hostRestartedAt = nil, now
+	}
 }
 
 // backlogAhead returns the host's backlog as far as it delays a new request of the
@@ -311,7 +375,7 @@
 // hostStalled reports whether the host's slots are all in use and it has answered
 // nothing for much longer than its service time.
 func (a *Agent) hostStalled(now time.Duration) bool {
-	return a.requestsAtHost() >= a.hostSlots() && now-a.scheduler.silentSince > max(minStallTime, stallFactor*a.serviceTime.Mean())
+	return a.requestsAtHost() >= a.hostSlots() && a.pause.since(now, a.scheduler.silentSince) > max(minStallTime, stallFactor*a.serviceTime.Mean())
 }
 
 // countCanceled counts a waiting request whose requester ended or reset the flow.
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -104,7 +104,7 @@
 		return QueuedRequest{}, false
 	}
 	next := q.next(now, slots)
-	if slices.ContainsFunc(q.waiting, func(r QueuedRequest) bool { return r.Priority > q.waiting[next].Priority }) {
+	if q.passesOver(next, now) {
 		q.passedOver++
 	} else {
 		q.passedOver = 0
@@ -113,19 +113,29 @@
 	return q.take(next), true
 }
 
+// passesOver reports whether a request of lower priority waits that could be answered.
+func (q *RequestQueue) passesOver(next int, now time.Duration) bool {
+	for i := range q.waiting {
+		if r := &q.waiting[i]; r.Priority > q.waiting[next].Priority && r.meetsLimit(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // next returns the index of the request to release next.
 func (q *RequestQueue) next(now time.Duration, slots int) int {
 	// The order by objective is that of the queue but for the ages of openings.
 	slices.SortStableFunc(q.waiting, func(a, b QueuedRequest) int { return cmp.Compare(a.Objective, b.Objective) })
 	if q.passedOver >= maxPassedOver {
-		return q.best(func(a, b *QueuedRequest) bool { return a.Priority > b.Priority }, now)
+		return q.first(now, precedesByLowestPriority)
 	}
 	if q.meetsObjectives(now, slots, lowestOfAll) {
-		return q.best(func(a, b *QueuedRequest) bool { return false }, now)
+		return q.first(now, precedesByObjective)
 	}
-	urgent := q.best(func(a, b *QueuedRequest) bool { return a.Priority < b.Priority }, now)
+	urgent := q.first(now, precedesByPriority)
 	priority := q.waiting[urgent].Priority
-	if !q.waiting[urgent].meetsObjective(now) || q.meetsObjectives(now, slots, priority) {
+	if q.meetsObjectives(now, slots, priority) {
 		return urgent
 	}
 	return q.latest(now, priority)
@@ -134,29 +144,6 @@
 // lowestOfAll is a priority number that is not below that of any request.
 const lowestOfAll = math.MaxInt
 
-// best returns the index of the first request in the order: those that meet their
-// objectives, then those that meet their limits, then the rest; within each by the given
-// order, then by the earliest objective or, for requests that miss it, limit.
-func (q *RequestQueue) best(precedes func(a, b *QueuedRequest) bool, now time.Duration) int {
-	best := 0
-	for i := range q.waiting {
-		a, b := &q.waiting[i], &q.waiting[best]
-		rankA, rankB := a.rank(now), b.rank(now)
-		switch {
-		case rankA != rankB:
-			if rankA < rankB {
-				best = i
-			}
-		case precedes(a, b):
-			best = i
-		case precedes(b, a):
-		case rankA != meetsObjective && a.Limit < b.Limit, a.Objective < b.Objective:
-			best = i
-		}
-	}
-	return best
-}
-
 // The ranks of a request by what it can still meet.
 const (
 	meetsObjective = iota
@@ -164,17 +151,65 @@
 	meetsNothing
 )
 
-func (r *QueuedRequest) rank(now time.Duration) int {
+// rankedRequest is a waiting request with its rank.
+type rankedRequest struct {
+	*QueuedRequest
+	rank int
+}
+
+func (r *QueuedRequest) ranked(now time.Duration) rankedRequest {
 	switch {
 	case r.meetsObjective(now):
-		return meetsObjective
+		return rankedRequest{r, meetsObjective}
 	case r.meetsLimit(now):
-		return meetsLimit
+		return rankedRequest{r, meetsLimit}
+	default:
+		return rankedRequest{r, meetsNothing}
+	}
+}
+
+// first returns the index of the request that precedes all others, by the earliest
+// objective if the order says nothing. The queue has to be in the order of objectives.
+func (q *RequestQueue) first(now time.Duration, precedes func(a, b rankedRequest) bool) int {
+	index, first := 0, q.waiting[0].ranked(now)
+	for i := 1; i < len(q.waiting); i++ {
+		if r := q.waiting[i].ranked(now); precedes(r, first) {
+			index, first = i, r
+		}
+	}
+	return index
+}
+
+// precedesByObjective orders requests that can meet their objectives by these, and the
+// rest after them by priority.
+func precedesByObjective(a, b rankedRequest) bool {
+	if a.rank == meetsObjective && b.rank == meetsObjective {
+		return false // The queue is in the order of objectives.
+	}
+	return precedesByPriority(a, b)
+}
+
+// precedesByPriority orders requests by what they can still meet, then by priority.
+func precedesByPriority(a, b rankedRequest) bool {
+	switch {
+	case a.rank != b.rank:
+		return a.rank < b.rank
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
 	default:
-		return meetsNothing
+		return a.rank != meetsObjective && a.Limit < b.Limit
 	}
 }
 
+// precedesByLowestPriority prefers lower priorities instead, also if they are late.
+func precedesByLowestPriority(a, b rankedRequest) bool {
+	answerable := a.rank != meetsNothing && b.rank != meetsNothing
+	if a.Priority != b.Priority && (answerable || a.rank == b.rank) {
+		return a.Priority > b.Priority
+	}
+	return precedesByPriority(a, b)
+}
+
 // latest returns the index of the request with the latest objective among those of a
 // priority.
 func (q *RequestQueue) latest(now time.Duration, priority int) int {
@@ -229,9 +264,11 @@
 // limit. It answers the backlog after an outage: requests that come at once and are
 // refused use up their tries although there is room a moment later. While requests
 // that can meet their objectives fill the host, late ones are not released, and
-// nothing more is admitted late.
+// nothing more is admitted late. Requests that the host was given beyond its slots are
+// served first.
 func (q *RequestQueue) AdmitsLate(now time.Duration, priority int, limit time.Duration, backlog Backlog) bool {
-	ahead := 0
+	atHost := backlog.Busy - q.Ahead(now, priority)
+	ahead := max(0, atHost-backlog.Slots)
 	for i := range q.waiting {
 		if r := &q.waiting[i]; r.Priority <= priority || r.meetsObjective(now) {
 			ahead++
@@ -265,17 +302,20 @@
 	// initialLateShare is the share of releases that is assumed to go to late requests
 	// while nothing is known.
 	initialLateShare = 0.5
+	// lateSmoothing is the weight of a release in the share of late releases.
+	lateSmoothing = 0.1
 )
 
 // lateRate tracks which share of a host's releases goes to late requests while such
 // requests wait.
 type lateRate struct {
-	value      float64
+	// observed is the share as of observedAt, valid if known is set.
+	observed   float64
 	observedAt time.Duration
 	known      bool
 }
 
-// observeRelease records a release.
+// observeRelease records a release, given how many late requests waited.
 func (l *lateRate) observeRelease(now time.Duration, late bool, lateWaiting int) {
 	if lateWaiting == 0 {
 		return
@@ -284,13 +324,11 @@
 	if late {
 		sample = 1
 	}
-	l.value = l.share(now) + lateSmoothing*(sample-l.share(now))
+	share := l.share(now)
+	l.observed = share + lateSmoothing*(sample-share)
 	l.observedAt, l.known = now, true
 }
 
-// lateSmoothing is the weight of a release in the share of late releases.
-const lateSmoothing = 0.1
-
 // share returns the share of releases that late requests can count on. It returns to
 // initialLateShare while no late request waits.
 func (l *lateRate) share(now time.Duration) float64 {
@@ -298,5 +336,5 @@
 		return initialLateShare
 	}
 	keep := halfLifeDecay(now-l.observedAt, lateHalfLife)
-	return initialLateShare + keep*(l.value-initialLateShare)
+	return initialLateShare + keep*(l.observed-initialLateShare)
 }
