Refuse openings of overloaded services at the entries

Cause: when all hosts of a service have more requests than they can serve, an opening is passed from agent to agent up to four times before it is reset, and each step sends reports to the entry and to all agents before. Agents also pass openings on to hosts that are known to be fuller than their own, up to the last one, which refuses them although the others have room.

Change: report frames carry the lowest priority that the host admits (AdmitPriority, 1 byte at offset 36; 0 says nothing, 255 all). The agent derives it from the decision on openings itself (RequestQueue.AdmitOpening, late admission included) and holds it until there is room for one more request for each slot (AdmissionLevel). An entry refuses a first copy of an opening at once if every usable host has said, at most 500 ms and two of its service times ago, that it does not admit the priority; one in sixteen is placed all the same. An agent whose host is busy does not pass an opening on to hosts that have said so. The entry logs flow_refused reason=service_overloaded and counts openings_refused by priority; the agent exports admit_priority and logs admission_level at most once a second.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -155,6 +155,7 @@
 	serviceTime    steering.ServiceTime
 	failureTracker steering.FailureTracker
 	scheduler      requestScheduler
+	level          reportedLevel
 	// failureShare is the share of the host's requests that fail, in units of
 	// 1/255 as in frames.
 	failureShare uint8
@@ -349,6 +350,7 @@
 	if p.Ack && fl.state == flowAccepted {
 		fl.state = flowEstablished
 		fl.origin = f.Origin
+		a.updateLevel(now, a.config.Catalog())
 		a.announce(key, f.Origin, true, out)
 		a.config.Events.Log(EventOpened, key, "entry", f.Origin.AddrPort().Addr(), "flows", a.openFlows, "busy", a.unansweredRequests)
 	}
@@ -420,7 +422,8 @@
 	return flow.Frame{
 		Kind: kind, Key: key, Sender: a.config.Self.Addr, ServiceTag: a.tag, StartedAt: uint32(a.config.StartedAt.Unix()),
 		FailureShare: a.failureShare, ServiceMillis: serviceMillis(a.serviceTime.Comparable()),
-		Flows: uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
+		AdmitPriority: a.level.encoded(),
+		Flows:         uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
 	}
 }
 
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -68,6 +68,7 @@
 	}
 	loads.Report(f.Sender, int(f.Flows), int(f.Busy), now)
 	loads.SetFailureShare(f.Sender, float64(f.FailureShare)/math.MaxUint8)
+	loads.SetAdmitPriority(f.Sender, int(f.AdmitPriority)-1, f.AdmitPriority > 0)
 	loads.SetServiceTime(f.Sender, time.Duration(f.ServiceMillis)*time.Millisecond)
 }
 
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -35,6 +35,9 @@
 	// listed.
 	liveness livenessTable
 	lookups  lookupTable
+	// refusals counts the openings refused for the overload of their service, by
+	// priority.
+	refusals map[int]int64
 	// packet and frame are reused for each packet. As locals they would be
 	// allocated per packet, because they are passed to interface methods.
 	packet flow.Packet
@@ -64,6 +67,7 @@
 		loads:          steering.NewLoadTable(),
 		liveness:       make(livenessTable),
 		lookups:        make(lookupTable),
+		refusals:       make(map[int]int64),
 		openingLatency: NewLatency("opening_answer"),
 	}
 }
@@ -109,6 +113,9 @@
 		e.send(flow.Deliver, c, service, o.agent, data, out)
 		return
 	}
+	if o == nil && e.refuseOverloaded(now, c, service, route, p, out) {
+		return
+	}
 	request := steering.PlacementRequest{Hash: hash, Zone: e.config.Zone, Bulk: route.Bulk, TargetLatency: route.TargetLatency, Now: now}
 	if o != nil {
 		// A retransmitted opening shows that the first agent did not answer.
--- a/datagram/events.go
+++ b/datagram/events.go
@@ -79,6 +79,8 @@
 	// EventPanic: an unexpected error occurred while a datagram was processed or
 	// during periodic work. The process goes on.
 	EventPanic Event = "unexpected_error"
+	// EventAdmissionLevel: the lowest priority that the host admits has changed.
+	EventAdmissionLevel Event = "admission_level"
 	// EventHostFailing and EventHostRecovered: the host starts or stops counting
 	// as failing (see steering.FailureTracker).
 	EventHostFailing   Event = "host_failing"
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -84,6 +84,7 @@
 	fl.lastSeenAt = now
 	if p.Syn && p.Ack && fl.state == flowOpening {
 		fl.state, fl.hostInitialSeq = flowAccepted, p.Seq
+		a.updateLevel(now, a.config.Catalog())
 		a.announce(key, fl.origin, false, out)
 	}
 	if p.Rst || p.Size > 0 {
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -29,6 +29,7 @@
 		return
 	}
 	decision := a.admit(now, c, key, p, f.Hops < maxBusyHops)
+	a.updateLevel(now, c)
 	if decision == steering.Forward {
 		if a.forwardOpening(now, f, p, data, reasonBusy, out) {
 			return
@@ -103,13 +104,7 @@
 	if route == nil {
 		return steering.Accept
 	}
-	backlog := a.backlogAhead(now, route.Priority)
-	decision := backlog.Admit(route.TargetLatency, route.Priority, hasAlternative)
-	limit := now - p.OpeningAge + route.Timeout
-	if decision == steering.Refuse && route.Timeout > 0 && a.scheduler.queue.AdmitsLate(now, route.Priority, limit, backlog) {
-		return steering.Accept
-	}
-	return decision
+	return a.scheduler.queue.AdmitOpening(now, now-p.OpeningAge, openingOf(route), a.backlogAhead(now, route.Priority), hasAlternative)
 }
 
 // admitCold reports whether the rate limit of a cold host allows another
@@ -137,7 +132,7 @@
 	next := *f
 	next.Hops++
 	next.AddAvoid(a.config.Self.Addr)
-	host := a.chooseAlternative(now, a.config.Catalog(), &next, key)
+	host := a.chooseAlternative(now, a.config.Catalog(), &next, key, reason)
 	if host == nil {
 		if reason != reasonBusy {
 			a.refuse(f, p, reason, out)
@@ -176,8 +171,9 @@
 
 // chooseAlternative chooses another host for an opening and updates the
 // frame's service to the newest known configuration. It returns nil if there
-// is no other host.
-func (a *Agent) chooseAlternative(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key) *catalog.Host {
+// is no other host. An opening that this host could still accept does not go to one
+// that has said that it refuses it.
+func (a *Agent) chooseAlternative(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, reason string) *catalog.Host {
 	if c == nil || f.Hops > maxHops {
 		return nil
 	}
@@ -188,6 +184,11 @@
 	if route != nil {
 		request.TargetLatency = route.TargetLatency
 	}
+	if route != nil && reason == reasonBusy {
+		request.Avoid = func(agent [4]byte) bool {
+			return f.Avoids(agent) || a.loads.Refuses(agent, route.Priority, now)
+		}
+	}
 	if c.Config.Version >= f.ConfigVersion {
 		if route == nil {
 			return nil
--- a/datagram/stats.go
+++ b/datagram/stats.go
@@ -1,6 +1,7 @@
 package datagram
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -74,12 +75,13 @@
 func (a *Agent) Collect(emit func(metrics.Sample)) {
 	a.mu.Lock()
 	flows, busy, records, meanServiceTime := a.openFlows, a.unansweredRequests, len(a.records), a.serviceTime.Mean()
-	waiting := a.scheduler.queue.Len()
+	waiting, level := a.scheduler.queue.Len(), a.level.Lowest()
 	a.scheduler.stats.collect(emit)
 	a.mu.Unlock()
 	emit(metrics.Sample{Name: "flows", Value: int64(flows), Gauge: true})
 	emit(metrics.Sample{Name: "requests_in_service", Value: int64(busy), Gauge: true})
 	emit(metrics.Sample{Name: "requests_waiting", Value: int64(waiting), Gauge: true})
+	emit(metrics.Sample{Name: "admit_priority", Value: int64(level), Gauge: true})
 	emit(metrics.Sample{Name: "keeper_records", Value: int64(records), Gauge: true})
 	emit(metrics.Sample{Name: "service_time_us", Cause: "mean", Value: meanServiceTime.Microseconds(), Gauge: true})
 	a.answerLatency.Collect(emit)
@@ -89,6 +91,9 @@
 func (e *Entry) Collect(emit func(metrics.Sample)) {
 	e.mu.Lock()
 	owners := len(e.owners)
+	for priority, n := range e.refusals {
+		emit(metrics.Sample{Name: "openings_refused", Cause: "priority_" + strconv.Itoa(priority), Value: n})
+	}
 	e.mu.Unlock()
 	emit(metrics.Sample{Name: "cached_owners", Value: int64(owners), Gauge: true})
 	e.openingLatency.Collect(emit)
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -53,6 +53,7 @@
 	defer a.mu.Unlock()
 	a.expireRequests(now, out)
 	c := a.config.Catalog()
+	a.updateLevel(now, c)
 	if c == nil {
 		return
 	}
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -19,6 +19,10 @@
 // host refuses new flows.
 const BusyRefusing = 1<<16 - 1
 
+// AdmitsAll is the value of Frame.AdmitPriority with which an agent reports that its
+// host refuses no new flow for its priority.
+const AdmitsAll = 1<<8 - 1
+
 // avoidOffset is the offset of the list of agents to avoid, in bytes.
 const avoidOffset = 28
 
@@ -117,6 +121,9 @@
 	// ListeningMS is, in an UnlistedReport, how long its sender has been listening for
 	// announcements, in milliseconds.
 	ListeningMS uint32
+	// AdmitPriority is the lowest priority that the sender's host admits, plus one, or
+	// AdmitsAll. It is 0 if nothing is said of it, as in frames of earlier builds.
+	AdmitPriority uint8
 	// ServiceMillis is the mean service time of a request at the sender's host, in
 	// milliseconds, or 0 if it is not known.
 	ServiceMillis uint16
@@ -149,6 +156,7 @@
 		binary.LittleEndian.PutUint32(b[24:], f.ServiceTag)
 		binary.LittleEndian.PutUint32(b[28:], f.StartedAt)
 		binary.LittleEndian.PutUint32(b[32:], f.ListeningMS)
+		b[36] = f.AdmitPriority
 		binary.LittleEndian.PutUint16(b[38:], f.ServiceMillis)
 	}
 	return append(to, b[:]...)
@@ -182,6 +190,7 @@
 		f.ServiceTag = binary.LittleEndian.Uint32(data[24:])
 		f.StartedAt = binary.LittleEndian.Uint32(data[28:])
 		f.ListeningMS = binary.LittleEndian.Uint32(data[32:])
+		f.AdmitPriority = data[36]
 		f.ServiceMillis = binary.LittleEndian.Uint16(data[38:])
 	default:
 		return nil, false
--- a/flow/frame_test.go
+++ b/flow/frame_test.go
@@ -18,7 +18,7 @@
 		Hops: 3, ServiceTag: 77, ConfigVersion: 1 << 40, Origin: flow.Endpoint{Addr: [4]byte{10, 0, 0, 1}, Port: 7720},
 		Avoided: [5][4]byte{{10, 0, 0, 2}, {10, 0, 0, 3}, {10, 0, 0, 4}, {10, 0, 0, 5}, {10, 0, 0, 6}}, ReplyTo: [4]byte{10, 0, 0, 7},
 	}
-	agentFrame := flow.Frame{Established: true, Key: exampleKey, Sender: [4]byte{10, 0, 0, 5}, Flows: 9, Busy: 4, ServiceTag: 77, StartedAt: 123456, ServiceMillis: 513}
+	agentFrame := flow.Frame{Established: true, Key: exampleKey, Sender: [4]byte{10, 0, 0, 5}, Flows: 9, Busy: 4, ServiceTag: 77, StartedAt: 123456, AdmitPriority: 3, ServiceMillis: 513}
 	for kind, frame := range map[flow.Kind]flow.Frame{
 		flow.Deliver: packetFrame, flow.Lookup: packetFrame, flow.Probe: packetFrame,
 		flow.Owned: agentFrame, flow.Closed: agentFrame, flow.Load: agentFrame, flow.NotHeld: agentFrame, flow.AgentStarted: agentFrame,
@@ -74,6 +74,21 @@
 	})
 }
 
+// Processes of different builds exchange frames. Guards against the admission level being
+// read from or written to another byte than one that earlier builds leave zero.
+func TestAdmitPriorityFollowsTheFieldsOfEarlierBuilds(t *testing.T) {
+	frame := flow.Frame{Kind: flow.Load, Sender: [4]byte{10, 0, 0, 5}, ListeningMS: 1<<32 - 1, ServiceMillis: 1<<16 - 1}
+	earlier := frame.Append(nil)
+	frame.AdmitPriority = 3
+	want := append([]byte(nil), earlier...)
+	want[36] = 3
+	must.Eq(t, want, frame.Append(nil))
+	var read flow.Frame
+	_, ok := read.Parse(earlier)
+	must.True(t, ok)
+	must.Zero(t, read.AdmitPriority)
+}
+
 // Processes of different builds exchange frames. Guards against the service time being
 // read from or written to other bytes than those that earlier builds leave zero.
 func TestServiceTimeFollowsTheFieldsOfEarlierBuilds(t *testing.T) {
--- /dev/null
+++ b/steering/overload_level.go
@@ -0,0 +1,176 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/placement"
+)
+
+const (
+	// AdmitsAll is the admission level of a host that refuses no opening.
+	AdmitsAll = 254
+	// maxLevelAge is the age up to which a report of a host's admission level counts, and
+	// levelRounds the same in service times of the host, of which the smaller one applies.
+	// Admission lets a host queue about four service times. With the first limit alone,
+	// replays of four hosts answer five requests in some periods of 100 ms instead of 19,
+	// because entries refuse openings until the hosts run idle.
+	maxLevelAge = 500 * time.Millisecond
+	levelRounds = 2
+	// probeShare is the number of openings of which one is placed at an overloaded
+	// service, so that news of free capacity arrives.
+	probeShare = 16
+	// probeSalt separates the choice of these openings from that of the placements that
+	// ignore service times, which uses the same hash.
+	probeSalt = 0x6f7665726c6f6164
+)
+
+// Opening describes a new flow as far as admission depends on it: the priority, target
+// latency and time limit of its route.
+type Opening struct {
+	Priority               int
+	TargetLatency, Timeout time.Duration
+}
+
+// AdmitOpening decides on a new flow, whose requester sent the opening at sentAt. The
+// backlog is what is ahead of it. A flow that this host would refuse is accepted if its
+// requests would still be released in time for their requester.
+func (q *RequestQueue) AdmitOpening(now, sentAt time.Duration, o Opening, b Backlog, hasAlternative bool) Decision {
+	return q.admitBehind(now, sentAt, o, b, hasAlternative, 0)
+}
+
+// admitBehind is AdmitOpening with some more requests ahead of the flow.
+func (q *RequestQueue) admitBehind(now, sentAt time.Duration, o Opening, b Backlog, hasAlternative bool, more int) Decision {
+	b.Busy += more
+	decision := b.Admit(o.TargetLatency, o.Priority, hasAlternative)
+	if decision == Refuse && o.Timeout > 0 && q.admitsLate(now, o.Priority, sentAt+o.Timeout, b, more) {
+		return Accept
+	}
+	return decision
+}
+
+// AdmissionLevel tracks the lowest priority that a host admits. It is what an agent
+// reports to entries, so that they need not offer openings to every host of a service
+// whose hosts all refuse them. The zero value is the level of a host that admits all.
+//
+// A priority stops being admitted once the host would refuse an opening of it if no
+// other host could take it. It is admitted again once the host would accept it with one
+// more request ahead for each slot. Without this difference, a saturated host would
+// change its level with each answer, since every answer leaves room for one opening.
+//
+// It is not safe for concurrent use.
+type AdmissionLevel struct {
+	// refused holds the priorities that are not admitted.
+	refused map[int]bool
+	lowest  int
+	known   bool
+}
+
+// Lowest returns the lowest priority that the host admits, or AdmitsAll.
+func (l *AdmissionLevel) Lowest() int {
+	if !l.known {
+		return AdmitsAll
+	}
+	return l.lowest
+}
+
+// Update determines the level anew. The openings are the kinds that the host may get,
+// ordered by priority; ahead returns the backlog that delays an opening of a priority.
+// A priority is admitted if one of its kinds is.
+func (l *AdmissionLevel) Update(now time.Duration, q *RequestQueue, openings []Opening, ahead func(priority int) Backlog) {
+	if l.refused == nil {
+		l.refused = make(map[int]bool)
+	}
+	l.known, l.lowest = true, 0
+	all := true
+	for i := 0; i < len(openings); {
+		priority, admits := openings[i].Priority, false
+		b, more := ahead(priority), 0
+		if l.refused[priority] {
+			more = b.Slots
+		}
+		for ; i < len(openings) && openings[i].Priority == priority; i++ {
+			admits = admits || q.admitBehind(now, now, openings[i], b, false, more) != Refuse
+		}
+		if admits {
+			delete(l.refused, priority)
+			l.lowest = priority
+			continue
+		}
+		l.refused[priority], all = true, false
+	}
+	if all {
+		l.lowest = AdmitsAll
+	}
+}
+
+// SetAdmitPriority records the lowest priority that a host says it admits. It belongs to
+// the host's last report; a report of an earlier build says nothing, so that known is
+// false.
+func (t *LoadTable) SetAdmitPriority(agent [4]byte, priority int, known bool) {
+	load := t.getOrCreate(agent)
+	load.admitPriority, load.admitKnown = priority, known
+}
+
+// Refuses reports whether the host of an agent has recently said that it does not admit
+// openings of the given priority. Agents do not pass openings on to such hosts.
+func (t *LoadTable) Refuses(agent [4]byte, priority int, now time.Duration) bool {
+	load := t.hosts[agent]
+	return load != nil && load.admitKnown && priority > load.admitPriority && now-load.reportedAt <= load.levelLifetime()
+}
+
+// levelLifetime returns how long the host's report of its admission level counts.
+func (l *hostLoad) levelLifetime() time.Duration {
+	if l.serviceTime == 0 {
+		return maxLevelAge
+	}
+	return min(maxLevelAge, levelRounds*l.serviceTime)
+}
+
+// ServiceLevel is what the reports of a service's hosts say together about admission.
+type ServiceLevel struct {
+	// Hosts is the number of usable hosts.
+	Hosts int
+	// OldestAge is the age of the oldest of their last reports.
+	OldestAge time.Duration
+	// Lowest is the lowest priority that one of the hosts admits.
+	Lowest int
+}
+
+// RefusesAtOnce reports whether an opening of the given priority is to be refused
+// without offering it to a host, and what decided this. It answers a service whose
+// hosts all have more requests than they can serve in time: an opening would be passed
+// from host to host, each of them would refuse it, and the frames that this takes would
+// delay those of other flows.
+//
+// It does so only if every usable host of the service has recently said that it does not
+// admit the priority. A service of which one host is not heard of, such as one that
+// runs an earlier build or cannot be reached, gets openings as if nothing were known.
+func (t *LoadTable) RefusesAtOnce(c *catalog.Catalog, s *catalog.Service, priority int, hash uint64, now time.Duration) (ServiceLevel, bool) {
+	var level ServiceLevel
+	if placement.Mix(hash^probeSalt)%probeShare == 0 || !t.allRefuse(c, s.Hosts, priority, now, &level) {
+		return level, false
+	}
+	if now-c.LapsedAt < catalog.LapsedHostGrace && !t.allRefuse(c, s.Lapsed, priority, now, &level) {
+		return level, false
+	}
+	return level, level.Hosts > 0
+}
+
+// allRefuse reports whether all usable hosts among the given ones have recently said
+// that they do not admit the priority. It adds them to the level.
+func (t *LoadTable) allRefuse(c *catalog.Catalog, hosts []*catalog.Host, priority int, now time.Duration, level *ServiceLevel) bool {
+	for _, h := range hosts {
+		if !c.Usable(h) {
+			continue
+		}
+		if !t.Refuses(h.Addr.Addr, priority, now) {
+			return false
+		}
+		load := t.hosts[h.Addr.Addr]
+		level.Hosts++
+		level.OldestAge = max(level.OldestAge, now-load.reportedAt)
+		level.Lowest = max(level.Lowest, load.admitPriority)
+	}
+	return true
+}
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -224,14 +224,14 @@
 	return n
 }
 
-// AdmitsLate reports whether a new request of the given priority that misses its
+// admitsLate reports whether a new request of the given priority that misses its
 // objective would still be released in time for its requester, which waits until
-// limit. It answers the backlog after an outage: requests that come at once and are
+// limit, behind some more requests than there are. It answers the backlog after an outage: requests that come at once and are
 // refused use up their tries although there is room a moment later. While requests
 // that can meet their objectives fill the host, late ones are not released, and
 // nothing more is admitted late.
-func (q *RequestQueue) AdmitsLate(now time.Duration, priority int, limit time.Duration, backlog Backlog) bool {
-	ahead := 0
+func (q *RequestQueue) admitsLate(now time.Duration, priority int, limit time.Duration, backlog Backlog, more int) bool {
+	ahead := more
 	for i := range q.waiting {
 		if r := &q.waiting[i]; r.Priority <= priority || r.meetsObjective(now) {
 			ahead++
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -61,6 +61,10 @@
 	// serviceTime is the reported mean time that a request is in service, or 0 if it
 	// is not known.
 	serviceTime time.Duration
+	// admitPriority is the lowest priority that the host admits, as of its last
+	// report. It is valid if admitKnown is set.
+	admitPriority int
+	admitKnown    bool
 	// reportedAt is when the host last reported its load.
 	reportedAt time.Duration
 	// placedSinceReport counts the flows sent to the host since that report.
