--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -162,6 +162,7 @@
 	// listedSlots is the number of the host's slots when it was last listed, or 0. The
 	// entry of a running host may lapse while the store is unavailable.
 	listedSlots int
+	level       reportedLevel
 	// failureShare is the share of the host's requests that fail, in units of
 	// 1/255 as in frames.
 	failureShare uint8
@@ -357,6 +358,7 @@
 	if p.Ack && fl.state == flowAccepted {
 		fl.state = flowEstablished
 		fl.origin = f.Origin
+		a.updateLevel(now, a.config.Catalog())
 		a.announce(key, f.Origin, true, out)
 		a.config.Events.Log(EventOpened, key, "entry", f.Origin.AddrPort().Addr(), "flows", a.openFlows, "busy", a.unansweredRequests)
 	}
@@ -415,7 +417,8 @@
 	return flow.Frame{
 		Kind: kind, Key: key, Sender: a.config.Self.Addr, ServiceTag: a.tag, StartedAt: uint32(a.config.StartedAt.Unix()),
 		FailureShare: a.failureShare, ServiceMillis: serviceMillis(a.serviceTime.Comparable()),
-		Flows: uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
+		AdmitPriority: a.level.encoded(),
+		Flows:         uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
 	}
 }
 
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -54,6 +54,7 @@
 	a.pause.observe(now)
 	a.expireRequests(now, out)
 	c := a.config.Catalog()
+	a.updateLevel(now, c)
 	if c == nil {
 		return
 	}
