--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -65,11 +65,21 @@
 	// openingFrame is the frame that carried the opening.
 	openingFrame flow.Frame
 	lastSeenAt   time.Duration
-	// requestPending reports that a request was sent to the host at requestedAt
-	// and is not answered yet. slotWasFree reports that the host had a free slot
-	// when the request arrived, so that its duration is pure service time.
-	requestPending, slotWasFree bool
-	requestedAt                 time.Duration
+	// acceptedAt is when the host last accepted the opening, or the flow was adopted.
+	acceptedAt time.Duration
+	// openingSentAt is when the requester sent its opening, valid until the first
+	// request arrives, for which awaitsFirstRequest is set.
+	openingSentAt      time.Duration
+	awaitsFirstRequest bool
+	// requestPending reports that a request arrived at requestedAt and is not
+	// answered yet. If waiting is set, it is held here, as the packets in held;
+	// otherwise it was given to the host at releasedAt.
+	requestPending, waiting bool
+	requestedAt, releasedAt time.Duration
+	held                    []heldPacket
+	// received is the data that has arrived from the requester, receivedBefore that
+	// before the latest request.
+	received, receivedBefore receivedData
 	// overdue reports that the request has been counted as failed.
 	overdue               bool
 	requesterFin, hostFin bool
@@ -134,16 +144,25 @@
 	// announcements tracks running hosts that are not listed.
 	announcements announcements
 	// unansweredRequests is the number of flows with an unanswered request,
-	// whether the host serves or queues it.
+	// whether the host serves or queues it, or it waits here.
 	unansweredRequests int
-	openFlows          int
-	coldLimiter        steering.ColdRateLimiter
-	loads              *steering.LoadTable
+	// lastAnswerAt is when the host last answered a request.
+	lastAnswerAt time.Duration
+	// pause finds out when the agent last could not receive the host's packets.
+	pause       pauseDetector
+	openFlows   int
+	coldLimiter steering.ColdRateLimiter
+	loads       *steering.LoadTable
 	// serviceHistory holds the services found to hold flows of routes that are
 	// configured for other services.
 	serviceHistory *steering.ServiceHistory
 	serviceTime    steering.ServiceTime
 	failureTracker steering.FailureTracker
+	scheduler      requestScheduler
+	// listedSlots is the number of the host's slots when it was last listed, or 0. The
+	// entry of a running host may lapse while the store is unavailable.
+	listedSlots int
+	level       reportedLevel
 	// failureShare is the share of the host's requests that fail, in units of
 	// 1/255 as in frames.
 	failureShare uint8
@@ -170,6 +189,7 @@
 		serviceHistory: steering.NewServiceHistory(),
 		announcements:  announcements{received: make(map[[4]byte]unlistedAgent), reports: make(map[[4]byte]receivedReport)},
 		loads:          steering.NewLoadTable(),
+		scheduler:      newRequestScheduler(),
 		answerLatency:  NewLatency("request_answer"),
 	}
 }
@@ -178,6 +198,7 @@
 func (a *Agent) HandleFrame(now time.Duration, from [4]byte, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	f := &a.frame
 	packet, ok := f.Parse(data)
 	if !ok {
@@ -273,7 +294,7 @@
 // if the host has stopped.
 func (a *Agent) deliver(now time.Duration, fl *ownedFlow, key flow.Key, f *flow.Frame, p *flow.Packet, data []byte, out Output) {
 	if a.hostStopped(now) {
-		a.dropLostFlow(fl, key, "host_gone", p, out)
+		a.dropLostFlow(now, fl, key, "host_gone", p, out)
 		return
 	}
 	a.trackRequesterPacket(now, fl, key, f, p, out)
@@ -281,13 +302,16 @@
 	if f.Kind == flow.Probe {
 		a.sendOwned(a.endpoint(f.ReplyTo), key, fl.state == flowEstablished, out)
 	}
-	a.sendToHost(now, data, out)
+	if !a.holdPacket(fl, p, data) {
+		a.sendToHost(now, data, out)
+	}
+	a.releaseRequests(now, out)
 }
 
 // dropLostFlow removes a flow that the host no longer holds, notifies the
 // entry and, if the flow was still open, resets the requester's end.
-func (a *Agent) dropLostFlow(fl *ownedFlow, key flow.Key, reason string, p *flow.Packet, out Output) {
-	a.removeFlow(key, fl)
+func (a *Agent) dropLostFlow(now time.Duration, fl *ownedFlow, key flow.Key, reason string, p *flow.Packet, out Output) {
+	a.removeFlow(now, key, fl)
 	a.sendClosed(fl, key, out)
 	a.config.Events.Log(EventLost, key, "reason", reason)
 	if !p.Rst && fl.state != flowClosed {
@@ -334,36 +358,37 @@
 	if p.Ack && fl.state == flowAccepted {
 		fl.state = flowEstablished
 		fl.origin = f.Origin
+		a.updateLevel(now, a.config.Catalog())
 		a.announce(key, f.Origin, true, out)
 		a.config.Events.Log(EventOpened, key, "entry", f.Origin.AddrPort().Addr(), "flows", a.openFlows, "busy", a.unansweredRequests)
 	}
-	if p.Size > 0 && !fl.requestPending {
-		fl.requestPending, fl.requestedAt, fl.slotWasFree, fl.overdue = true, now, a.unansweredRequests < a.hostSlots(), false
-		a.unansweredRequests++
+	if p.Size > 0 {
+		a.trackRequesterData(now, fl, key, p)
 	}
 	if p.Fin || p.Rst {
 		a.checkOverdue(now, fl, key)
+		if fl.waiting && p.Size == 0 {
+			a.countCanceled(key)
+			a.endRequest(now, fl, key)
+		}
 	}
 	if p.Fin {
 		fl.requesterFin = true
 	}
 	if p.Rst || fl.requesterFin && fl.hostFin {
-		a.close(fl)
+		a.close(now, fl, key)
 	}
 }
 
 // close marks a flow as closed and subtracts it and its unanswered request from
 // the counters. The flow stays in the table until it expires.
-func (a *Agent) close(fl *ownedFlow) {
+func (a *Agent) close(now time.Duration, fl *ownedFlow, key flow.Key) {
 	if fl.state == flowClosed {
 		return
 	}
 	fl.state = flowClosed
 	a.openFlows--
-	if fl.requestPending {
-		fl.requestPending = false
-		a.unansweredRequests--
-	}
+	a.endRequest(now, fl, key)
 }
 
 // setOrigin records the entry that a flow's packets come through, and tells an
@@ -391,17 +416,18 @@
 func (a *Agent) newReport(kind flow.Kind, key flow.Key) flow.Frame {
 	return flow.Frame{
 		Kind: kind, Key: key, Sender: a.config.Self.Addr, ServiceTag: a.tag, StartedAt: uint32(a.config.StartedAt.Unix()),
-		FailureShare: a.failureShare,
-		Flows:        uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
+		FailureShare: a.failureShare, ServiceMillis: serviceMillis(a.serviceTime.Comparable()),
+		AdmitPriority: a.level.encoded(),
+		Flows:         uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
 	}
 }
 
 // removeFlow removes a flow and updates the counters by close, but restores the
 // flow's state: dropLostFlow resets the requester's end only if the flow was
 // not closed before.
-func (a *Agent) removeFlow(key flow.Key, fl *ownedFlow) {
+func (a *Agent) removeFlow(now time.Duration, key flow.Key, fl *ownedFlow) {
 	state := fl.state
-	a.close(fl)
+	a.close(now, fl, key)
 	fl.state = state
 	delete(a.flows, key)
 }
@@ -417,20 +443,23 @@
 		a.loads.Retain(c, now)
 		a.liveness.expire(c, now)
 		a.lookups.expire(now)
+		a.scheduler.discardRoutes(c)
 		a.mu.Unlock()
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	for key, fl := range a.flows {
 		idleFor := now - fl.lastSeenAt
 		a.checkOverdue(now, fl, key)
+		a.abandonRequest(now, fl, key)
 		if fl.state == flowClosed {
 			// The host answers late packets of a closed flow, so the flow is
 			// retained.
 			idleFor -= a.config.FlowLifetime
 		}
 		if idleFor > idleTimeout || fl.state == flowOpening && idleFor > pendingFlowTimeout {
-			a.removeFlow(key, fl)
+			a.removeFlow(now, key, fl)
 		}
 	}
 	a.updateFailureShare(now, flow.Key{})
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -29,6 +29,31 @@
 // an answer.
 func (h *hostLiveness) packetReceived() { h.waiting = false }
 
+// maxEventGap is the time between two events after which the agent counts as having been
+// stopped, for instance by a lack of CPU time. It is five ticks long.
+const maxEventGap = 5 * tickInterval
+
+// pauseDetector finds out when the process did not run. Packets that the host sent in such
+// a time are received later than the next event, so it is no evidence against the host.
+type pauseDetector struct {
+	// lastEventAt is the time of the last event, resumedAt that of the first one after the
+	// last pause.
+	lastEventAt, resumedAt time.Duration
+}
+
+// observe records an event. Ticks are events, too.
+func (d *pauseDetector) observe(now time.Duration) {
+	if now-d.lastEventAt > maxEventGap {
+		d.resumedAt = now
+	}
+	d.lastEventAt = max(d.lastEventAt, now)
+}
+
+// since returns for how long the agent has run without pause since an event.
+func (d *pauseDetector) since(now, event time.Duration) time.Duration {
+	return now - max(event, d.resumedAt)
+}
+
 // sendToHost sends the packet that is being processed to the host. Only
 // payload and openings call for an answer and start the liveness timeout.
 func (a *Agent) sendToHost(now time.Duration, data []byte, out Output) {
@@ -42,7 +67,7 @@
 // away while the store was readable, and it does not answer.
 func (a *Agent) hostStopped(now time.Duration) bool {
 	c := a.config.Catalog()
-	return a.hostLiveness.waiting && now-a.hostLiveness.waitingSince >= hostResponseTimeout &&
+	return a.hostLiveness.waiting && a.pause.since(now, a.hostLiveness.waitingSince) >= hostResponseTimeout &&
 		c != nil && c.Hosts[a.config.Self.Addr] == nil && a.hostListEvidence(now, c).Complete()
 }
 
@@ -50,6 +75,7 @@
 func (a *Agent) HandleHost(now time.Duration, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.pause.observe(now)
 	p := &a.packet
 	if !a.config.Codec.Decode(data, p) {
 		a.config.Events.Drop(DropMalformed)
@@ -59,6 +85,7 @@
 	if p.Returned {
 		a.config.Codec.ClearReturned(data)
 		a.handleReturned(now, p, data, out)
+		a.releaseRequests(now, out)
 		return
 	}
 	key := p.FromHost()
@@ -69,37 +96,37 @@
 			origin = t.frame.Origin
 			delete(a.trials, key)
 		}
-		fl = a.adopt(now, key, origin, out)
+		fl = a.adopt(now, key, p, origin, out)
 	}
 	if fl != nil {
 		a.trackHostPacket(now, fl, key, p, out)
 	}
 	out.ToRequester(p.Dst.Addr, data)
+	a.releaseRequests(now, out)
 }
 
 // trackHostPacket updates the state of a flow by a packet from the host.
 func (a *Agent) trackHostPacket(now time.Duration, fl *ownedFlow, key flow.Key, p *flow.Packet, out Output) {
 	fl.lastSeenAt = now
+	if p.Syn && p.Ack {
+		fl.acceptedAt = now
+	}
 	if p.Syn && p.Ack && fl.state == flowOpening {
 		fl.state, fl.hostInitialSeq = flowAccepted, p.Seq
+		a.updateLevel(now, a.config.Catalog())
 		a.announce(key, fl.origin, false, out)
 	}
 	if p.Rst || p.Size > 0 {
 		a.observeOutcome(now, fl, key, p.Rst)
 	}
-	if p.Size > 0 && fl.requestPending {
-		fl.requestPending = false
-		a.unansweredRequests--
-		a.answerLatency.Observe(now - fl.requestedAt)
-		if fl.slotWasFree {
-			a.serviceTime.Observe(now - fl.requestedAt)
-		}
+	if p.Size > 0 && fl.requestPending && !fl.waiting {
+		a.answerRequest(now, fl, key)
 	}
 	if p.Fin {
 		fl.hostFin = true
 	}
 	if p.Rst || fl.requesterFin && fl.hostFin {
-		a.close(fl)
+		a.close(now, fl, key)
 	}
 }
 
@@ -112,14 +139,15 @@
 		if fl != nil {
 			frame = fl.openingFrame
 			frame.Origin = fl.origin
-			a.removeFlow(key, fl)
+			a.removeFlow(now, key, fl)
 		}
 		a.forwardOpening(now, &frame, p, data, "host_full", out)
 		return
 	}
 	if fl != nil && a.matchesFlow(fl, p) {
 		// The host has most likely restarted and lost its flows.
-		a.dropLostFlow(fl, key, "host_does_not_hold_flow", p, out)
+		a.scheduler.hostLostFlow(now, fl)
+		a.dropLostFlow(now, fl, key, "host_does_not_hold_flow", p, out)
 		return
 	}
 	t := a.trials[key]
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -19,7 +19,7 @@
 			a.sendToHost(now, data, out)
 			return
 		}
-		a.removeFlow(key, fl)
+		a.removeFlow(now, key, fl)
 		a.forwardOpening(now, f, p, data, "host_silent", out)
 		return
 	}
@@ -28,12 +28,13 @@
 		a.forwardOpening(now, f, p, data, reason, out)
 		return
 	}
-	decision := a.admit(c, key, f.Hops < maxBusyHops)
+	decision := a.admit(now, c, key, p, f.Hops < maxBusyHops)
+	a.updateLevel(now, c)
 	if decision == steering.Forward {
 		if a.forwardOpening(now, f, p, data, reasonBusy, out) {
 			return
 		}
-		decision = a.admit(c, key, false)
+		decision = a.admit(now, c, key, p, false)
 	}
 	if decision == steering.Refuse {
 		a.refuse(f, p, "overloaded", out)
@@ -43,7 +44,10 @@
 		a.forwardOpening(now, f, p, data, "cold", out)
 		return
 	}
-	a.flows[key] = &ownedFlow{state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now}
+	a.flows[key] = &ownedFlow{
+		state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now,
+		openingSentAt: now - p.OpeningAge, awaitsFirstRequest: true,
+	}
 	a.openFlows++
 	a.sendToHost(now, data, out)
 }
@@ -83,19 +87,20 @@
 	return ""
 }
 
-// hostSlots returns how many requests the host serves concurrently.
+// hostSlots returns how many requests the host serves concurrently, as last listed. It
+// is 1 if that is not known.
 func (a *Agent) hostSlots() int {
 	if c := a.config.Catalog(); c != nil {
 		if host := c.Hosts[a.config.Self.Addr]; host != nil {
-			return host.Slots
+			a.listedSlots = host.Slots
 		}
 	}
-	return 1
+	return max(1, a.listedSlots)
 }
 
 // admit decides whether the host has capacity for another flow. hasAlternative
 // tells whether another host may accept the flow instead.
-func (a *Agent) admit(c *catalog.Catalog, key flow.Key, hasAlternative bool) steering.Decision {
+func (a *Agent) admit(now time.Duration, c *catalog.Catalog, key flow.Key, p *flow.Packet, hasAlternative bool) steering.Decision {
 	if c == nil {
 		return steering.Accept
 	}
@@ -103,8 +108,7 @@
 	if route == nil {
 		return steering.Accept
 	}
-	backlog := steering.Backlog{Busy: a.unansweredRequests, Slots: a.hostSlots(), ServiceTime: a.serviceTime.Mean()}
-	return backlog.Admit(route.TargetLatency, route.Priority, hasAlternative)
+	return a.scheduler.queue.AdmitOpening(now, now-p.OpeningAge, openingOf(route), a.backlogAhead(now, route.Priority), hasAlternative)
 }
 
 // admitCold reports whether the rate limit of a cold host allows another
@@ -132,7 +136,7 @@
 	next := *f
 	next.Hops++
 	next.AddAvoid(a.config.Self.Addr)
-	host := a.chooseAlternative(now, a.config.Catalog(), &next, key)
+	host := a.chooseAlternative(now, a.config.Catalog(), &next, key, reason)
 	if host == nil {
 		if reason != reasonBusy {
 			a.refuse(f, p, reason, out)
@@ -171,15 +175,25 @@
 
 // chooseAlternative chooses another host for an opening and updates the
 // frame's service to the newest known configuration. It returns nil if there
-// is no other host.
-func (a *Agent) chooseAlternative(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key) *catalog.Host {
+// is no other host. An opening that this host could still accept does not go to one
+// that has said that it refuses it.
+func (a *Agent) chooseAlternative(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, reason string) *catalog.Host {
 	if c == nil || f.Hops > maxHops {
 		return nil
 	}
 	service := c.ByTag[f.ServiceTag]
 	hash := key.Hash()
+	route := c.Config.Routes[key.Destination]
+	request := steering.PlacementRequest{Hash: hash, Avoid: f.Avoids, Now: now}
+	if route != nil {
+		request.TargetLatency = route.TargetLatency
+	}
+	if route != nil && reason == reasonBusy {
+		request.Avoid = func(agent [4]byte) bool {
+			return f.Avoids(agent) || a.loads.Refuses(agent, route.Priority, now)
+		}
+	}
 	if c.Config.Version >= f.ConfigVersion {
-		route := c.Config.Routes[key.Destination]
 		if route == nil {
 			return nil
 		}
@@ -190,5 +204,5 @@
 		return nil
 	}
 	f.ServiceTag = service.Tag
-	return steering.ChooseHost(c, service, a.loads, steering.PlacementRequest{Hash: hash, Avoid: f.Avoids, Now: now})
+	return steering.ChooseHost(c, service, a.loads, request)
 }
--- a/steering/admission.go
+++ b/steering/admission.go
@@ -20,9 +20,10 @@
 	// lowestPriority is the priority of the routes that are refused first. A
 	// smaller number is a higher priority.
 	lowestPriority = 2
-	// serviceSmoothing is the weight of a new sample in the moving average of the
-	// service time.
-	serviceSmoothing = 0.1
+	// serviceSamples is the number of requests over which the service time is
+	// averaged, by a moving average once there are more. With fewer, the estimates of
+	// equal hosts scatter by more than minServiceTimeRatio.
+	serviceSamples = 10
 )
 
 // Decision says what to do with a new flow.
@@ -42,8 +43,8 @@
 // handles bursts of more requests than the hosts can serve: queueing alone would
 // delay all requests beyond their target instead of refusing some of them.
 type Backlog struct {
-	// Busy is the number of unanswered requests, in service or queued at the host.
-	// Slots is the maximum number in service.
+	// Busy is the number of unanswered requests, in service or queued, that delay a
+	// new one. Slots is the maximum number in service.
 	Busy, Slots int
 	// ServiceTime is the mean time that a request is in service, without waiting.
 	ServiceTime time.Duration
@@ -76,23 +77,30 @@
 	}
 }
 
-// ServiceTime estimates the mean service time of a host's requests by an
-// exponential moving average over those that did not have to wait. It is not
-// safe for concurrent use.
+// ServiceTime estimates the mean service time of requests, without the time that
+// they wait, by an exponential moving average. It is not safe for concurrent use.
 type ServiceTime struct {
 	mean time.Duration
+	// samples counts the observed requests, up to serviceSamples.
+	samples int
 }
 
-// Observe records the duration of a request that arrived while a slot was free.
+// Observe records for how long a request was in service.
 func (s *ServiceTime) Observe(took time.Duration) {
-	if s.mean == 0 {
-		s.mean = took
-		return
-	}
-	s.mean += time.Duration(serviceSmoothing * float64(took-s.mean))
+	s.samples = min(s.samples+1, serviceSamples)
+	s.mean += (took - s.mean) / time.Duration(s.samples)
 }
 
 // Mean returns the estimate, or 0 before the first observation.
 func (s *ServiceTime) Mean() time.Duration {
 	return s.mean
 }
+
+// Comparable returns the estimate if it rests on enough requests to be compared with
+// those of other hosts, or 0 if not.
+func (s *ServiceTime) Comparable() time.Duration {
+	if s.samples < serviceSamples {
+		return 0
+	}
+	return s.mean
+}
--- /dev/null
+++ b/steering/export_test.go
@@ -0,0 +1,8 @@
+package steering
+
+import "time"
+
+// AdmitsLate makes admitsLate accessible to tests.
+func (q *RequestQueue) AdmitsLate(now time.Duration, priority int, limit time.Duration, backlog Backlog) bool {
+	return q.admitsLate(now, priority, limit, backlog, 0)
+}
