Find flows of a moved route after agents restart

Cause: an agent that has restarted may lack flows that its host holds, but it tried a packet there, or answered a search, only if the route names the host's service now or did in a configuration that the process itself had seen. After a restart none had seen the former one, so that the owner stayed silent while the hosts of the new service got every copy.

Ruled out: lost keeper records alone (the entry's cache led to the owner, which passed the packet on), and the list of hosts (the owner was listed).

Change: an agent tries packets that came by an entry's cache or a keeper's record, or in a probe for the host's service, whatever the route says. A search names the service of each agent's host, and asks the agents of services that the route is not known to have had once those of its own services have said no, or leave it unanswered for 400 ms (1 s if they try packets at their hosts). A host of such a service gets one packet of a flow, and none that it would leave unanswered.

TestFlowsOfAFormerServiceAreFoundAfterARestartOfAllProcesses required that the first flows stay unanswered, which was the fault. It now requires that they are served at once, with at most one packet at hosts of other services.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -79,6 +79,8 @@
 type ownerRecord struct {
 	owner     [4]byte
 	updatedAt time.Duration
+	// serviceTag identifies the service of the owner's host.
+	serviceTag uint32
 	// established reports that the requester has confirmed the flow at the
 	// owner.
 	established bool
@@ -211,7 +213,7 @@
 		// Several hosts may accept duplicates of an opening. A report on a flow that
 		// is not established does not replace the record of an established one.
 		if r := a.records[f.Key]; r == nil || f.Established || !r.established {
-			a.records[f.Key] = &ownerRecord{owner: f.Sender, updatedAt: now, established: f.Established}
+			a.records[f.Key] = &ownerRecord{owner: f.Sender, updatedAt: now, serviceTag: f.ServiceTag, established: f.Established}
 		}
 	case flow.Closed:
 		if r := a.records[f.Key]; r != nil && r.owner == f.Sender {
--- a/datagram/former_services_test.go
+++ b/datagram/former_services_test.go
@@ -10,8 +10,9 @@
 // All processes restart after a route has moved to another service, so that no
 // process knows the former service from its own past. Its hosts still hold flows of
 // the route, and each agent would neither try packets of the route at its host nor
-// answer for it: the flows timed out. One packet that a host of the former service
-// sends by itself shows where flows of the route are.
+// answer for it: the flows timed out. The agents of the former service are asked once
+// those of the present one have said no, and one packet that a host of the former
+// service sends by itself shows where flows of the route are.
 func TestFlowsOfAFormerServiceAreFoundAfterARestartOfAllProcesses(t *testing.T) {
 	c := newCluster(t)
 	c.addEntry(1)
@@ -29,12 +30,13 @@
 	c.restartAllAtOnce()
 	c.advance(hostListSettleTime)
 	for _, r := range flows[:10] {
-		must.Len(t, 0, r.send(ack, 777, 50), must.Sprint("nothing shows who may hold the flow"))
+		r.requireServed()
 	}
+	c.requireFewTrials("u")
 	// A host retransmits an answer.
-	key := flows[0].key()
+	key := flows[10].key()
 	owner := c.holder(key)
-	answer := packet(ack, destination(), flows[0].endpoint, c.hosts[owner].initialSeqs[key], 1, 100)
+	answer := packet(ack, destination(), flows[10].endpoint, c.hosts[owner].initialSeqs[key], 1, 100)
 	c.agents[owner].HandleHost(c.now, answer, &clusterOutput{c, owner})
 	c.deliverAll()
 	c.advance(400 * time.Millisecond)
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -43,6 +43,8 @@
 	dropNext, duplicateNext int
 	// dropKind is a kind of frame that is always lost.
 	dropKind flow.Kind
+	// onHostPacket is called for each packet that is sent to a host. It may be nil.
+	onHostPacket func(at [4]byte)
 }
 
 // host simulates a backend server, which returns packets of flows that it does
@@ -224,6 +226,9 @@
 
 func (o *clusterOutput) ToHost(packet []byte) {
 	data := append([]byte(nil), packet...)
+	if o.c.onHostPacket != nil {
+		o.c.onHostPacket(o.from)
+	}
 	o.c.queue = append(o.c.queue, func() { o.c.hosts[o.from].receive(o.c, o.from, data) })
 }
 
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -15,6 +15,8 @@
 type hostLiveness struct {
 	waitingSince time.Duration
 	waiting      bool
+	// heardAt is when the host last sent a packet.
+	heardAt time.Duration
 }
 
 // packetSent records that a packet that calls for an answer was sent to the
@@ -27,7 +29,7 @@
 
 // packetReceived records that the host sent a packet, which ends the wait for
 // an answer.
-func (h *hostLiveness) packetReceived() { h.waiting = false }
+func (h *hostLiveness) packetReceived(now time.Duration) { h.waiting, h.heardAt = false, now }
 
 // sendToHost sends the packet that is being processed to the host. Only
 // payload and openings call for an answer and start the liveness timeout.
@@ -55,7 +57,7 @@
 		a.config.Events.Drop(DropMalformed)
 		return
 	}
-	a.hostLiveness.packetReceived()
+	a.hostLiveness.packetReceived(now)
 	if p.Returned {
 		a.config.Codec.ClearReturned(data)
 		a.handleReturned(now, p, data, out)
--- /dev/null
+++ b/datagram/moved_route_test.go
@@ -0,0 +1,212 @@
+package datagram_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/flow"
+)
+
+// newMovedRoute returns a cluster of two entries in which one host of service s holds
+// open flows of a route that has moved to service u, which has four hosts. No process
+// knows the earlier configuration any more.
+func newMovedRoute(t *testing.T) (*cluster, []*requester) {
+	c := newCluster(t)
+	c.addEntry(1)
+	c.addEntry(2)
+	c.addHost(11, "s")
+	for n := byte(12); n <= 15; n++ {
+		c.addHost(n, "u")
+	}
+	c.publish(1, nil, "s")
+	flows := c.openFlows(1000, 30)
+	c.publish(2, nil, "u")
+	c.advance(hostListSettleTime)
+	c.tracker = nil
+	c.publish(3, nil, "u")
+	return c, flows
+}
+
+// requireFewTrials requires that hosts which do not hold a flow got at most two packets
+// of it, and those of services that the route does not name at most one.
+func (c *cluster) requireFewTrials(named string) {
+	c.t.Helper()
+	for a, h := range c.hosts {
+		limit := 1
+		if h.service == named {
+			limit = 2
+		}
+		for key, packets := range h.unheldPackets {
+			must.LessEq(c.t, limit, packets, must.Sprintf("packets of %v at %v of service %s", key, a, h.service))
+		}
+	}
+}
+
+// Guards against packets reaching the hosts of the new service and not the flow's own
+// host, after a route has moved and all agents have restarted (incident route-moved):
+// the agent beside the own host neither tried the packets there nor answered a search,
+// because the configuration does not name the host's service.
+func TestFlowsOfAMovedRouteAreFoundAfterAgentsRestart(t *testing.T) {
+	cases := map[string]func(c *cluster, flows []*requester){
+		"the entry has the owner": func(*cluster, []*requester) {},
+		"another entry": func(_ *cluster, flows []*requester) {
+			for _, r := range flows {
+				r.entry = 2
+			}
+		},
+		"entries restart as well": func(c *cluster, _ []*requester) {
+			c.addEntry(1)
+			c.addEntry(2)
+		},
+		"all restart at once": func(c *cluster, _ []*requester) {
+			c.restartAllAtOnce()
+			c.advance(hostListSettleTime)
+		},
+	}
+	for name, restart := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, flows := newMovedRoute(t)
+			for n := byte(11); n <= 15; n++ {
+				c.startAgent(n, true)
+			}
+			restart(c, flows)
+			for _, r := range flows {
+				r.requireServed()
+			}
+			c.requireFewTrials("u")
+		})
+	}
+}
+
+// Guards against every agent being asked for each flow of a moved route: the first flows
+// that are found show which service holds them, and its agents in the requester's zone
+// are asked first from then on.
+func TestAgentsOfOtherZonesAreNotAskedForEachFlowOfAMovedRoute(t *testing.T) {
+	c := newCluster(t)
+	c.addEntry(1)
+	c.addHost(11, "s")
+	for n := byte(12); n <= 21; n++ {
+		c.addHost(n, "u")
+	}
+	inZone := func(host [4]byte) bool { return host[3] <= 14 }
+	c.publishWithZones(1, inZone, "u")
+	flows := c.openFlows(1000, 200)
+	c.tracker = nil
+	c.publishWithZones(2, inZone, "s")
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+	clear(c.frames)
+	for _, r := range flows {
+		must.True(t, inZone(c.holder(r.key())))
+		r.requireServed()
+	}
+	must.LessEq(t, 6*len(flows), c.frames[flow.Query], must.Sprint("asked of the 11 agents, on average"))
+	for _, h := range c.hosts {
+		for key, packets := range h.unheldPackets {
+			must.LessEq(t, 2, packets, must.Sprint(key))
+		}
+	}
+}
+
+// Guards against packets reaching a host of another service while the hosts of the
+// route's own service can still hold the flow: one is slow to answer.
+func TestOtherServicesAreNotTriedWhileTheOwnHostIsBusy(t *testing.T) {
+	c := newCluster(t)
+	c.addEntry(1)
+	c.addHost(11, "s")
+	other := c.addHost(12, "u")
+	c.publish(1, nil, "s")
+	r := c.requester(1000, 1)
+	r.open()
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+	c.hosts[addr(11)].down = true
+	for _, pause := range []time.Duration{200, 400} {
+		must.Len(t, 0, r.send(ack, 777, 50))
+		c.advance(pause * time.Millisecond)
+	}
+	must.MapEmpty(t, other.unheldPackets)
+	c.hosts[addr(11)].down = false
+	r.requireServed()
+	must.MapEmpty(t, other.unheldPackets)
+}
+
+// Guards against a flow of a moved route being found only after its requester has given
+// up, because an agent of the route's own service does not answer the search.
+func TestFlowOfAMovedRouteIsFoundWhileAnAgentOfTheNewServiceIsSilent(t *testing.T) {
+	for name, disturb := range map[string]func(c *cluster){
+		"agent cut off": func(c *cluster) { c.isolated[addr(12)] = true },
+		"host silent":   func(c *cluster) { c.hosts[addr(12)].down = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, flows := newMovedRoute(t)
+			c.restartAllAtOnce()
+			c.advance(hostListSettleTime)
+			disturb(c)
+			for _, r := range flows {
+				served := false
+				for _, pause := range []time.Duration{200, 400, 800} {
+					answers := r.send(ack, 777, 50)
+					for c.now += pause * time.Millisecond; len(answers) == 0 && pause > 0; pause -= 100 {
+						c.confirmCatalog()
+						answers = c.toRequester
+					}
+					if served = len(answers) > 0; served {
+						must.False(t, answers[0].Rst)
+						break
+					}
+				}
+				must.True(t, served, must.Sprint(r.key()))
+			}
+		})
+	}
+}
+
+// Guards against an agent that cannot know all flows of its host denying one, and against
+// further packets of the flow reaching a host of another service that is paused.
+func TestPausedHostOfAnotherServiceGetsOnePacket(t *testing.T) {
+	c, flows := newMovedRoute(t)
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+	c.hosts[addr(11)].down = true
+	sent := 0
+	c.onHostPacket = func(at [4]byte) {
+		if at == addr(11) {
+			sent++
+		}
+	}
+	for range 5 {
+		must.Len(t, 0, flows[0].send(ack, 777, 50), must.Sprint("the flow is not reset"))
+		c.advance(400 * time.Millisecond)
+	}
+	must.Eq(t, 1, sent)
+}
+
+// Guards against a packet that no host answers being the only one that is tried at the
+// host of another service.
+func TestAcknowledgementIsNotTriedAtAnotherService(t *testing.T) {
+	c, flows := newMovedRoute(t)
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+	must.Len(t, 0, flows[0].send(ack, 777, 0))
+	flows[0].requireServed()
+	must.MapEmpty(t, c.hosts[addr(11)].unheldPackets)
+}
+
+// Guards against flows being left unreset after their hosts have lost them, although the
+// host of another service that was tried says so.
+func TestLostFlowOfAMovedRouteIsReset(t *testing.T) {
+	c, flows := newMovedRoute(t)
+	clear(c.hosts[addr(11)].initialSeqs)
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+	for i, r := range flows {
+		answers := r.send(ack, 777, 50)
+		must.Len(t, 1, answers, must.Sprint(fmt.Sprint("flow ", i)))
+		must.True(t, answers[0].Rst)
+	}
+	c.requireFewTrials("u")
+}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -26,19 +26,25 @@
 	return host != nil && host.StartUnixMilli >= a.config.StartedAt.Add(-maxStartSkew).UnixMilli()
 }
 
-// matchesService reports whether a packet of an unknown flow may be meant for
-// the service of this agent's host. No packet is sent to a host of another
-// service.
-func (a *Agent) matchesService(f *flow.Frame, key flow.Key) bool {
-	if f.ServiceTag == a.tag || a.serviceHistory.MayHoldFlows(key.Destination, a.tag) {
-		return true
-	}
+// isAddressed reports whether a packet of an unknown flow may be meant for this
+// agent's host: its sender names the host's service, or took this agent for the
+// flow's owner, or the service is known to hold flows of the route. A search names
+// the host's service, also if the route does not, once the route's own services
+// have been asked.
+func (a *Agent) isAddressed(f *flow.Frame, key flow.Key) bool {
+	return f.ServiceTag == a.tag || f.Kind == flow.Deliver || a.isOwnService(f, key)
+}
+
+// isOwnService reports whether the host's service is known to hold flows of the
+// packet's route, or this agent's configuration is too old to tell and the sender
+// names the service.
+func (a *Agent) isOwnService(f *flow.Frame, key flow.Key) bool {
 	c := a.config.Catalog()
-	if c == nil {
-		return false
+	if c == nil || f.ConfigVersion > c.Config.Version {
+		return f.ServiceTag == a.tag
 	}
 	route := c.Config.Routes[key.Destination]
-	return route != nil && route.MayHoldFlows(a.config.Service)
+	return route != nil && route.MayHoldFlows(a.config.Service) || a.serviceHistory.MayHoldFlows(key.Destination, a.tag)
 }
 
 // tryHost sends the host a packet of a flow that the agent does not know, to
@@ -47,10 +53,13 @@
 // before the agent's start. It reports false if the packet cannot be tried or
 // the host is known not to hold the flow.
 func (a *Agent) tryHost(now time.Duration, key flow.Key, f *flow.Frame, data []byte, out Output) bool {
-	if !a.mayHaveUnknownFlows(now) || !a.matchesService(f, key) || a.hostStopped(now) {
+	if !a.mayHaveUnknownFlows(now) || !a.isAddressed(f, key) || a.hostStopped(now) {
 		return false
 	}
 	t := a.trials[key]
+	if !a.isOwnService(f, key) {
+		return a.tryOtherService(now, key, t, f, data, out)
+	}
 	switch {
 	case t == nil:
 		a.trials[key] = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
@@ -70,6 +79,34 @@
 	return true
 }
 
+// tryOtherService is tryHost for a route that is not known to have flows at hosts of
+// this service. The host gets one packet of the flow, and others only once it is
+// known to be running and has not returned the first one. Packets that it would leave
+// unanswered if it held the flow are not tried, since nothing would follow from them.
+func (a *Agent) tryOtherService(now time.Duration, key flow.Key, t *trialDelivery, f *flow.Frame, data []byte, out Output) bool {
+	switch {
+	case a.hostStartedWithAgent() || t != nil && t.returned:
+		return false
+	case t == nil && !callsForAnswer(&a.packet):
+		a.config.Events.Drop(DropNoOwner)
+		return true
+	case t == nil:
+		a.trials[key] = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
+	case a.hostLiveness.heardAt-t.firstSentAt <= trialReturnTimeout:
+		t.frame = *f
+		a.config.Events.Drop(DropNoOwner)
+		return true
+	}
+	a.sendToHost(now, data, out)
+	return true
+}
+
+// callsForAnswer reports whether a host that holds the packet's flow answers the
+// packet.
+func callsForAnswer(p *flow.Packet) bool {
+	return p.Size > 0 || p.Fin
+}
+
 // adopt registers a flow that the host has held since before the agent's
 // start.
 func (a *Agent) adopt(now time.Duration, key flow.Key, origin flow.Endpoint, out Output) *ownedFlow {
@@ -109,10 +146,10 @@
 	self := a.config.Self
 	if r := a.records[key]; r != nil && r.owner != self.Addr && !f.Avoids(r.owner) {
 		if c.Hosts[r.owner] == nil || a.liveness.hasEnded(c, r.owner, now) {
-			a.probeOwnerOrSearch(now, c, r.owner, &next, key, data, out)
+			a.probeOwnerOrSearch(now, c, r, &next, key, data, out)
 			return
 		}
-		next.Kind = flow.Deliver
+		next.Kind, next.ServiceTag = flow.Deliver, r.serviceTag
 		next.AddAvoid(self.Addr)
 		out.ToNode(a.endpoint(r.owner), &next, data)
 		return
@@ -138,12 +175,12 @@
 // sends it the packet as a Probe rather than a Deliver, so that the owner
 // answers whether its host holds the flow. If the host does not, the answer
 // removes the record, and later packets lead to a search.
-func (a *Agent) probeOwnerOrSearch(now time.Duration, c *catalog.Catalog, owner [4]byte, f *flow.Frame, key flow.Key, data []byte, out Output) {
-	if a.liveness.hasEnded(c, owner, now) {
+func (a *Agent) probeOwnerOrSearch(now time.Duration, c *catalog.Catalog, r *ownerRecord, f *flow.Frame, key flow.Key, data []byte, out Output) {
+	if a.liveness.hasEnded(c, r.owner, now) {
 		a.search(now, c, f, key, data, out)
 		return
 	}
-	a.liveness.ping(a.config.Self, owner, now, out)
-	f.Kind, f.ReplyTo = flow.Probe, a.config.Self.Addr
-	out.ToNode(a.endpoint(owner), f, data)
+	a.liveness.ping(a.config.Self, r.owner, now, out)
+	f.Kind, f.ReplyTo, f.ServiceTag = flow.Probe, a.config.Self.Addr, r.serviceTag
+	out.ToNode(a.endpoint(r.owner), f, data)
 }
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -31,7 +31,9 @@
 
 // ownerSearch is the state of a search for the owner of a flow.
 type ownerSearch struct {
-	startedAt time.Duration
+	// startedAt is when the search began, and firstStartedAt when the first of the
+	// flow's successive searches did.
+	startedAt, firstStartedAt time.Duration
 	// frame is the frame of the Probes, for the service that the route names.
 	frame flow.Frame
 	// packets holds the packets of the flow that arrived during the search.
@@ -42,8 +44,13 @@
 	// to hold an open flow later.
 	pending, mayHold, notHeld map[[4]byte]bool
 	// widened reports that the agents of all zones were asked, not only those of the
-	// zone that the requester's packets arrive in.
-	widened bool
+	// zone that the requester's packets arrive in. extended reports that also those of
+	// services were asked that are not known to hold flows of the route.
+	widened, extended bool
+	// trialPacket is the first packet that a host holding the flow answers, or nil.
+	// triedElsewhere holds the agents of such services that were sent it.
+	trialPacket    []byte
+	triedElsewhere map[[4]byte]bool
 	// lastPacket is the header of the latest packet.
 	lastPacket flow.Packet
 	// reset reports that the flow was reset after its last packet.
@@ -52,7 +59,8 @@
 
 // search looks for the owner of a flow that neither keeper knows. It asks the agents
 // whose hosts may hold the flow, first those of the requester's zone, where most of
-// its flows are, and sends the packet to those that need it to find out. If all
+// its flows are, and sends the packet to those that need it to find out. The agents of
+// services that are not known to hold flows of the route come last, see extend. If all
 // agents answer that their hosts do not hold the flow, the flow is lost.
 func (a *Agent) search(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, data []byte, out Output) {
 	var p flow.Packet
@@ -76,6 +84,9 @@
 	}
 	s.lastPacket, s.reset = p, false
 	s.packets = append(s.packets, slices.Clone(data))
+	if s.trialPacket == nil && callsForAnswer(&p) {
+		s.trialPacket = s.packets[len(s.packets)-1]
+	}
 	s.frame = *f
 	s.frame.Kind, s.frame.ReplyTo = flow.Probe, a.config.Self.Addr
 	agents := a.candidateAgents(now, c, key)
@@ -93,10 +104,12 @@
 // for the same flow, which may be nil.
 func newOwnerSearch(now time.Duration, previous *ownerSearch) *ownerSearch {
 	s := &ownerSearch{
-		startedAt: now, pending: make(map[[4]byte]bool), mayHold: make(map[[4]byte]bool), notHeld: make(map[[4]byte]bool),
+		startedAt: now, firstStartedAt: now,
+		pending: make(map[[4]byte]bool), mayHold: make(map[[4]byte]bool), notHeld: make(map[[4]byte]bool),
 	}
 	if previous != nil {
-		s.notHeld, s.widened = previous.notHeld, previous.widened
+		s.firstStartedAt, s.notHeld = previous.firstStartedAt, previous.notHeld
+		s.widened, s.extended = previous.widened, previous.extended
 	}
 	return s
 }
@@ -116,9 +129,9 @@
 }
 
 // query asks agents whether their hosts may hold the flow: first those of the
-// requester's zone whose services are known to hold flows of the route or, if there
-// are none or the search was widened, all of them. An agent of another service may be
-// unable to answer.
+// requester's zone whose services are known to hold flows of the route, then, if there
+// are none or the search was widened, those of all zones, and all of them if it was
+// extended.
 func (a *Agent) query(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agents [][4]byte, out Output) {
 	var chosen [][4]byte
 	scope := a.searchScope(now, c, key, s.frame.OriginZone)
@@ -126,12 +139,12 @@
 		if s.notHeld[agent] || s.pending[agent] {
 			continue
 		}
-		if s.widened || scope.IsLikely(c.Hosts[agent]) {
+		if s.extended || s.widened && a.isNamed(c, scope, agent) || scope.IsLikely(c.Hosts[agent]) {
 			chosen = append(chosen, agent)
 		}
 	}
-	if len(chosen) == 0 && !s.widened {
-		s.widened = true
+	if len(chosen) == 0 && !s.extended && (!s.widened || a.canExtend(now, c, key, s)) {
+		s.widened, s.extended = true, s.widened
 		a.query(now, c, key, s, agents, out)
 		return
 	}
@@ -140,7 +153,7 @@
 	}
 	for _, agent := range chosen {
 		q := a.newReport(flow.Query, key)
-		q.ServiceTag = a.probeServiceTag(c, agent, key, s.frame.ServiceTag)
+		q.ServiceTag = a.probeServiceTag(c, agent, s.frame.ServiceTag)
 		if agent == a.config.Self.Addr {
 			a.answerQuery(now, &q, out)
 			continue
@@ -153,12 +166,6 @@
 	}
 }
 
-// widen asks the agents of all zones.
-func (a *Agent) widen(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
-	s.widened = true
-	a.query(now, c, key, s, a.candidateAgents(now, c, key), out)
-}
-
 // answerQuery tells the searching agent whether the host may hold the flow. If the
 // agent cannot find out, it does not answer, so that the flow is not declared lost.
 func (a *Agent) answerQuery(now time.Duration, f *flow.Frame, out Output) {
@@ -167,11 +174,11 @@
 	switch {
 	case a.flows[key] != nil:
 		kind = flow.MayHold
-	case !a.mayHaveUnknownFlows(now) || a.hostStartedWithAgent():
-	case !a.matchesService(f, key):
+	case a.knowsNotHeld(now, key):
+	case !a.isAddressed(f, key):
 		a.config.Events.Drop(DropNoOwner)
 		return
-	case a.trials[key] == nil || !a.trials[key].returned:
+	default:
 		kind = flow.MayHold
 	}
 	switch {
@@ -193,6 +200,10 @@
 		return
 	}
 	s.mayHold[agent] = true
+	if !a.isNamed(c, a.searchScope(now, c, key, 0), agent) {
+		a.probeOnce(now, c, key, s, agent, out)
+		return
+	}
 	for _, data := range s.packets {
 		a.probe(now, c, key, s, agent, data, out)
 	}
@@ -202,9 +213,14 @@
 // packets, and to those that have left the query unanswered.
 func (a *Agent) probeAgain(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
 	overdue := now-s.startedAt >= lookupTimeout
+	scope := a.searchScope(now, c, key, 0)
 	for _, agent := range slices.Collect(maps.Keys(s.pending)) {
-		if s.mayHold[agent] || overdue {
+		switch {
+		case !s.mayHold[agent] && !overdue:
+		case a.isNamed(c, scope, agent):
 			a.probe(now, c, key, s, agent, data, out)
+		default:
+			a.probeOnce(now, c, key, s, agent, out)
 		}
 	}
 }
@@ -212,7 +228,7 @@
 // probe sends a packet of the flow to an agent, so that it is tried at its host.
 func (a *Agent) probe(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agent [4]byte, data []byte, out Output) {
 	f := s.frame
-	f.ServiceTag = a.probeServiceTag(c, agent, key, f.ServiceTag)
+	f.ServiceTag = a.probeServiceTag(c, agent, f.ServiceTag)
 	if agent != a.config.Self.Addr {
 		out.ToNode(a.endpoint(agent), &f, data)
 		return
@@ -222,14 +238,15 @@
 	}
 }
 
-// probeServiceTag returns the service that a probe of an agent is for: the service of
-// the agent's host if that was found to hold flows of the route, so that the agent
-// tries the packet at its host.
-func (a *Agent) probeServiceTag(c *catalog.Catalog, agent [4]byte, key flow.Key, configured uint32) uint32 {
-	if h := c.Hosts[agent]; h != nil {
-		if tag := catalog.Tag(h.Service); a.serviceHistory.MayHoldFlows(key.Destination, tag) {
-			return tag
-		}
+// probeServiceTag returns the service that a probe of an agent is for: that of the
+// agent's host, so that the agent tries the packet there whatever it knows of the
+// route, or the given one if the host's service is not known.
+func (a *Agent) probeServiceTag(c *catalog.Catalog, agent [4]byte, configured uint32) uint32 {
+	if service, known := serviceOf(c, agent); known {
+		return catalog.Tag(service)
+	}
+	if u, announced := a.announcements.received[agent]; announced {
+		return u.serviceTag
 	}
 	return configured
 }
@@ -280,7 +297,7 @@
 	if a.tryHost(now, key, f, data, out) {
 		return
 	}
-	if a.mayHaveUnknownFlows(now) && !a.matchesService(f, key) && !a.hostStartedWithAgent() {
+	if !a.knowsNotHeld(now, key) && !a.isAddressed(f, key) {
 		a.config.Events.Drop(DropNoOwner)
 		return
 	}
@@ -340,7 +357,7 @@
 	if _, waiting := a.pendingAgent(now, c, s); waiting {
 		return
 	}
-	if !s.widened {
+	if !s.extended {
 		a.widen(now, c, key, s, out)
 		return
 	}
--- a/datagram/search_test.go
+++ b/datagram/search_test.go
@@ -35,7 +35,7 @@
 		c.addHost(n, "s")
 	}
 	inZone := func(host [4]byte) bool { return host[3] <= 14 }
-	c.publishWithZones(1, inZone)
+	c.publishWithZones(1, inZone, "s")
 	flows := c.openFlows(1000, 40)
 	for _, r := range flows {
 		must.True(t, inZone(c.holder(r.key())))
@@ -62,7 +62,7 @@
 
 // publishWithZones publishes a catalog in which the hosts are in zone a, which is that
 // of the entries, or in zone b.
-func (c *cluster) publishWithZones(version int64, inZone func(host [4]byte) bool) {
+func (c *cluster) publishWithZones(version int64, inZone func(host [4]byte) bool, target string) {
 	c.publish(version, func(values *[]catalog.Value) {
 		for i := range *values {
 			for a := range c.hosts {
@@ -71,7 +71,7 @@
 				}
 			}
 		}
-	}, "s")
+	}, target)
 }
 
 // Agents of an earlier version do not answer questions without a packet. They are
