Hand former services of routes over to processes that start

Cause: the services that were targets of a route are known from the configurations that a process has seen itself. Peers send the last one alone, so that each restart forgot them, and a search for a flow at a former service had to ask everybody.

Change: the answer to a peer that asks for the time before (history=1) also names the former services of routes, with the time since each left; those that left a minute ago or longer are omitted, since no flow is that old. The receiver adds them to its routes, those of declared services only, in a copy of the configuration. A reader, which takes the hosts that left from the store's history, asks another reader as well.

Processes of the earlier build leave the field out and ignore it. Sending earlier configurations instead was ruled out: they have thousands of routes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,7 +5,6 @@
 package catalog
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -37,7 +36,7 @@
 	Bulk bool
 	// FormerServices are services that were targets in earlier versions of the
 	// configuration. They may still hold open flows.
-	FormerServices []string
+	FormerServices []FormerService
 }
 
 // Pick returns the service for a flow with the given hash. All processes with
@@ -196,36 +195,6 @@
 	return max(1, uint16(xxhash.Sum64String(zone)))
 }
 
-// MayHoldFlows reports whether hosts of the service may hold flows of the
-// route, because the service is or was one of its targets.
-func (r *Route) MayHoldFlows(service string) bool {
-	if slices.Contains(r.FormerServices, service) {
-		return true
-	}
-	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
-}
-
-// addFormerServices records in each route the services that were targets in the
-// previous configuration and no longer are.
-func (c *Config) addFormerServices(previous *Config) {
-	for destination, route := range c.Routes {
-		previousRoute := previous.Routes[destination]
-		if previousRoute == nil {
-			continue
-		}
-		for _, t := range previousRoute.Targets {
-			if !route.MayHoldFlows(t.Service) {
-				route.FormerServices = append(route.FormerServices, t.Service)
-			}
-		}
-		for _, service := range previousRoute.FormerServices {
-			if !route.MayHoldFlows(service) {
-				route.FormerServices = append(route.FormerServices, service)
-			}
-		}
-	}
-}
-
 // buildCatalog returns a snapshot of the configuration, the hosts by ID and the
 // evacuated zones. It leaves out hosts of services that are not declared, whose entries
 // may be another writer's. Of several hosts at one address it contains only the newest.
--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -53,7 +53,7 @@
 	Deviates bool `cbor:"8,keyasint,omitempty"`
 	// Gone holds the removals that the peer remembers, if the request asked for them.
 	Gone []peerGone `cbor:"9,keyasint,omitempty"`
-	// History holds what the peer knows of hosts that left, if the request asked for it.
+	// History holds what the peer knows of the time before, if the request asked for it.
 	// Peers of earlier versions do not tell.
 	History *wireHistory `cbor:"10,keyasint,omitempty"`
 }
@@ -229,7 +229,7 @@
 // peerOptions is what a request asks for besides changes.
 type peerOptions struct {
 	// gone asks for the removals that the peer remembers, and history for what it knows
-	// of hosts that left.
+	// of hosts that left and of former services of routes.
 	gone, history bool
 }
 
@@ -314,6 +314,11 @@
 		for i := range h.Removed {
 			c.time("age of a removed host", h.Removed[i].AgeMS)
 		}
+		for i := range h.Former {
+			for _, f := range h.Former[i].Services {
+				c.time("age of a former service", f.AgeMS)
+			}
+		}
 	}
 	return c.err
 }
--- a/catalog/peer_history.go
+++ b/catalog/peer_history.go
@@ -3,20 +3,25 @@
 import (
 	"time"
 
+	"github.com/turmericrock/turmericrock/flow"
 	"github.com/turmericrock/turmericrock/steering/pacing"
 )
 
 // peerHistory is what a process knows of the time before: how long its reads of the store
-// had succeeded when it last confirmed its state, and which hosts left within that time.
+// had succeeded when it last confirmed its state, which hosts left within that time, and
+// which services were targets of routes.
 type peerHistory struct {
 	healthyFor time.Duration
 	removed    []RemovedHost
+	former     map[flow.Endpoint][]FormerService
 }
 
 // wireHistory is the encoding of a peerHistory.
 type wireHistory struct {
 	HealthyForMS int64             `cbor:"1,keyasint"`
 	Removed      []wireRemovedHost `cbor:"2,keyasint,omitempty"`
+	// Former holds former services of routes. Peers of earlier versions do not tell.
+	Former []wireFormerServices `cbor:"3,keyasint,omitempty"`
 }
 
 // wireRemovedHost is the encoding of a RemovedHost, with the age of the removal.
@@ -32,6 +37,7 @@
 	for _, r := range c.Removed {
 		h.Removed = append(h.Removed, wireRemovedHost{Agent: r.Agent, Service: r.Service, AgeMS: max(0, now-r.RemovedAt).Milliseconds()})
 	}
+	h.Former = encodeFormerServices(c.Config, now)
 	return h
 }
 
@@ -40,7 +46,7 @@
 	if w == nil {
 		return nil
 	}
-	h := &peerHistory{healthyFor: fromMilliseconds(w.HealthyForMS)}
+	h := &peerHistory{healthyFor: fromMilliseconds(w.HealthyForMS), former: decodeFormerServices(w.Former, now)}
 	for _, r := range w.Removed {
 		h.removed = append(h.removed, RemovedHost{Agent: r.Agent, Service: r.Service, RemovedAt: now - fromMilliseconds(r.AgeMS)})
 	}
--- a/catalog/start.go
+++ b/catalog/start.go
@@ -132,6 +132,7 @@
 	s.Tracker.gone.addAll(result.gone, s.Now())
 	s.apply(from, result)
 	s.peerStateEra = result.Era
+	s.adoptFormerServices(result)
 	s.adoptHistory(Position{}, result)
 	s.historyDeadline = s.Now() + pacing.HistoryPatience
 	return true
@@ -164,6 +165,21 @@
 	}).Info("history_adopted")
 }
 
+// asksHistory reports whether a peer is to be asked for what it knows of the time before.
+// A reader does not need to be told which hosts left, as it reads the store's history, but
+// the store does not tell former services of routes.
+func (s *Syncer) asksHistory(needsPeerState bool) bool {
+	return s.historyPending || s.ReadHistory && needsPeerState
+}
+
+// adoptFormerServices takes over which services a peer knows to have been targets of
+// routes. It is no matter how long the peer has run: what it does not know is searched for.
+func (s *Syncer) adoptFormerServices(r *ReadResult) {
+	if r.history != nil {
+		s.Tracker.AdoptFormerServices(r.history.former)
+	}
+}
+
 // syncFromSeeds applies the responses of all seeds that answer, whatever their age:
 // old data is better than none while the store is unreachable. A seed that is cut off
 // from the store may still list hosts that have left, so the newest response counts.
--- a/catalog/sync_peers.go
+++ b/catalog/sync_peers.go
@@ -152,9 +152,10 @@
 		after, wait = Position{}, 0
 	}
 	needsState, before := s.needsPeerState(), s.Tracker.Position()
-	result, err := s.Peers.request(ctx, address, after, wait, peerOptions{gone: needsState, history: s.historyPending})
+	asksHistory := s.asksHistory(needsState)
+	result, err := s.Peers.request(ctx, address, after, wait, peerOptions{gone: needsState, history: asksHistory})
 	if err == nil && s.needsFullRead(&result, needsState) {
-		result, err = s.Peers.request(ctx, address, Position{}, 0, peerOptions{gone: true, history: s.historyPending})
+		result, err = s.Peers.request(ctx, address, Position{}, 0, peerOptions{gone: true, history: asksHistory})
 	}
 	if err != nil {
 		return err
@@ -172,6 +173,7 @@
 		}
 	}
 	s.apply(fromPeer, &result)
+	s.adoptFormerServices(&result)
 	if err := checkAge(&result); err != nil {
 		return err
 	}
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -337,7 +337,7 @@
 			return false
 		}
 		if t.config != nil {
-			c.Config.addFormerServices(t.config)
+			c.Config.addFormerServices(t.config, now)
 		}
 		t.config = c.Config
 	case c.Host != nil:
