Count a cold host's limit as used when its agent restarts

Cause: the agent counts the new flows of a cold host in its own memory, so that one that restarts let the limit of a further second through at once, beside that which its predecessor had used.

Change: steering.ColdRateLimiter counts as used up at the start of a process that may follow another one. An agent whose host started with it has seen all its flows and is excepted, as otherwise no cold host would take a flow for a second after a loss of power. The time of the start on the agent's clock is now given by AgentConfig.ClockStart, 0 in the program.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -28,8 +28,10 @@
 	// Restarted reports that the host may hold flows that were opened before
 	// this process started.
 	Restarted bool
-	// StartedAt is the start time of the process by the machine's wall clock.
-	StartedAt time.Time
+	// StartedAt is the start time of the process by the machine's wall clock, and
+	// ClockStart that on the clock of the times passed to the agent.
+	StartedAt  time.Time
+	ClockStart time.Duration
 	// HostRunning reports whether the host on this machine accepts connections. It
 	// is asked only while the host is not listed and must not block. If it is nil,
 	// the host counts as running.
@@ -160,7 +162,7 @@
 
 // NewAgent returns an agent without flows or records.
 func NewAgent(config AgentConfig) *Agent {
-	return &Agent{
+	a := &Agent{
 		config:         config,
 		tag:            catalog.Tag(config.Service),
 		flows:          make(map[flow.Key]*ownedFlow),
@@ -174,6 +176,10 @@
 		loads:          steering.NewLoadTable(),
 		answerLatency:  NewLatency("request_answer"),
 	}
+	if config.Restarted {
+		a.coldLimiter.AssumeUsed(config.ClockStart)
+	}
+	return a
 }
 
 // HandleFrame processes a frame received from the address of another process.
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -125,7 +125,7 @@
 func (c *cluster) newAgent(n byte, restarted bool, started time.Time) *datagram.Agent {
 	return datagram.NewAgent(datagram.AgentConfig{
 		Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
-		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started,
+		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started, ClockStart: c.now,
 		Codec: platform.Codec{}, Catalog: c.catalog, Events: newDiscardEvents(),
 	})
 }
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -109,12 +109,16 @@
 
 // admitCold reports whether the rate limit of a cold host allows another
 // opening, and counts the opening. A host that is not listed yet counts as
-// cold.
+// cold. After a restart the limit counts as just used, unless the host started
+// with the agent.
 func (a *Agent) admitCold(now time.Duration, c *catalog.Catalog) bool {
 	if c != nil {
 		service := c.Services[a.config.Service]
 		host := c.Hosts[a.config.Self.Addr]
 		if service != nil && service.WarmupPerSecond > 0 && (host == nil || host.Cold(now)) {
+			if a.hostStartedWithAgent() {
+				a.coldLimiter.ForgetAssumed()
+			}
 			limit := steering.ColdLimit(service.WarmupPerSecond, a.config.ColdOverage, a.config.ColdSlack)
 			return a.coldLimiter.Admit(now, limit)
 		}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -11,7 +11,7 @@
 // mayHaveUnknownFlows reports whether the host may hold flows that this agent
 // does not know, because the agent restarted less than a flow lifetime ago.
 func (a *Agent) mayHaveUnknownFlows(now time.Duration) bool {
-	return a.config.Restarted && now <= a.config.FlowLifetime
+	return a.config.Restarted && now-a.config.ClockStart <= a.config.FlowLifetime
 }
 
 // hostStartedWithAgent reports whether the host started together with the
--- a/steering/cold_rate_limiter.go
+++ b/steering/cold_rate_limiter.go
@@ -13,8 +13,24 @@
 	// admittedAt is a ring buffer of the times of the last new flows.
 	admittedAt []time.Duration
 	next       int
+	// assumedUsedAt is when the limit is assumed to have been used up, valid if
+	// assumedUsed is set.
+	assumedUsedAt time.Duration
+	assumedUsed   bool
 }
 
+// AssumeUsed makes the limit count as used up at a time, because the new flows of the
+// second before are not known.
+//
+// Load pattern: the processes beside cold hosts restart one after the other while
+// callers reconnect.
+func (l *ColdRateLimiter) AssumeUsed(at time.Duration) {
+	l.assumedUsedAt, l.assumedUsed = at, true
+}
+
+// ForgetAssumed takes AssumeUsed back, because there were no new flows before.
+func (l *ColdRateLimiter) ForgetAssumed() { l.assumedUsed = false }
+
 // ColdLimit returns how many new flows a cold host may accept in any second, at
 // least 1. The host tolerates perSecond*overage+slack, where perSecond is its
 // declared rate. The result is one less, because the host counts by its own
@@ -26,7 +42,7 @@
 // Admit reports whether one more new flow is within the limit, and counts it if
 // so.
 func (l *ColdRateLimiter) Admit(now time.Duration, limit int) bool {
-	if l.countRecent(now) >= limit {
+	if l.assumedUsed && isRecent(l.assumedUsedAt, now) || l.countRecent(now) >= limit {
 		return false
 	}
 	l.Count(now)
@@ -52,14 +68,19 @@
 func (l *ColdRateLimiter) countRecent(now time.Duration) int {
 	n := 0
 	for _, at := range l.admittedAt {
-		// Packets take time to reach the host, so the window is extended a little.
-		if now-at <= coldWindow+coldTransitMargin {
+		if isRecent(at, now) {
 			n++
 		}
 	}
 	return n
 }
 
+// isRecent reports whether a time is within the last coldWindow. Packets take time to
+// reach the host, so the window is extended a little.
+func isRecent(at, now time.Duration) bool {
+	return now-at <= coldWindow+coldTransitMargin
+}
+
 // coldTransitMargin covers the time that the first packet of a flow may take to
 // reach the host.
 const coldTransitMargin = 50 * time.Millisecond
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -124,6 +124,22 @@
 	must.True(t, limiter.Admit(2500*time.Millisecond, 10))
 }
 
+// A process starts and does not know the new flows that its predecessor let through.
+func TestUnknownFlowsOfTheLastSecondCountAsTheLimit(t *testing.T) {
+	var limiter steering.ColdRateLimiter
+	limiter.AssumeUsed(5 * time.Second)
+	must.False(t, limiter.Admit(5100*time.Millisecond, 10))
+	must.False(t, limiter.Admit(6*time.Second, 10))
+	for range 10 {
+		must.True(t, limiter.Admit(6100*time.Millisecond, 10))
+	}
+	must.False(t, limiter.Admit(6100*time.Millisecond, 10))
+	limiter = steering.ColdRateLimiter{}
+	limiter.AssumeUsed(5 * time.Second)
+	limiter.ForgetAssumed()
+	must.True(t, limiter.Admit(5100*time.Millisecond, 10))
+}
+
 func TestAdmission(t *testing.T) {
 	const target = 100 * time.Millisecond
 	cases := map[string]struct {
