Reset a lost flow once, and test trials at other services one by one

A search whose last agent is the searching one itself answered within the question and reset the flow twice. The added tests each fail when one part of the trials is taken out: the record's service in a probe, the entry's cache, the exception for a host that started with its agent, the one packet of a request, and acknowledgements.

--- a/datagram/moved_route_test.go
+++ b/datagram/moved_route_test.go
@@ -1,13 +1,17 @@
 package datagram_test
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericrock/turmericrock/catalog"
 	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
 )
 
 // newMovedRoute returns a cluster of two entries in which one host of service s holds
@@ -188,12 +192,98 @@
 // Guards against a packet that no host answers being the only one that is tried at the
 // host of another service.
 func TestAcknowledgementIsNotTriedAtAnotherService(t *testing.T) {
+	for name, restart := range map[string]func(c *cluster){
+		"all restart":                 func(c *cluster) { c.restartAllAtOnce() },
+		"the entry has not restarted": func(c *cluster) { c.startAgent(11, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, flows := newMovedRoute(t)
+			restart(c)
+			c.advance(hostListSettleTime)
+			must.Len(t, 0, flows[0].send(ack, 777, 0))
+			flows[0].requireServed()
+			c.requireFewTrials("u")
+		})
+	}
+}
+
+// Guards against a search by the hosts of the new service where an entry or a keeper
+// knows the owner: its agent alone has restarted.
+func TestFlowOfAMovedRouteIsTriedWhereItsOwnerIsKnown(t *testing.T) {
+	c, flows := newMovedRoute(t)
+	c.startAgent(11, true)
+	for i, r := range flows {
+		first, second, _ := steering.Keepers(c.current, r.key().Hash())
+		if first == addr(11) || second == addr(11) {
+			continue // A keeper that has restarted has no records.
+		}
+		r.entry = byte(1 + i%2)
+		r.requireServed()
+	}
+	must.Eq(t, 0, c.frames[flow.Query])
+	must.Eq(t, 0, c.unheldPackets())
+}
+
+// Guards against a flow of a moved route being searched for at the hosts of the new
+// service because the host that keepers have recorded is no longer listed.
+func TestFlowOfAMovedRouteIsTriedAtItsUnlistedOwner(t *testing.T) {
 	c, flows := newMovedRoute(t)
+	c.publish(4, func(values *[]catalog.Value) {
+		*values = slices.DeleteFunc(*values, func(v catalog.Value) bool { return v.Key == "servers/h11" })
+	}, "u")
+	c.startAgent(11, true)
+	for _, r := range flows {
+		r.entry = 2
+		r.requireServed()
+	}
+	must.Eq(t, 0, c.frames[flow.Query])
+}
+
+// Guards against packets being tried at a host that started with its agent, which has
+// seen all flows of the host.
+func TestFlowIsNotTriedAtANewHostOfAnotherService(t *testing.T) {
+	c, flows := newMovedRoute(t)
+	clear(c.hosts[addr(11)].initialSeqs)
+	c.publish(4, func(values *[]catalog.Value) {
+		for i := range *values {
+			if v := &(*values)[i]; v.Key == "servers/h11" {
+				v.Data = bytes.Replace(v.Data, []byte(`"born":1`), []byte(`"born":1000000`), 1)
+			}
+		}
+	}, "u")
 	c.restartAllAtOnce()
 	c.advance(hostListSettleTime)
-	must.Len(t, 0, flows[0].send(ack, 777, 0))
-	flows[0].requireServed()
+	flows[0].requireReset()
 	must.MapEmpty(t, c.hosts[addr(11)].unheldPackets)
+	c.addEntry(2)
+	c.entries[addr(2)].HandleFrame(c.now, addr(11), (&flow.Frame{Kind: flow.Owned, Key: flows[1].key(), Sender: addr(11)}).Append(nil))
+	flows[1].entry = 2
+	flows[1].requireReset()
+	must.MapEmpty(t, c.hosts[addr(11)].unheldPackets, must.Sprint("by an entry's cache"))
+}
+
+// Guards against each packet of a request being sent to each agent of other services.
+func TestOnePacketOfARequestIsSentToOtherServices(t *testing.T) {
+	const others, packets = 10, 4
+	c := newCluster(t)
+	c.addEntry(1)
+	c.addHost(11, "u")
+	for n := byte(12); n < 12+others; n++ {
+		c.addHost(n, "s")
+	}
+	c.publish(1, nil, "s")
+	r := c.requester(1000, 1)
+	clear(c.hosts[r.open()].initialSeqs)
+	c.tracker = nil
+	c.publish(2, nil, "u")
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+	clear(c.frames)
+	for range packets {
+		c.entries[addr(1)].HandlePacket(c.now, packet(ack, r.endpoint, destination(), 1, 777, 50), &clusterOutput{c, addr(1)})
+	}
+	c.deliverAll()
+	must.LessEq(t, others+packets, c.frames[flow.Probe])
 }
 
 // Guards against flows being left unreset after their hosts have lost them, although the
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -351,7 +351,7 @@
 // is reset while the host list may be incomplete.
 func (a *Agent) resetIfNotHeld(now time.Duration, key flow.Key, s *ownerSearch, out Output) {
 	c := a.config.Catalog()
-	if c == nil || s.lastPacket.Rst {
+	if c == nil || s.reset || s.lastPacket.Rst {
 		return
 	}
 	if _, waiting := a.pendingAgent(now, c, s); waiting {
