Search for flows at unlisted hosts of other services

Cause: agents of hosts that are not listed were asked for a flow only if the route is known to have had their service, because such an agent could not tell whether its host holds the flow. After a route had moved, the entry of the former service's host had lapsed and all processes had restarted, the search ended without it and reset a flow of a living host.

Change: they are asked last, as those of listed hosts are; a trial at the host tells. So that a loss of power does not send a packet of each lost flow to each of them, an agent whose host has refused a connection since the agent's start knows that it has seen all flows, and says so without a packet. The agent connects to its host while it has no catalog yet, since a host that starts with it may run by the time the catalog arrives.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -36,6 +36,10 @@
 	// is asked only while the host is not listed and must not block. If it is nil,
 	// the host counts as running.
 	HostRunning func() bool
+	// HostWasDown reports whether the host was found not to run since the process
+	// started, so that the agent has seen all its flows. It must not block. If it is
+	// nil, that is not known.
+	HostWasDown func() bool
 	Codec       flow.Codec
 	Catalog     CatalogFunc
 	Events      *Events
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -61,6 +61,8 @@
 	accepted      int
 	// A down host ignores packets; a refusing one returns openings.
 	down, refusing bool
+	// wasDown reports that the host's agent has seen that the host did not run.
+	wasDown bool
 	// A failing host resets flows instead of answering requests.
 	failing bool
 	// serviceTime is how long a request takes.
@@ -126,7 +128,8 @@
 	return datagram.NewAgent(datagram.AgentConfig{
 		Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
 		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started, ClockStart: c.now,
-		Codec: platform.Codec{}, Catalog: c.catalog, Events: newDiscardEvents(),
+		HostWasDown: func() bool { return c.hosts[addr(n)].wasDown },
+		Codec:       platform.Codec{}, Catalog: c.catalog, Events: newDiscardEvents(),
 	})
 }
 
--- a/datagram/moved_route_test.go
+++ b/datagram/moved_route_test.go
@@ -300,3 +300,38 @@
 	}
 	c.requireFewTrials("u")
 }
+
+// unlistFirst publishes the catalog of a moved route without the entry of the first host,
+// and restarts all processes.
+func (c *cluster) unlistFirst() {
+	c.tracker = nil
+	c.publish(4, func(values *[]catalog.Value) {
+		*values = slices.DeleteFunc(*values, func(v catalog.Value) bool { return v.Key == "servers/h11" })
+	}, "u")
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+}
+
+// Guards against a flow of a moved route being reset while its host lives, because the
+// entry of the host has lapsed and its agent, of another service, is not asked.
+func TestFlowOfAMovedRouteIsFoundAtAnUnlistedHost(t *testing.T) {
+	c, flows := newMovedRoute(t)
+	c.unlistFirst()
+	for _, r := range flows {
+		r.requireServed()
+	}
+	c.requireFewTrials("u")
+}
+
+// Guards against a packet of each lost flow being sent to each unlisted host of another
+// service after a loss of power: an agent that has seen its host down knows its flows.
+func TestLostFlowIsNotTriedAtAnUnlistedHostThatWasDown(t *testing.T) {
+	c, flows := newMovedRoute(t)
+	c.hosts[addr(11)].wasDown = true
+	clear(c.hosts[addr(11)].initialSeqs)
+	c.unlistFirst()
+	for _, r := range flows {
+		r.requireReset()
+	}
+	must.MapEmpty(t, c.hosts[addr(11)].unheldPackets)
+}
--- a/datagram/orders_test.go
+++ b/datagram/orders_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/catalog"
 )
 
 // sequenceLength is the number of events in each tested sequence.
@@ -23,10 +25,12 @@
 	// that the host's catalog entry has lapsed.
 	flowHeld, unlisted bool
 	reset              bool
+	// target is the service that the route names.
+	target string
 }
 
 func newOwnerProtocol(t *testing.T) *ownerProtocol {
-	p := &ownerProtocol{cluster: newCluster(t), flowHeld: true}
+	p := &ownerProtocol{cluster: newCluster(t), flowHeld: true, target: "s"}
 	p.addEntry(1)
 	p.addEntry(2)
 	for n := byte(11); n <= 13; n++ {
@@ -40,6 +44,17 @@
 	return p
 }
 
+// publishNext publishes the next version of the catalog, in which the owner is listed
+// unless it is unlisted.
+func (p *ownerProtocol) publishNext() {
+	version := int64(p.current.Config.Version) + 1
+	p.publish(version, func(values *[]catalog.Value) {
+		*values = slices.DeleteFunc(*values, func(v catalog.Value) bool {
+			return p.unlisted && v.Key == fmt.Sprintf("servers/h%d", p.owner[3])
+		})
+	}, p.target)
+}
+
 // request sends a request on the observed flow, records a reset and reports
 // whether the request was answered.
 func (p *ownerProtocol) request(via byte) bool {
@@ -53,9 +68,8 @@
 }
 
 func (p *ownerProtocol) restartAgents(selected func(agent [4]byte) bool) {
-	// The agent of the other service is not restarted: a restarted agent
-	// cannot tell whether its host holds a flow of a service that is not its
-	// own, so lost flows would end by their timeout only.
+	// The agent of the other service is not restarted, so that no packet is tried
+	// at its host; see TestMovedRouteUnderAllEventSequences.
 	for n := byte(11); n <= 13; n++ {
 		if selected(addr(n)) {
 			p.startAgentAt(n, true, time.Unix(int64(p.now/time.Second), 0))
@@ -63,11 +77,14 @@
 	}
 }
 
-// protocolEvents are the events that the sequences are made of.
-var protocolEvents = []struct {
+// protocolEvent is an event that a sequence is made of.
+type protocolEvent struct {
 	name  string
 	apply func(p *ownerProtocol)
-}{
+}
+
+// protocolEvents are the events that the sequences are made of.
+var protocolEvents = []protocolEvent{
 	{"request", func(p *ownerProtocol) { p.request(1) }},
 	{"request through the other entry", func(p *ownerProtocol) { p.request(2) }},
 	{"0.7 s", func(p *ownerProtocol) { p.advance(700 * time.Millisecond) }},
@@ -78,11 +95,7 @@
 	{"frame duplicated", func(p *ownerProtocol) { p.duplicateNext = 1 }},
 	{"host is unlisted or listed again", func(p *ownerProtocol) {
 		p.unlisted = !p.unlisted
-		if p.unlisted {
-			p.unlistHost(p.owner)
-			return
-		}
-		p.publish(p.tracker.Position().Revision+1, nil, "s")
+		p.publishNext()
 	}},
 	{"host restarts", func(p *ownerProtocol) {
 		p.flowHeld = false
@@ -95,6 +108,13 @@
 // that the host holds is answered and was never reset, the requester of a lost
 // flow is reset, and no host of another service received a packet.
 func (p *ownerProtocol) check(sequence string) {
+	p.checkFlow(sequence)
+	must.MapEmpty(p.t, p.hosts[addr(14)].unheldPackets, must.Sprint(sequence))
+	must.Eq(p.t, 0, p.hosts[addr(14)].accepted, must.Sprint(sequence))
+}
+
+// checkFlow checks the invariants of the observed flow.
+func (p *ownerProtocol) checkFlow(sequence string) {
 	p.advance(hostListSettleTime)
 	answered := p.request(1)
 	for _, pause := range []time.Duration{200, 400, 800} {
@@ -103,8 +123,6 @@
 			answered = p.request(2)
 		}
 	}
-	must.MapEmpty(p.t, p.hosts[addr(14)].unheldPackets, must.Sprint(sequence))
-	must.Eq(p.t, 0, p.hosts[addr(14)].accepted, must.Sprint(sequence))
 	if p.flowHeld {
 		must.False(p.t, p.reset, must.Sprintf("%s: a flow that the host holds was reset", sequence))
 		must.True(p.t, answered, must.Sprintf("%s: a flow that the host holds was not found", sequence))
@@ -117,16 +135,22 @@
 // Runs every sequence of sequenceLength events, with repetition, against the
 // protocol that finds and resets flows.
 func TestOwnerProtocolUnderAllEventSequences(t *testing.T) {
-	sequence := make([]int, sequenceLength)
+	runSequences(t, sequenceLength, protocolEvents, (*ownerProtocol).check)
+}
+
+// runSequences applies every sequence of events of a length to a new protocol and
+// checks it.
+func runSequences(t *testing.T, length int, events []protocolEvent, check func(p *ownerProtocol, sequence string)) {
+	sequence := make([]int, length)
 	for {
-		names := make([]string, 0, sequenceLength)
+		names := make([]string, 0, length)
 		p := newOwnerProtocol(t)
 		for _, e := range sequence {
-			names = append(names, protocolEvents[e].name)
-			protocolEvents[e].apply(p)
+			names = append(names, events[e].name)
+			events[e].apply(p)
 		}
-		p.check(fmt.Sprint(strings.Join(names, ", ")))
-		next := slices.IndexFunc(sequence, func(e int) bool { return e+1 < len(protocolEvents) })
+		check(p, strings.Join(names, ", "))
+		next := slices.IndexFunc(sequence, func(e int) bool { return e+1 < len(events) })
 		if next < 0 {
 			return
 		}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -16,8 +16,11 @@
 
 // hostStartedWithAgent reports whether the host started together with the
 // agent or later, so that the agent has seen all its flows. Both start times
-// are from the clock of the same machine.
+// are from the clock of the same machine. That of an unlisted host is not known.
 func (a *Agent) hostStartedWithAgent() bool {
+	if a.config.HostWasDown != nil && a.config.HostWasDown() {
+		return true
+	}
 	c := a.config.Catalog()
 	if c == nil {
 		return false
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -242,12 +242,9 @@
 // agent's host, so that the agent tries the packet there whatever it knows of the
 // route, or the given one if the host's service is not known.
 func (a *Agent) probeServiceTag(c *catalog.Catalog, agent [4]byte, configured uint32) uint32 {
-	if service, known := serviceOf(c, agent); known {
+	if service, known := a.serviceOf(c, agent); known {
 		return catalog.Tag(service)
 	}
-	if u, announced := a.announcements.received[agent]; announced {
-		return u.serviceTag
-	}
 	return configured
 }
 
--- a/datagram/search_scope.go
+++ b/datagram/search_scope.go
@@ -21,18 +21,23 @@
 )
 
 // isNamed reports whether the agent's host is of a service that is known to hold flows of
-// the route. Agents of unlisted hosts are candidates only if it is.
+// the route.
 func (a *Agent) isNamed(c *catalog.Catalog, scope steering.SearchScope, agent [4]byte) bool {
-	service, known := serviceOf(c, agent)
-	return !known || scope.Names(service)
+	service, known := a.serviceOf(c, agent)
+	return known && scope.Names(service)
 }
 
-// serviceOf returns the service of an agent's host, which is listed or was removed
-// recently, and false if it is not known.
-func serviceOf(c *catalog.Catalog, agent [4]byte) (string, bool) {
+// serviceOf returns the service of an agent's host, which is listed, was removed recently
+// or was announced as unlisted, and false if it is not known.
+func (a *Agent) serviceOf(c *catalog.Catalog, agent [4]byte) (string, bool) {
 	if h := c.Hosts[agent]; h != nil {
 		return h.Service, true
 	}
+	if u, announced := a.announcements.received[agent]; announced {
+		if s := c.ByTag[u.serviceTag]; s != nil {
+			return s.Name, true
+		}
+	}
 	for _, r := range c.Removed {
 		if r.Agent == agent {
 			return r.Service, true
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -102,14 +102,12 @@
 	a.announcements.received[f.Sender] = unlistedAgent{serviceTag: f.ServiceTag, heardAt: now}
 }
 
-// appendUnlisted adds the agents of unlisted hosts whose services are known to hold
-// flows of the route to the agents that are to be asked for a flow. Agents of other
-// services are left out, since an agent cannot tell when its host started before it is
-// listed.
+// appendUnlisted adds the agents of unlisted hosts whose services may hold the flow to
+// the agents that are to be asked for it.
 func (a *Agent) appendUnlisted(agents [][4]byte, now time.Duration, c *catalog.Catalog, scope steering.SearchScope) [][4]byte {
 	for agent, u := range a.announcements.received {
 		service := c.ByTag[u.serviceTag]
-		if now-u.heardAt > unlistedRetention || service == nil || !scope.Names(service.Name) || slices.Contains(agents, agent) {
+		if now-u.heardAt > unlistedRetention || service == nil || !scope.MayHold(service.Name) || slices.Contains(agents, agent) {
 			continue
 		}
 		agents = append(agents, agent)
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -109,6 +109,8 @@
 	// hostRunning reports whether the backend server accepted the last connection
 	// of watchUnlistedHost.
 	hostRunning atomic.Bool
+	// hostWasDown reports whether it has refused one.
+	hostWasDown atomic.Bool
 }
 
 func (c *datagramCommand) run(ctx context.Context, args []string) error {
@@ -277,7 +279,8 @@
 }
 
 // watchUnlistedHost connects to the backend server at regular intervals while it is
-// not listed, to find out whether it runs.
+// not listed, to find out whether it runs. It begins before the first catalog, because
+// a server that starts with this process may run by then.
 func (n *datagramNode) watchUnlistedHost(ctx context.Context) {
 	ticker := time.NewTicker(unlistedHostCheckInterval)
 	defer ticker.Stop()
@@ -288,13 +291,16 @@
 		case <-ticker.C:
 		}
 		c := n.tracker.Current()
-		if c == nil || c.Hosts[n.settings.IP.As4()] != nil {
+		if c != nil && c.Hosts[n.settings.IP.As4()] != nil {
 			continue
 		}
 		conn, err := net.DialTimeout("tcp4", n.settings.HostAddr.String(), hostDialTimeout)
 		if err == nil {
 			_ = conn.Close() // Nothing was sent.
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			n.hostWasDown.Store(true)
+		}
 		if running := err == nil; n.hostRunning.Swap(running) != running {
 			n.log.WithField("running", running).Info("unlisted_host")
 		}
@@ -306,8 +312,8 @@
 		Self: flow.EndpointOf(n.peerAddr()), Service: n.settings.Service, FlowLifetime: n.settings.FlowLifetime,
 		ColdOverage: n.settings.ColdOverage, ColdSlack: n.settings.ColdSlack,
 		Restarted: !n.settings.FirstStart, StartedAt: n.started,
-		HostRunning: n.hostRunning.Load,
-		Codec:       platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
+		HostRunning: n.hostRunning.Load, HostWasDown: n.hostWasDown.Load,
+		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
 	n.metricSources = []metrics.Source{n.events, a}
 	n.background = n.watchUnlistedHost
--- a/steering/search_scope.go
+++ b/steering/search_scope.go
@@ -41,18 +41,23 @@
 	return h != nil && s.ZoneTag != 0 && catalog.ZoneTag(h.Zone) == s.ZoneTag && s.Names(h.Service)
 }
 
+// MayHold reports whether hosts of the service may hold the flow, whether or not the
+// service is known to.
+func (s SearchScope) MayHold(service string) bool {
+	return s.AnyService || s.Route == nil || s.Names(service)
+}
+
 // Candidates returns the agents of all listed and recently removed hosts that may hold
 // the flow.
 func (s SearchScope) Candidates(c *catalog.Catalog, now time.Duration) [][4]byte {
-	eligible := func(service string) bool { return s.AnyService || s.Route == nil || s.Names(service) }
 	var agents [][4]byte
 	for _, agent := range c.Agents {
-		if eligible(c.Hosts[agent].Service) {
+		if s.MayHold(c.Hosts[agent].Service) {
 			agents = append(agents, agent)
 		}
 	}
 	for _, r := range c.Removed {
-		if c.Hosts[r.Agent] == nil && now-r.RemovedAt < removedHostSearchPeriod && eligible(r.Service) {
+		if c.Hosts[r.Agent] == nil && now-r.RemovedAt < removedHostSearchPeriod && s.MayHold(r.Service) {
 			agents = append(agents, r.Agent)
 		}
 	}
