Ask for former services in every process that starts

Cause: entries are the seeds of the fleet, but one that read its first state from the store did not ask a reader for the time before, since it does not need the hosts that left. A restart of all entries and then of all agents lost the former services of routes.

Change: every process asks the first peer that it reads from. The range of the age of a former service is tested with the other numbers of an answer.

TestFormerServicesAreHandedOverToProcessesThatRestart, now with two processes like entries that restart before the agents, failed before from readers.

--- a/catalog/fleet_test.go
+++ b/catalog/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -41,6 +42,8 @@
 	wrapPeers func(n int, h http.Handler) http.Handler
 	// seeds are the processes that those that start later ask first.
 	seeds []int
+	// entries are the processes that, like entries, do not need the store's history.
+	entries []int
 	// firstStart is set while the whole system starts for the first time.
 	firstStart bool
 	members    map[string]*member
@@ -142,7 +145,7 @@
 	m.syncer = &catalog.Syncer{
 		Store:   platform.NewSource(platform.NewStoreClientWithDial(storeAddress, m.dialStore), f.now, rejected),
 		Peers:   peers,
-		Tracker: m.tracker, Self: netip.MustParseAddr(m.ip).As4(), PeerPort: fleetPort, ReadHistory: !f.firstStart, FirstStart: f.firstStart,
+		Tracker: m.tracker, Self: netip.MustParseAddr(m.ip).As4(), PeerPort: fleetPort, ReadHistory: !f.firstStart && !slices.Contains(f.entries, n), FirstStart: f.firstStart,
 		Log: logrus.NewEntry(log), Now: f.now,
 		OnChange: func(c *catalog.Catalog) {
 			if c.Config.Version < version {
--- a/catalog/former_services_test.go
+++ b/catalog/former_services_test.go
@@ -55,16 +55,16 @@
 // Guards against a process deciding after its restart as if a route had never been
 // elsewhere: its own configurations are lost, and peers tell only the last one.
 func TestFormerServicesAreHandedOverToProcessesThatRestart(t *testing.T) {
-	for name, seeds := range map[string][]int{"from seeds": {4, 5, 6}, "from readers": nil} {
+	for name, seeds := range map[string][]int{"from seeds": {7, 8}, "from readers": nil} {
 		t.Run(name, func(t *testing.T) {
-			runFleet(t, 1, 6, 6, func(f *fleet) {
-				f.seeds = seeds
+			runFleet(t, 1, 6, 8, func(f *fleet) {
+				f.seeds, f.entries = seeds, []int{7, 8}
 				putRoute(f.clients, 2, "s")
 				f.sleep(configPropagationLimit)
 				putRoute(f.clients, 3, "u")
 				f.sleep(configPropagationLimit)
 				for round := range 2 {
-					for n := 1; n <= 6; n++ {
+					for n := 8; n >= 1; n-- {
 						m := f.restart(n)
 						f.sleep(2 * time.Second)
 						must.True(f.t, m.knowsFormerService("s"), must.Sprintf("round %d, process %d", round, n))
--- a/catalog/odd_values_test.go
+++ b/catalog/odd_values_test.go
@@ -106,6 +106,9 @@
 		one[field] = v
 		return []any{one}
 	}
+	former := func(ageMS int64) any {
+		return map[int]any{1: 0, 3: []any{map[int]any{1: []byte{198, 18, 0, 1}, 2: 443, 3: []any{map[int]any{1: "s", 2: ageMS}}}}}
+	}
 	for name, change := range map[string]map[int]any{
 		"revision":                      {1: -1},
 		"age":                           {3: tooLong},
@@ -116,6 +119,8 @@
 		"value age":                     {4: value(5, tooLong)},
 		"value era":                     {4: value(7, -3)},
 		"removal age":                   {9: []any{map[int]any{1: "servers/h1", 4: tooLong}}},
+		"age of a former service":       {10: former(tooLong)},
+		"negative age of one":           {10: former(-1)},
 		"number too large for its type": {1: uint64(1) << 63},
 	} {
 		answer := map[int]any{}
@@ -130,6 +135,7 @@
 		_, err = newPeerClient().DecodePeerAnswer(body, 0)
 		must.Error(t, err, must.Sprint(name))
 	}
+	valid[10] = former(5)
 	body, err := cbor.Marshal(valid)
 	must.NoError(t, err)
 	_, err = newPeerClient().DecodePeerAnswer(body, 0)
--- a/catalog/start.go
+++ b/catalog/start.go
@@ -166,10 +166,11 @@
 }
 
 // asksHistory reports whether a peer is to be asked for what it knows of the time before.
-// A reader does not need to be told which hosts left, as it reads the store's history, but
-// the store does not tell former services of routes.
+// A reader takes the hosts that left from the store's history, and an entry does not need
+// them, but the store does not tell former services of routes, and processes that start
+// later ask both.
 func (s *Syncer) asksHistory(needsPeerState bool) bool {
-	return s.historyPending || s.ReadHistory && needsPeerState
+	return s.historyPending || needsPeerState
 }
 
 // adoptFormerServices takes over which services a peer knows to have been targets of
