Take a host for restarted only if it accepted a connection later

Cause: the flag that the host was down was set at the first refused connection. A host that does not listen on TCP counted as started after its agent, so that a restarted agent answered NotHeld for all its flows and one was reset.

Change: the flag needs a refused and a later accepted connection.

--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -109,7 +109,8 @@
 	// hostRunning reports whether the backend server accepted the last connection
 	// of watchUnlistedHost.
 	hostRunning atomic.Bool
-	// hostWasDown reports whether it has refused one.
+	// hostWasDown reports whether the backend server refused one and accepted a later
+	// one. A refusal alone does not show that it was down: it may not listen at all.
 	hostWasDown atomic.Bool
 }
 
@@ -284,6 +285,7 @@
 func (n *datagramNode) watchUnlistedHost(ctx context.Context) {
 	ticker := time.NewTicker(unlistedHostCheckInterval)
 	defer ticker.Stop()
+	refused := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -298,7 +300,8 @@
 		if err == nil {
 			_ = conn.Close() // Nothing was sent.
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		refused = refused || errors.Is(err, syscall.ECONNREFUSED)
+		if refused && err == nil {
 			n.hostWasDown.Store(true)
 		}
 		if running := err == nil; n.hostRunning.Swap(running) != running {
