--- a/datagram/events.go
+++ b/datagram/events.go
@@ -28,7 +28,8 @@
 	// DropNoAgents: the catalog lists no agents.
 	DropNoAgents
 	// DropNoOwner: a limit on hops or on the packets of a search was reached, or
-	// an agent could not tell whether its host holds the flow.
+	// an agent could not tell whether its host, of another service than the route's,
+	// holds the flow, and may not try this packet there.
 	DropNoOwner
 	// DropSend: the socket did not accept the datagram.
 	DropSend
