End a search once its flow is found

Cause: an agent that searched for a flow of its own host told others that the host holds it, but not itself, and an agent that is no keeper of the flow was not told either. The search stayed, and after a second, with nobody waiting, tried the packet at the hosts of other services.

Change: the searching owner ends its search, and an adopted flow is reported to the agent whose probe found it. That agents leave a search unanswered makes it ask other services only when another packet of the flow arrives.

TestSearchEndsOnceTheFlowIsFound: before, 16 questions after the answers.

--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -70,6 +70,7 @@
 		if t := a.trials[key]; t != nil {
 			origin = t.frame.Origin
 			delete(a.trials, key)
+			a.answerProbe(&t.frame, key, out)
 		}
 		fl = a.adopt(now, key, origin, out)
 	}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -116,6 +116,7 @@
 	fl := &ownedFlow{state: flowEstablished, origin: origin, lastSeenAt: now}
 	a.flows[key] = fl
 	a.openFlows++
+	delete(a.searches, key)
 	a.config.Events.Log(EventAdopted, key, "entry", origin.AddrPort().Addr())
 	a.observeService(key.Destination, a.tag, now)
 	a.announce(key, origin, true, out)
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -75,7 +75,9 @@
 	}
 	started := s == nil || now-s.startedAt >= searchInterval
 	if started {
+		extend := s != nil && s.widened && a.canExtend(now, c, s)
 		s = newOwnerSearch(now, s)
+		s.extended = s.extended || extend
 		a.searches[key] = s
 	}
 	if len(s.packets) >= a.maxPacketsPerSearch() {
@@ -97,6 +99,9 @@
 		return
 	}
 	a.probeAgain(now, c, key, s, data, out)
+	if s.widened && !s.extended && a.canExtend(now, c, s) {
+		a.widen(now, c, key, s, out)
+	}
 	a.resetIfNotHeld(now, key, s, out)
 }
 
@@ -143,7 +148,7 @@
 			chosen = append(chosen, agent)
 		}
 	}
-	if len(chosen) == 0 && !s.extended && (!s.widened || a.canExtend(now, c, key, s)) {
+	if len(chosen) == 0 && !s.extended && (!s.widened || a.canExtend(now, c, s)) {
 		s.widened, s.extended = true, s.widened
 		a.query(now, c, key, s, agents, out)
 		return
--- a/datagram/search_scope.go
+++ b/datagram/search_scope.go
@@ -59,8 +59,10 @@
 }
 
 // canExtend reports whether the agents of services that are known to hold flows of the
-// route have all answered that their hosts do not hold this one, or cannot be asked.
-func (a *Agent) canExtend(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch) bool {
+// route have all answered that their hosts do not hold this one, or cannot be asked. That
+// they leave the search unanswered counts only when a further packet arrives, which shows
+// that the requester still waits.
+func (a *Agent) canExtend(now time.Duration, c *catalog.Catalog, s *ownerSearch) bool {
 	for agent := range s.pending {
 		limit := namedAnswerTimeout
 		if s.mayHold[agent] {
@@ -93,3 +95,15 @@
 	t := a.trials[key]
 	return !a.mayHaveUnknownFlows(now) || a.hostStartedWithAgent() || t != nil && t.returned
 }
+
+// answerProbe tells an agent that searched for a flow with the given trial that this
+// agent's host holds it, unless it is told as a keeper.
+func (a *Agent) answerProbe(trial *flow.Frame, key flow.Key, out Output) {
+	c := a.config.Catalog()
+	if trial.Kind != flow.Probe || trial.ReplyTo == a.config.Self.Addr || c == nil {
+		return
+	}
+	if keepers := keepersOf(c, key.Hash()); trial.ReplyTo != keepers[0] && trial.ReplyTo != keepers[1] {
+		a.sendOwned(a.endpoint(trial.ReplyTo), key, true, out)
+	}
+}
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -62,7 +62,7 @@
 		a.askReporters(now, c, out)
 	}
 	for key, s := range a.searches {
-		if !s.widened && now-s.startedAt >= searchWidenAfter || s.widened && !s.extended && a.canExtend(now, c, key, s) {
+		if !s.widened && now-s.startedAt >= searchWidenAfter {
 			a.widen(now, c, key, s, out)
 		}
 		if !complete {
