--- a/datagram/moved_route_test.go
+++ b/datagram/moved_route_test.go
@@ -336,9 +336,9 @@
 	must.MapEmpty(t, c.hosts[addr(11)].unheldPackets)
 }
 
-// Guards against a search that goes on after the flow was found, and then tries its packet
-// at the hosts of other services: the searching agent was the owner itself, which tells
-// only others that it is.
+// Guards against a search that goes on after the flow was found, asks other zones, and
+// tries the flow's packet at the hosts of other services: the searching agent was the owner
+// itself, which tells only others that it is, or no keeper of the flow.
 func TestSearchEndsOnceTheFlowIsFound(t *testing.T) {
 	c := newCluster(t)
 	c.addEntry(1)
@@ -346,7 +346,7 @@
 		c.addHost(n, "s")
 	}
 	other := c.addHost(16, "u")
-	c.publish(1, nil, "s")
+	c.publishWithZones(1, func(host [4]byte) bool { return host[3] <= 12 }, "s")
 	flows := c.openFlows(1000, 60)
 	c.restartAllAtOnce()
 	c.advance(hostListSettleTime)
@@ -363,3 +363,37 @@
 	}
 	must.MapEmpty(t, other.unheldPackets)
 }
+
+// Guards against the same where the searching agent is neither the owner nor a keeper of
+// the flow, so that the owner's announcements do not reach it.
+func TestSearchOfAnAgentThatIsNoKeeperEndsOnceTheFlowIsFound(t *testing.T) {
+	c := newCluster(t)
+	c.addEntry(1)
+	for n := byte(11); n <= 16; n++ {
+		c.addHost(n, "s")
+	}
+	c.publishWithZones(1, func(host [4]byte) bool { return host[3] <= 13 }, "s")
+	r := c.requester(1000, 1)
+	owner := r.open()
+	c.restartAllAtOnce()
+	c.advance(hostListSettleTime)
+	first, second, _ := steering.Keepers(c.current, r.key().Hash())
+	f := flow.Frame{Kind: flow.Lookup, ServiceTag: catalog.Tag("s"), Origin: flow.Endpoint{Addr: addr(1), Port: peerPort}, OriginZone: catalog.ZoneTag("a")}
+	f.AddAvoid(first)
+	f.AddAvoid(second)
+	for _, agent := range c.current.Agents {
+		if agent != owner && agent != first && agent != second {
+			data := packet(ack, r.endpoint, destination(), 1, 777, 50)
+			c.agents[agent].HandleFrame(c.now, addr(1), append(f.Append(nil), data...), &clusterOutput{c, agent})
+			break
+		}
+	}
+	c.deliverAll()
+	queries := c.frames[flow.Query]
+	must.Positive(t, queries)
+	must.Len(t, 1, c.toRequester)
+	for range 5 {
+		c.advance(100 * time.Millisecond)
+	}
+	must.Eq(t, queries, c.frames[flow.Query])
+}
