--- a/catalog/start.go
+++ b/catalog/start.go
@@ -135,6 +135,7 @@
 	s.Tracker.gone.addAll(result.gone, s.Now())
 	s.apply(from, result)
 	s.peerStateEra = result.Era
+	s.adoptFormerServices(result)
 	s.adoptHistory(Position{}, result)
 	s.historyDeadline = s.Now() + pacing.HistoryPatience
 	return true
@@ -167,6 +168,22 @@
 	}).Info("history_adopted")
 }
 
+// asksHistory reports whether a peer is to be asked for what it knows of the time before.
+// A reader takes the hosts that left from the store's history, and an entry does not need
+// them, but the store does not tell former services of routes, and processes that start
+// later ask both.
+func (s *Syncer) asksHistory(needsPeerState bool) bool {
+	return s.historyPending || needsPeerState
+}
+
+// adoptFormerServices takes over which services a peer knows to have been targets of
+// routes. It is no matter how long the peer has run: what it does not know is searched for.
+func (s *Syncer) adoptFormerServices(r *ReadResult) {
+	if r.history != nil {
+		s.Tracker.AdoptFormerServices(r.history.former)
+	}
+}
+
 // syncFromSeeds applies the responses of all seeds that answer, whatever their age:
 // old data is better than none while the store is unreachable. A seed that is cut off
 // from the store may still list hosts that have left, so the newest response counts.
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -28,12 +28,18 @@
 	// Restarted reports that the host may hold flows that were opened before
 	// this process started.
 	Restarted bool
-	// StartedAt is the start time of the process by the machine's wall clock.
-	StartedAt time.Time
+	// StartedAt is the start time of the process by the machine's wall clock, and
+	// ClockStart that on the clock of the times passed to the agent.
+	StartedAt  time.Time
+	ClockStart time.Duration
 	// HostRunning reports whether the host on this machine accepts connections. It
 	// is asked only while the host is not listed and must not block. If it is nil,
 	// the host counts as running.
 	HostRunning func() bool
+	// HostWasDown reports whether the host was found not to run since the process
+	// started, so that the agent has seen all its flows. It must not block. If it is
+	// nil, that is not known.
+	HostWasDown func() bool
 	Codec       flow.Codec
 	Catalog     CatalogFunc
 	Events      *Events
@@ -89,6 +95,8 @@
 type ownerRecord struct {
 	owner     [4]byte
 	updatedAt time.Duration
+	// serviceTag identifies the service of the owner's host.
+	serviceTag uint32
 	// established reports that the requester has confirmed the flow at the
 	// owner.
 	established bool
@@ -177,7 +185,7 @@
 
 // NewAgent returns an agent without flows or records.
 func NewAgent(config AgentConfig) *Agent {
-	return &Agent{
+	a := &Agent{
 		config:         config,
 		tag:            catalog.Tag(config.Service),
 		flows:          make(map[flow.Key]*ownedFlow),
@@ -192,6 +200,10 @@
 		scheduler:      newRequestScheduler(),
 		answerLatency:  NewLatency("request_answer"),
 	}
+	if config.Restarted {
+		a.coldLimiter.AssumeUsed(config.ClockStart)
+	}
+	return a
 }
 
 // HandleFrame processes a frame received from the address of another process.
@@ -232,7 +244,7 @@
 		// Several hosts may accept duplicates of an opening. A report on a flow that
 		// is not established does not replace the record of an established one.
 		if r := a.records[f.Key]; r == nil || f.Established || !r.established {
-			a.records[f.Key] = &ownerRecord{owner: f.Sender, updatedAt: now, established: f.Established}
+			a.records[f.Key] = &ownerRecord{owner: f.Sender, updatedAt: now, serviceTag: f.ServiceTag, established: f.Established}
 		}
 	case flow.Closed:
 		if r := a.records[f.Key]; r != nil && r.owner == f.Sender {
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -43,6 +43,8 @@
 	dropNext, duplicateNext int
 	// dropKind is a kind of frame that is always lost.
 	dropKind flow.Kind
+	// onHostPacket is called for each packet that is sent to a host. It may be nil.
+	onHostPacket func(at [4]byte)
 }
 
 // host simulates a backend server, which returns packets of flows that it does
@@ -59,6 +61,8 @@
 	accepted      int
 	// A down host ignores packets; a refusing one returns openings.
 	down, refusing bool
+	// wasDown reports that the host's agent has seen that the host did not run.
+	wasDown bool
 	// A failing host resets flows instead of answering requests.
 	failing bool
 	// A host that keeps requests leaves them for the test to answer.
@@ -127,8 +131,9 @@
 func (c *cluster) newAgent(n byte, restarted bool, started time.Time) *datagram.Agent {
 	return datagram.NewAgent(datagram.AgentConfig{
 		Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
-		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started,
-		Codec: platform.Codec{}, Catalog: c.catalog, Events: newDiscardEvents(),
+		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started, ClockStart: c.now,
+		HostWasDown: func() bool { return c.hosts[addr(n)].wasDown },
+		Codec:       platform.Codec{}, Catalog: c.catalog, Events: newDiscardEvents(),
 	})
 }
 
@@ -229,6 +234,9 @@
 
 func (o *clusterOutput) ToHost(packet []byte) {
 	data := append([]byte(nil), packet...)
+	if o.c.onHostPacket != nil {
+		o.c.onHostPacket(o.from)
+	}
 	o.c.queue = append(o.c.queue, func() { o.c.hosts[o.from].receive(o.c, o.from, data) })
 }
 
