Tell peers what a settling process believes after all

Cause: a change that the grace of 2.5 s brings about has the position of its reader. Peers at that position are sent only what comes after it.

Such changes are late changes now. A settling process sends them with each answer, in a field of their own, and a peer at the same position applies and passes them on. Peers of the earlier build ignore the field.

--- a/catalog/journal.go
+++ b/catalog/journal.go
@@ -29,6 +29,8 @@
 	confirmedAt time.Duration
 	values      map[string]Value
 	recent      []Value
+	// late holds, by key, the late changes.
+	late map[string]Value
 	// compressed holds the compressed data of current values.
 	compressed map[string]compressedData
 	// changed is closed and replaced at each change.
@@ -36,7 +38,7 @@
 }
 
 func newJournal() *journal {
-	return &journal{values: make(map[string]Value), compressed: make(map[string]compressedData), changed: make(chan struct{})}
+	return &journal{values: make(map[string]Value), late: make(map[string]Value), compressed: make(map[string]compressedData), changed: make(chan struct{})}
 }
 
 // replace sets the state to the result of a full read.
@@ -49,6 +51,7 @@
 	}
 	j.restored = j.restored || j.position != Position{} && j.position.Era != position.Era
 	j.recent, j.discarded = nil, position
+	j.keepLate(position)
 	j.position, j.confirmedAt = position, readAt
 	j.notifyChange()
 }
@@ -59,6 +62,7 @@
 	defer j.mu.Unlock()
 	for i := range changes {
 		j.put(changes[i].Value)
+		delete(j.late, changes[i].Value.Key)
 		j.recent = append(j.recent, changes[i].Value)
 	}
 	if excess := len(j.recent) - journalSize; excess > 0 {
@@ -86,6 +90,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.settling, j.deviates, j.settlesAt = active, deviates, until
+	if !active {
+		clear(j.late)
+	}
 }
 
 // settlingFor returns the time until the tracker settles, which is positive while it has
--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -56,6 +56,8 @@
 	// History holds what the peer knows of hosts that left, if the request asked for it.
 	// Peers of earlier versions do not tell.
 	History *wireHistory `cbor:"10,keyasint,omitempty"`
+	// Late holds the peer's late changes. Peers of earlier versions send and read none.
+	Late []peerValue `cbor:"11,keyasint,omitempty"`
 }
 
 // peerValue is the encoding of a Value. Since the clocks of processes differ,
@@ -180,6 +182,11 @@
 		for _, v := range values {
 			response.Values = append(response.Values, encodePeerValue(v, position.Era, now()))
 		}
+		if !full {
+			for _, v := range t.journal.lateChanges(after.Era) {
+				response.Late = append(response.Late, encodePeerValue(v, position.Era, now()))
+			}
+		}
 		return response, true
 	}
 }
@@ -301,9 +308,11 @@
 	c.position("after", r.After, 0)
 	c.time("age", r.AgeMS)
 	c.time("settling", r.SettlingMS)
-	for i := range r.Values {
-		c.position("revision of a value", r.Values[i].Revision, r.Values[i].EarlierEra)
-		c.time("age of a value", r.Values[i].AgeMS)
+	for _, values := range [][]peerValue{r.Values, r.Late} {
+		for i := range values {
+			c.position("revision of a value", values[i].Revision, values[i].EarlierEra)
+			c.time("age of a value", values[i].AgeMS)
+		}
 	}
 	for i := range r.Gone {
 		c.position("revision of a removal", r.Gone[i].Revision, r.Gone[i].Era)
@@ -358,7 +367,8 @@
 		p.client.CloseIdleConnections()
 		return ReadResult{}, errors.WithStack(&CrossedAnswerError{After: after, Answered: response.After})
 	}
-	if err := response.check(); err != nil {
+	err := response.check()
+	if err != nil {
 		return ReadResult{}, err
 	}
 	now := p.Now()
@@ -366,22 +376,42 @@
 	result.gone = decodeGone(response.Gone, now)
 	result.history = response.History.decode(now)
 	result.SettlingFor, result.Deviates = fromMilliseconds(response.SettlingMS), response.Deviates
-	expandedSize := 0
-	for _, wire := range response.Values {
-		data, err := wire.data(maxPeerResponse - expandedSize)
+	values := peerValueDecoder{client: p, era: response.Era, now: now}
+	if result.Changes, err = values.decode(response.Values); err != nil {
+		return ReadResult{}, err
+	}
+	if result.late, err = values.decode(response.Late); err != nil {
+		return ReadResult{}, err
+	}
+	return result, nil
+}
+
+// peerValueDecoder decodes the values of one response.
+type peerValueDecoder struct {
+	client *PeerClient
+	era    int64
+	now    time.Duration
+	// expandedSize is the number of bytes of the values so far.
+	expandedSize int
+}
+
+func (d *peerValueDecoder) decode(values []peerValue) ([]Change, error) {
+	var changes []Change
+	for _, wire := range values {
+		data, err := wire.data(maxPeerResponse - d.expandedSize)
 		if err != nil {
-			return ReadResult{}, err
+			return nil, err
 		}
-		expandedSize += len(data)
+		d.expandedSize += len(data)
 		v := Value{
-			Key: wire.Key, Data: data, Position: Position{Era: wire.era(response.Era), Revision: wire.Revision}, Removed: wire.Removed,
-			ReadAt: now - fromMilliseconds(wire.AgeMS),
+			Key: wire.Key, Data: data, Position: Position{Era: wire.era(d.era), Revision: wire.Revision}, Removed: wire.Removed,
+			ReadAt: d.now - fromMilliseconds(wire.AgeMS),
 		}
-		change, err := p.Decode(v)
+		change, err := d.client.Decode(v)
 		if err != nil {
-			p.OnRejected(v, err)
+			d.client.OnRejected(v, err)
 		}
-		result.Changes = append(result.Changes, change)
+		changes = append(changes, change)
 	}
-	return result, nil
+	return changes, nil
 }
--- /dev/null
+++ b/catalog/restored_test.go
@@ -0,0 +1,61 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	// overdueLimit is the time limit for processes to believe a restored store in what its
+	// clients have not written again: the time of the first read and of the grace, and a
+	// second until peers ask again.
+	overdueLimit = 4500 * time.Millisecond
+)
+
+// runAll runs functions one after the other.
+func runAll(f *fleet, functions ...func(f *fleet)) {
+	for _, run := range functions {
+		run(f)
+		f.sleep(time.Second)
+	}
+}
+
+// Guards against a process that asks peers never learning that the restored store is
+// believed after all: the position of the store need not change then, and peers sent only
+// what was written after it.
+func TestOverdueChangesReachProcessesThatAskPeers(t *testing.T) {
+	evacuate := func(f *fleet) { f.clients.Put("op/evacuate/x", []byte("{}")) }
+	lift := func(f *fleet) { f.clients.Delete("op/evacuate/x") }
+	cases := map[string]struct {
+		before []func(f *fleet)
+		// lost is the number of revisions that the copy lacks.
+		lost int64
+		// atReturn happens before any process has read the restored store.
+		atReturn func(f *fleet)
+		holds    func(m *member) bool
+	}{
+		// Seed 77320 of the random days.
+		"zone evacuated at the revision of a lifted evacuation": {
+			before: []func(f *fleet){evacuate, lift}, lost: 2, atReturn: evacuate,
+			holds: func(m *member) bool { return m.tracker.Current().Evacuated["x"] },
+		},
+		// Seed 78115: the last evacuation was not read before the store was away.
+		"zone evacuated again": {
+			before: []func(f *fleet){evacuate, lift}, lost: 1, atReturn: func(*fleet) {},
+			holds: func(m *member) bool { return m.tracker.Current().Evacuated["x"] },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 1, 4, 7, func(f *fleet) {
+				runAll(f, c.before...)
+				f.outage(2*time.Second, func() {
+					f.store.Restore(f.store.Revision() - c.lost)
+					c.atReturn(f)
+				})
+				f.sleep(overdueLimit)
+				f.requireThroughout(settled, "after the grace", c.holds)
+			})
+		})
+	}
+}
--- a/catalog/source.go
+++ b/catalog/source.go
@@ -31,6 +31,8 @@
 	SettlingFor time.Duration
 	// Deviates reports whether the peer's state differs from what the store says.
 	Deviates bool
+	// late holds the late changes of the peer that answered.
+	late []Change
 	// gone holds what the peer remembers of removals, if it was asked.
 	gone map[goneKey]time.Duration
 	// history holds what the peer knows of hosts that left, if it was asked.
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -222,6 +222,7 @@
 	switch {
 	case !r.Full:
 		changed = s.Tracker.Apply(r.Position, r.Changes, confirmedAt)
+		changed = s.Tracker.ApplyLate(r.Position, r.late, confirmedAt) || changed
 	case s.isSettled(from, r):
 		changed = s.Tracker.Settle(r.Position, r.Changes, confirmedAt)
 	case from == fromSnapshot:
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -202,15 +202,18 @@
 			shared = append(shared, changes[i])
 		}
 	}
+	var late []Change
 	overdue := t.overdueChanges(position, confirmedAt)
 	for i := range overdue {
 		if t.applyChange(&overdue[i], confirmedAt) {
-			relevant = append(relevant, overdue[i])
+			late = append(late, overdue[i])
 		}
 	}
+	relevant = append(relevant, late...)
 	t.recordSuccess(confirmedAt)
 	t.confirmedAt = max(t.confirmedAt, confirmedAt)
 	t.journal.add(position, append(shared, relevant...), confirmedAt)
+	t.journal.addLate(late)
 	if len(relevant) > 0 {
 		t.publish(position, confirmedAt)
 		return true
