Remember which hosts a copy lacks when a peer keeps them too

A host that came after the copy and left while the store was away is kept for 2.5 s and then removed. It stayed for 6 s at all processes: the readers take over each other's state at the start of an era, in which the host is listed because the other one keeps it too, and merge took that for a listing by the store.

A host that both keep, at a position of an earlier era, remains one that the store lacks. Found by a case of TestOverdueChangesReachProcessesThatAskPeers, which fails without the change and passes with it.

--- a/catalog/restored_test.go
+++ b/catalog/restored_test.go
@@ -44,6 +44,11 @@
 			before: []func(f *fleet){evacuate, lift}, lost: 1, atReturn: func(*fleet) {},
 			holds: func(m *member) bool { return m.tracker.Current().Evacuated["x"] },
 		},
+		"host that came after the copy has left": {
+			before: []func(f *fleet){func(f *fleet) { f.putHost(5, "ready", 1) }}, lost: 1,
+			atReturn: func(f *fleet) { f.clients.Delete("servers/h5") },
+			holds:    func(m *member) bool { return !m.hostListed(5) },
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/catalog/settling.go
+++ b/catalog/settling.go
@@ -151,7 +151,8 @@
 // takes the place of what stems from the copy. What it knew before the era stays also if
 // a peer lacks it, which may have missed it.
 func (t *Tracker) merge(position Position, changes []Change, fromPeer bool) []Change {
-	clear(t.settling.missing)
+	missing := t.settling.missing
+	t.settling.missing = make(map[string]bool)
 	if !fromPeer || position != t.position {
 		// A later read from a peer may leave out that an evacuation was lifted.
 		clear(t.settling.withheld)
@@ -162,6 +163,9 @@
 		read[c.Value.Key] = true
 		if !t.isOutdated(position, &c) {
 			merged = append(merged, c)
+			if fromPeer && missing[c.Value.Key] && c.Value.Era < position.Era {
+				t.settling.missing[c.Value.Key] = true // The peer keeps it as well.
+			}
 			continue
 		}
 		t.settling.deviates = true
