Ask agents that are not usable what the restored store lacks

A process that starts while the store is a copy asks another reader which hosts have left. If it is the only usable agent, there is no other reader, and it asked nobody and used what the copy brought back until it had settled. OtherReaders goes on with agents that drain or whose zone is evacuated: they run and know what others know.

TestOnlyReaderAsksOthersAtItsStart fails without the change and passes with it.

--- a/catalog/readers.go
+++ b/catalog/readers.go
@@ -23,9 +23,15 @@
 }
 
 // OtherReaders returns the readers other than self, and as many agents that would take
-// the place of readers that fail.
+// the place of readers that fail. If too few agents are usable, those that drain or are in
+// a zone that is out of service follow: they run and know what others know.
 func OtherReaders(c *Catalog, self [4]byte) [][4]byte {
 	ranked := rankedAgents(c)
+	for _, agent := range c.Agents {
+		if !c.Usable(c.Hosts[agent]) {
+			ranked = append(ranked, agent)
+		}
+	}
 	others := slices.DeleteFunc(ranked[:min(2*readerCount(c), len(ranked))], func(agent [4]byte) bool { return agent == self })
 	return others
 }
--- a/catalog/restored_test.go
+++ b/catalog/restored_test.go
@@ -1,8 +1,11 @@
 package catalog_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/shoenig/test/must"
 )
 
 const (
@@ -64,3 +67,33 @@
 		})
 	}
 }
+
+// leave has the host beside the n-th process drain and leave.
+func leave(n int) func(f *fleet) {
+	return func(f *fleet) {
+		f.putHost(n, "draining", 2)
+		f.sleep(500 * time.Millisecond)
+		f.clients.Delete(fmt.Sprintf("servers/h%d", n))
+	}
+}
+
+// Guards against the only reader that starts while the store is a copy believing it,
+// although agents that are listed but not usable know better.
+func TestOnlyReaderAsksOthersAtItsStart(t *testing.T) {
+	runFleet(t, 1, 3, 5, func(f *fleet) {
+		copied := f.store.Revision()
+		f.clients.Put("op/evacuate/z", []byte("{}"))
+		leave(3)(f)
+		f.members[fleetIP(3)].stop()
+		delete(f.members, fleetIP(3))
+		f.sleep(time.Second)
+		f.outage(time.Second, func() { f.store.Restore(copied) })
+		f.clients.Rewrite("op/evacuate/z")
+		f.sleep(200 * time.Millisecond)
+		f.restart(1)
+		f.sleep(time.Second)
+		for ip, m := range f.members {
+			must.False(f.t, m.hostUsable(3), must.Sprint("host that left is used by ", ip))
+		}
+	})
+}
