Ask peers for the time before a restore before believing the copy

Cause: a process enters the new era with what it happens to know, and asks peers only afterwards. Those that are still in the earlier era have nothing to say to it then, and it has used the copy by the time it asks those in the new one.

A process now asks up to four peers, at the same time and for 100 ms at most, before it applies the first read of a new era: for the changes it has missed in the earlier era, for the removals that they remember, and, of one that is in the new era, for its state, with which it begins the era. The peers are taken from the hosts that it listed and from those that the restored store lists, as the only reader may list nobody else.

--- a/catalog/restored_test.go
+++ b/catalog/restored_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/catalog"
 )
 
 const (
@@ -77,6 +80,70 @@
 	}
 }
 
+// readers returns the numbers of the processes that read the store for the others.
+func (f *fleet) readers() (numbers []int) {
+	for _, agent := range catalog.Readers(f.members[fleetIP(1)].tracker.Current()) {
+		numbers = append(numbers, int(agent[3]))
+	}
+	return numbers
+}
+
+// requireUnusedAfterRestore fails the test if a process uses one of the hosts after the
+// store returned from the copy of a revision, before or after its clients have written
+// again what it lacks. The store is away for the given time, and atReturn is run just before
+// its return.
+func (f *fleet) requireUnusedAfterRestore(copied int64, away time.Duration, atReturn func(), hosts ...int) {
+	f.t.Helper()
+	unused := func(m *member) bool { return !slices.ContainsFunc(hosts, m.hostUsable) }
+	f.sleep(2 * time.Second)
+	f.outage(away, func() {
+		f.store.Restore(copied)
+		atReturn()
+	})
+	f.requireThroughout(rewriteDelay, "before the values are written again", unused)
+	f.rewriteLost()
+	f.requireThroughout(settled, "after that", unused)
+}
+
+// Guards against a reader that could not reach the store before its restore believing the
+// copy against what its peers know. Seed 77548 of the random days.
+func TestReaderThatWasCutOffAsksPeersBeforeItBelievesTheCopy(t *testing.T) {
+	runFleet(t, 1, 4, 7, func(f *fleet) {
+		reader := f.members[fleetIP(f.readers()[0])]
+		reader.setCut(true)
+		f.putHost(5, "ready", 1)
+		copied := f.store.Revision()
+		f.sleep(500 * time.Millisecond)
+		f.putHost(5, "draining", 2)
+		f.requireUnusedAfterRestore(copied, 2*time.Second, func() { reader.setCut(false) }, 5)
+	})
+}
+
+// Guards against the only reader, which has started since a host left, believing the copy
+// because there is no other reader to ask. Seeds 78074, 78131 and 77825 of the random days.
+func TestOnlyReaderAsksOthersBeforeItBelievesTheCopy(t *testing.T) {
+	cases := map[string][]func(f *fleet){
+		"others drain":                {leave(3), func(f *fleet) { f.putHost(2, "draining", 2) }},
+		"others are in a closed zone": {leave(3), func(f *fleet) { f.clients.Put("op/evacuate/z", []byte("{}")) }},
+		"no others are listed":        {leave(2), leave(3)},
+		"no agent is usable":          {leave(3), func(f *fleet) { f.putHost(1, "draining", 2) }, func(f *fleet) { f.putHost(2, "draining", 2) }},
+	}
+	// Which process reads the restored store first depends on the length of the outage.
+	aways := []time.Duration{500 * time.Millisecond, time.Second, 1700 * time.Millisecond, 2 * time.Second, 2900 * time.Millisecond}
+	for name, before := range cases {
+		for _, away := range aways {
+			t.Run(fmt.Sprintf("%s, away %v", name, away), func(t *testing.T) {
+				runFleet(t, 1, 3, 5, func(f *fleet) {
+					copied := f.store.Revision()
+					runAll(f, before...)
+					f.restart(1)
+					f.requireUnusedAfterRestore(copied, away, func() {}, 3)
+				})
+			})
+		}
+	}
+}
+
 // Guards against the only reader that starts while the store is a copy believing it,
 // although agents that are listed but not usable know better.
 func TestOnlyReaderAsksOthersAtItsStart(t *testing.T) {
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -205,7 +205,10 @@
 		return err
 	}
 	first := s.Tracker.Current() == nil
-	s.apply(fromSnapshot, &result)
+	s.askBeforeNewEra(ctx, &result)
+	if !result.Before(s.Tracker.Position()) {
+		s.apply(fromSnapshot, &result)
+	}
 	if c := s.Tracker.Current(); first && c != nil && !slices.Contains(Readers(c), s.Self) {
 		s.historyDeadline = s.Now() + pacing.HistoryPatience
 		return nil
--- a/steering/pacing/pacing.go
+++ b/steering/pacing/pacing.go
@@ -42,6 +42,9 @@
 	// starts for the first time, and FirstStartRetryInterval the time between two attempts.
 	FirstStartPatience      = 2 * time.Second
 	FirstStartRetryInterval = 100 * time.Millisecond
+	// EraPatience is how long a process that finds the store restored waits for its peers'
+	// knowledge of the time before. It covers a connection and an answer of a busy peer.
+	EraPatience = 100 * time.Millisecond
 	// StartPatience is how long a process that starts waits for a reader to have read the
 	// store, until it reads the store itself.
 	StartPatience = 400 * time.Millisecond
