Learn removals only from a peer that is up to date

Cause: a peer that is behind the process counts as one that knows all removals. Such an answer does not count any more, and the process asks for removals again at its next read.

TestProcessThatStartsIsToldOfRemovalsByAnUpToDatePeer fails without the change and passes with it.

--- a/catalog/restored_test.go
+++ b/catalog/restored_test.go
@@ -164,3 +164,30 @@
 		}
 	})
 }
+
+// Guards against a process that starts learning from a reader that has missed the last
+// changes which hosts have left, and asking no other. Seed 78881 of the random days.
+func TestProcessThatStartsIsToldOfRemovalsByAnUpToDatePeer(t *testing.T) {
+	const members = 12
+	runFleet(t, 1, 4, members, func(f *fleet) {
+		copied := f.store.Revision()
+		readers := f.readers()
+		f.members[fleetIP(readers[1])].setCut(true)
+		left := slices.IndexFunc([]int{1, 2, 3, 4}, func(n int) bool { return !slices.Contains(readers, n) }) + 1
+		f.clients.Delete(fmt.Sprintf("servers/h%d", left))
+		f.sleep(100 * time.Millisecond)
+		for n := 5; n <= members; n++ {
+			f.restart(n)
+		}
+		f.sleep(2 * time.Second)
+		f.outage(time.Second, func() { f.store.Restore(copied) })
+		for ip, m := range f.members {
+			f.network.remove(fmt.Sprintf("%s:%d", ip, fleetPort)) // Only what they know already counts.
+			_ = m.server.Close()
+		}
+		f.sleep(4 * time.Second)
+		for n := 5; n <= members; n++ {
+			must.False(f.t, f.members[fleetIP(n)].hostUsable(left), must.Sprint("host that left is used by ", n))
+		}
+	})
+}
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -64,7 +64,8 @@
 	readableSince, watchStartedAt time.Duration
 	ownReads                      pacing.OwnReads
 	readers                       readerStates
-	// peerStateEra is the era of the last read from a peer, or noEra.
+	// peerStateEra is the era of the last read from a peer that was not behind this
+	// process, or noEra. A peer that is behind may lack removals.
 	peerStateEra int64
 	// ignoring reports whether the last read was ignored, so that a series of such
 	// reads is logged once.
--- a/catalog/sync_peers.go
+++ b/catalog/sync_peers.go
@@ -175,7 +175,9 @@
 	if err := checkAge(&result); err != nil {
 		return err
 	}
-	s.peerStateEra = result.Era
+	if !result.Before(before) {
+		s.peerStateEra = result.Era
+	}
 	s.adoptHistory(before, &result)
 	return nil
 }
