--- a/catalog/fleet_random_test.go
+++ b/catalog/fleet_random_test.go
@@ -3,10 +3,10 @@
 import (
 	"flag"
 	"fmt"
-	"net/netip"
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -73,6 +73,9 @@
 	revisions []int64
 	seen      map[*member]*seen
 	history   []string
+	// transcript holds what each process knew at each step, if it is recorded.
+	recorded   bool
+	transcript []string
 }
 
 // dayEvent happens at a time.
@@ -270,7 +273,7 @@
 
 func (d *day) restartMember() {
 	n := 1 + d.random.IntN(dayMembers)
-	d.members[fleetIP(n)].stop()
+	d.runAlone(d.members[fleetIP(n)].stop)
 	d.note("%s starts anew", fleetIP(n))
 	d.start(n)
 }
@@ -298,123 +301,15 @@
 		}
 		e := d.events[i]
 		d.events = slices.Delete(d.events, i, i+1)
-		e.run()
+		d.runAlone(e.run)
 	}
 }
 
-// check checks what each process knows against what is wanted.
-func (d *day) check() {
-	for _, m := range d.members {
-		c := m.tracker.Current()
-		if c == nil {
-			continue
-		}
-		s := d.seen[m]
-		if s == nil {
-			s = &seen{
-				contactSince: d.now(), used: make(map[string]time.Duration), unused: make(map[string]time.Duration),
-				out: make(map[string]time.Duration), in: make(map[string]time.Duration),
-			}
-			d.seen[m] = s
-		}
-		if m.isCut() || d.storeDown {
-			s.contactSince = d.now()
-		}
-		s.longestContact = max(s.longestContact, d.now()-s.contactSince)
-		touched := d.now()-s.contactSince > contactTime
-		if touched && d.now()-d.versionAt > configPropagationLimit && c.Config.Version != uint64(d.version) {
-			d.failf(m, "has version %d", c.Config.Version)
-		}
-		if s.longestContact < minContact {
-			continue // A process that has just started knows no more than the copy.
-		}
-		d.checkHosts(m, c, s, touched)
-		d.checkZones(m, c, s, touched)
-	}
-}
-
-func (d *day) checkHosts(m *member, c *catalog.Catalog, s *seen, touched bool) {
-	wanted := make(map[string]*dayHost)
-	for _, h := range d.hosts {
-		wanted[h.id] = h
-	}
-	usable := make(map[string]bool)
-	for _, h := range c.Hosts {
-		usable[h.ID] = !h.Draining
-	}
-	for id := range usable {
-		h := wanted[id]
-		if usable[id] && (h == nil || h.draining) {
-			if at, ok := s.unused[id]; ok {
-				d.failf(m, "uses %s again, which it has not used at %v", id, at-time.Minute)
-			}
-			if touched && h != nil && d.now()-h.changed > drainLimit {
-				d.failf(m, "still uses %s", id)
-			}
-		}
-	}
-	for id, at := range s.used {
-		if h := wanted[id]; h != nil && !h.draining && !usable[id] {
-			d.failf(m, "no longer uses %s, which it used at %v", id, at-time.Minute)
-		}
-	}
-	clear(s.used)
-	for id, ok := range usable {
-		if ok {
-			s.used[id] = d.now()
-		}
-	}
-	for n := range d.nextHost {
-		id := fmt.Sprintf("n%d", n+1)
-		if h := wanted[id]; (h == nil || h.draining) && !usable[id] {
-			s.unused[id] = d.now()
-		}
-	}
-}
-
-func (d *day) checkZones(m *member, c *catalog.Catalog, s *seen, touched bool) {
-	for _, zone := range []string{"x", "y", "z"} {
-		since, out := d.evacuated[zone]
-		switch {
-		case out && !c.Evacuated[zone]:
-			if at, ok := s.out[zone]; ok {
-				d.failf(m, "uses zone %s again, which was evacuated at %v", zone, at-time.Minute)
-			}
-			if touched && d.now()-since > evacuationLimit {
-				d.failf(m, "still uses zone %s", zone)
-			}
-		case out:
-			s.out[zone] = d.now()
-		case c.Evacuated[zone]:
-			// No time limit holds for the return of a zone; a process takes an evacuation
-			// for lost until it settles.
-			if at, ok := s.in[zone]; ok && !d.unseen[zone] {
-				d.failf(m, "evacuates zone %s again, which was in use at %v", zone, at-time.Minute)
-			}
-		default:
-			s.in[zone] = d.now()
-		}
-	}
-}
-
-// requireConverged fails the test if a process differs from what is wanted.
-func (d *day) requireConverged() {
-	for _, m := range d.members {
-		c := m.tracker.Current()
-		if c == nil || c.Config.Version != uint64(d.version) || len(c.Hosts) != len(d.hosts) || len(c.Evacuated) != len(d.evacuated) {
-			d.failf(m, "has not converged: %+v", c)
-		}
-		for _, h := range d.hosts {
-			if got := c.Hosts[netip.MustParseAddr(fleetIP(h.member)).As4()]; got == nil || got.ID != h.id || got.Draining != h.draining {
-				d.failf(m, "lacks %s", h.id)
-			}
-		}
-		for zone := range d.evacuated {
-			if !c.Evacuated[zone] {
-				d.failf(m, "lacks the evacuation of %s", zone)
-			}
-		}
-	}
+// runAlone runs an event and waits until the processes have done what they do at that time.
+func (d *day) runAlone(event func()) {
+	synctest.Wait()
+	event()
+	synctest.Wait()
 }
 
 func (m *member) isCut() bool {
@@ -423,19 +318,19 @@
 	return m.cut
 }
 
-// playDay plays one random day.
-func playDay(t *testing.T, seed uint64) {
+// playDay plays one random day. It returns its transcript if that is recorded.
+func playDay(t *testing.T, seed uint64, recorded bool) (transcript []string) {
 	runFleet(t, seed, 0, dayMembers, func(f *fleet) {
-		d := &day{fleet: f, version: 1, unseen: make(map[string]bool), evacuated: make(map[string]time.Duration), seen: make(map[*member]*seen)}
+		d := &day{fleet: f, recorded: recorded, version: 1, unseen: make(map[string]bool), evacuated: make(map[string]time.Duration), seen: make(map[*member]*seen)}
 		for range dayHosts {
-			d.addHost()
+			d.runAlone(d.addHost)
 		}
 		f.sleep(3 * time.Second)
 		next := d.now()
 		d.revisions = []int64{d.store.Revision()}
 		for end := d.now() + dayLength; d.now() < end; f.sleep(dayStep) {
 			if d.now() >= next {
-				d.randomEvent()
+				d.runAlone(d.randomEvent)
 				next = d.now() + d.between(100*time.Millisecond, 2500*time.Millisecond)
 			}
 			d.runDue()
@@ -446,6 +341,7 @@
 			d.runDue()
 			d.check()
 		}
+		transcript = d.transcript
 		d.requireConverged()
 		before := f.store.TotalCalls()
 		f.sleep(9 * time.Second)
@@ -455,6 +351,21 @@
 		}
 		must.LessEq(t, readers*(watchesEach+1), f.store.TotalCalls()-before, must.Sprint("calls in a quiet time"))
 	})
+	return transcript
+}
+
+// tracedSeeds are the seeds of days that failed once and were traced, with the cause in the
+// commits and in docs/incidents/store-restored.md.
+var tracedSeeds = []uint64{77320, 77548, 77825, 78074, 78115, 78131, 78881}
+
+// Guards against the faults that these days showed, and against a seed that fails in some
+// runs only, so that its trace could not be compared with one after a change.
+func TestTracedDaysAreDeterminedBySeed(t *testing.T) {
+	for _, seed := range tracedSeeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			must.Eq(t, playDay(t, seed, true), playDay(t, seed, true))
+		})
+	}
 }
 
 // Guards against changes that are late, undone or taken back on days on which the store
@@ -462,6 +373,6 @@
 func TestRandomDaysWithRestores(t *testing.T) {
 	for i := range *fleetDays {
 		seed := *fleetFirstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { playDay(t, seed) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { playDay(t, seed, false) })
 	}
 }
--- a/catalog/fleet_test.go
+++ b/catalog/fleet_test.go
@@ -137,10 +137,11 @@
 	log.SetOutput(&m.logs)
 	rejected := func(catalog.Value, error) {}
 	peers := catalog.NewPeerClient(platform.Decode, f.now, rejected)
-	peers.SetDial(f.network.dial)
+	delay := readDelay(n)
+	peers.SetDial(delayedDial(f.network.dial, delay))
 	version := uint64(0)
 	m.syncer = &catalog.Syncer{
-		Store:   platform.NewSource(platform.NewStoreClientWithDial(storeAddress, m.dialStore), f.now, rejected),
+		Store:   platform.NewSource(platform.NewStoreClientWithDial(storeAddress, delayedDial(m.dialStore, delay)), f.now, rejected),
 		Peers:   peers,
 		Tracker: m.tracker, Self: netip.MustParseAddr(m.ip).As4(), PeerPort: fleetPort, ReadHistory: !f.firstStart, FirstStart: f.firstStart,
 		Log: logrus.NewEntry(log), Now: f.now,
@@ -181,6 +182,40 @@
 	return b.lines.String()
 }
 
+// delayedConn takes a time for each read.
+type delayedConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+// Read implements net.Conn.
+func (c *delayedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	time.Sleep(c.delay)
+	return n, err
+}
+
+// readDelay returns how long the n-th process takes for each read. It differs between
+// processes, as otherwise many events would happen at the same time, and the scheduler would
+// decide about their order.
+func readDelay(n int) time.Duration {
+	const shortest, spread = 10 * time.Microsecond, 100 * time.Microsecond
+	return shortest + time.Duration(rand.New(rand.NewPCG(uint64(n), 0)).Int64N(int64(spread)))
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// delayedDial returns a function that connects to servers and takes a time for each read.
+func delayedDial(dial dialFunc, delay time.Duration) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &delayedConn{Conn: conn, delay: delay}, nil
+	}
+}
+
 // stop ends the process.
 func (m *member) stop() {
 	m.cancel()
--- a/catalog/journal.go
+++ b/catalog/journal.go
@@ -35,6 +35,8 @@
 	compressed map[string]compressedData
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// held is set while peers are not told of changes, and withheld once there was one.
+	held, withheld bool
 }
 
 func newJournal() *journal {
@@ -113,7 +115,29 @@
 	j.notifyChange()
 }
 
+// hold makes peers that wait see the next changes as one, once release is called.
+func (j *journal) hold() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.held = true
+}
+
+// release ends hold.
+func (j *journal) release() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.held = false
+	if j.withheld {
+		j.withheld = false
+		j.notifyChange()
+	}
+}
+
 func (j *journal) notifyChange() {
+	if j.held {
+		j.withheld = true
+		return
+	}
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -206,10 +206,7 @@
 		return err
 	}
 	first := s.Tracker.Current() == nil
-	s.askBeforeNewEra(ctx, &result)
-	if !result.Before(s.Tracker.Position()) {
-		s.apply(fromSnapshot, &result)
-	}
+	s.applySnapshot(ctx, &result)
 	if c := s.Tracker.Current(); first && c != nil && !slices.Contains(Readers(c), s.Self) {
 		s.historyDeadline = s.Now() + pacing.HistoryPatience
 		return nil
--- a/catalog/sync_era.go
+++ b/catalog/sync_era.go
@@ -12,6 +12,17 @@
 // store. The copy may be wrong in what some of them have missed as well.
 const maxEraPeers = 4
 
+// applySnapshot applies a full read of the store, and before it what peers know of the time
+// before if the read is the first of a new era. Peers of this process see the result only.
+func (s *Syncer) applySnapshot(ctx context.Context, read *ReadResult) {
+	s.Tracker.journal.hold()
+	defer s.Tracker.journal.release()
+	s.askBeforeNewEra(ctx, read)
+	if !read.Before(s.Tracker.Position()) {
+		s.apply(fromSnapshot, read)
+	}
+}
+
 // askBeforeNewEra brings the process up to date with what its peers knew before the store
 // was restored. It is called with a full read of a new era that is not applied yet.
 //
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -142,8 +142,8 @@
 	t.recordSuccess(confirmedAt)
 	t.confirmedAt = max(t.confirmedAt, confirmedAt)
 	t.publish(position, confirmedAt)
-	t.journal.replace(position, slices.DeleteFunc(changes, func(c Change) bool { return !c.isDeclaration() }), confirmedAt)
 	t.shareSettling()
+	t.journal.replace(position, slices.DeleteFunc(changes, func(c Change) bool { return !c.isDeclaration() }), confirmedAt)
 }
 
 // keepConfig returns the changes of a full read with the applied configuration in place
