--- a/catalog/odd_values_test.go
+++ b/catalog/odd_values_test.go
@@ -115,6 +115,8 @@
 		"value revision":                {4: value(3, -1)},
 		"value age":                     {4: value(5, tooLong)},
 		"value era":                     {4: value(7, -3)},
+		"late value revision":           {11: value(3, -1)},
+		"late value age":                {11: value(5, tooLong)},
 		"removal age":                   {9: []any{map[int]any{1: "servers/h1", 4: tooLong}}},
 		"number too large for its type": {1: uint64(1) << 63},
 	} {
