Settle no earlier than the peer that is asked

Cause: only a full read took over when the peer settles. Ruled out: that P1 could not know; each answer of its reader told it.

Changes from a peer that settles later now delay the settling as well.

--- a/catalog/fleet_random_test.go
+++ b/catalog/fleet_random_test.go
@@ -356,7 +356,7 @@
 
 // tracedSeeds are the seeds of days that failed once and were traced, with the cause in the
 // commits and in docs/incidents/store-restored.md.
-var tracedSeeds = []uint64{77320, 77548, 77825, 78074, 78115, 78131, 78881}
+var tracedSeeds = []uint64{77320, 77548, 77825, 78074, 78115, 78131, 78881, 85409, 86243}
 
 // Guards against the faults that these days showed, and against a seed that fails in some
 // runs only, so that its trace could not be compared with one after a change.
--- a/catalog/restored_test.go
+++ b/catalog/restored_test.go
@@ -191,3 +191,26 @@
 		}
 	})
 }
+
+// Guards against a process that asks peers settling before they do, since it has not noticed
+// a short outage of the store in which its clients could not write to it. Seeds 85409 and
+// 86243 of the random days.
+func TestProcessThatAsksPeersSettlesNoEarlierThanThey(t *testing.T) {
+	runFleet(t, 1, 4, 7, func(f *fleet) {
+		copied := f.store.Revision()
+		left := slices.IndexFunc([]int{1, 2, 3, 4}, func(n int) bool { return !slices.Contains(f.readers(), n) }) + 1
+		f.clients.Delete(fmt.Sprintf("servers/h%d", left))
+		f.sleep(time.Second)
+		f.outage(time.Second, func() { f.store.Restore(copied) })
+		f.sleep(4 * time.Second)
+		f.outage(300*time.Millisecond, func() {})
+		f.sleep(time.Second)
+		for _, reader := range f.readers() {
+			f.members[fleetIP(reader)].stop()
+			delete(f.members, fleetIP(reader))
+		}
+		f.sleep(100 * time.Millisecond)
+		putConfig(f.clients, 2) // The others' first reads of the store end at once.
+		f.requireThroughout(4*time.Second, "host that left is not used", func(m *member) bool { return !m.hostUsable(left) })
+	})
+}
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -224,6 +224,10 @@
 	case !r.Full:
 		changed = s.Tracker.Apply(r.Position, r.Changes, confirmedAt)
 		changed = s.Tracker.ApplyLate(r.Position, r.late, confirmedAt) || changed
+		if r.SettlingFor > settleRetryInterval && r.Era == s.Tracker.Position().Era {
+			// The peer may have noticed an outage that this process has not.
+			s.Tracker.SettleLater(s.Now() + r.SettlingFor)
+		}
 	case s.isSettled(from, r):
 		changed = s.Tracker.Settle(r.Position, r.Changes, confirmedAt)
 	case from == fromSnapshot:
