--- a/catalog/odd_values_test.go
+++ b/catalog/odd_values_test.go
@@ -119,6 +119,8 @@
 		"value creation":                {4: value(8, -1)},
 		"value age":                     {4: value(5, tooLong)},
 		"value era":                     {4: value(7, -3)},
+		"late value revision":           {11: value(3, -1)},
+		"late value age":                {11: value(5, tooLong)},
 		"removal age":                   {9: []any{map[int]any{1: "servers/h1", 4: tooLong}}},
 		"age of a former service":       {10: former(tooLong)},
 		"negative age of one":           {10: former(-1)},
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -64,7 +64,8 @@
 	readableSince, watchStartedAt time.Duration
 	ownReads                      pacing.OwnReads
 	readers                       readerStates
-	// peerStateEra is the era of the last read from a peer, or noEra.
+	// peerStateEra is the era of the last read from a peer that was not behind this
+	// process, or noEra. A peer that is behind may lack removals.
 	peerStateEra int64
 	// ignoring reports whether the last read was ignored, so that a series of such
 	// reads is logged once.
@@ -205,7 +206,7 @@
 		return err
 	}
 	first := s.Tracker.Current() == nil
-	s.apply(fromSnapshot, &result)
+	s.applySnapshot(ctx, &result)
 	if c := s.Tracker.Current(); first && c != nil && !slices.Contains(Readers(c), s.Self) {
 		s.historyDeadline = s.Now() + pacing.HistoryPatience
 		return nil
@@ -222,6 +223,11 @@
 	switch {
 	case !r.Full:
 		changed = s.Tracker.Apply(r.Position, r.Changes, confirmedAt)
+		changed = s.Tracker.ApplyLate(r.Position, r.late, confirmedAt) || changed
+		if r.SettlingFor > settleRetryInterval && r.Era == s.Tracker.Position().Era {
+			// The peer may have noticed an outage that this process has not.
+			s.Tracker.SettleLater(s.Now() + r.SettlingFor)
+		}
 	case s.isSettled(from, r):
 		changed = s.Tracker.Settle(r.Position, r.Changes, confirmedAt)
 	case from == fromSnapshot:
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -142,8 +142,8 @@
 	t.recordSuccess(confirmedAt)
 	t.confirmedAt = max(t.confirmedAt, confirmedAt)
 	t.publish(position, confirmedAt)
-	t.journal.replace(position, slices.DeleteFunc(changes, func(c Change) bool { return !c.isDeclaration() }), confirmedAt)
 	t.shareSettling()
+	t.journal.replace(position, slices.DeleteFunc(changes, func(c Change) bool { return !c.isDeclaration() }), confirmedAt)
 }
 
 // keepConfig returns the changes of a full read with the applied configuration in place
@@ -202,15 +202,18 @@
 			shared = append(shared, changes[i])
 		}
 	}
+	var late []Change
 	overdue := t.overdueChanges(position, confirmedAt)
 	for i := range overdue {
 		if t.applyChange(&overdue[i], confirmedAt) {
-			relevant = append(relevant, overdue[i])
+			late = append(late, overdue[i])
 		}
 	}
+	relevant = append(relevant, late...)
 	t.recordSuccess(confirmedAt)
 	t.confirmedAt = max(t.confirmedAt, confirmedAt)
 	t.journal.add(position, append(shared, relevant...), confirmedAt)
+	t.journal.addLate(late)
 	if len(relevant) > 0 {
 		t.publish(position, confirmedAt)
 		return true
