Separate the decisions on openings from their effects

Cause: the explain command is to name the host of a new flow, and why, by the code that decides. Entry.placeFlow and Agent.handleOpening mixed the decision with reports, counters and state, and costs were sums without their terms.

Ruled out: a second implementation for the explanation, which would deviate from the first one with the next change.

Change: Entry.decidePlacement and Agent.decideOpening decide and change nothing; the callers apply the decision. ChooseHost sums CostTerms in the same order as before and passes each candidate to PlacementRequest.Record if it is set. RequestQueue.Admission, LateAdmission, ColdRateLimiter.Use and ServiceLevel return what their decisions rest on.

--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -100,39 +100,28 @@
 // placeFlow chooses a host for a new flow and forwards the opening.
 func (e *Entry) placeFlow(now time.Duration, c *catalog.Catalog, p *flow.Packet, data []byte, out Output) {
 	key := p.FromRequester()
-	route := c.Config.Routes[key.Destination]
-	if route == nil {
+	d := e.decidePlacement(now, c, key, e.config.Zone, p.OpeningAge, nil)
+	if d.unresponsive != nil {
+		e.loads.MarkSuspect(d.unresponsive.agent, now)
+		e.config.Events.Log(EventAgentSilent, key, "agent", flow.Endpoint{Addr: d.unresponsive.agent}.AddrPort().Addr())
+	}
+	switch d.outcome {
+	case placementUnknownRoute:
 		e.refuseUnknown(now, c, p, out)
 		return
-	}
-	hash := key.Hash()
-	service := c.Services[route.Pick(hash)]
-	o := e.owners[key]
-	if o != nil && o.accepted {
-		o.lastSeenAt = now
-		e.send(flow.Deliver, c, service, o.agent, data, out)
+	case placementHeld:
+		d.holder.lastSeenAt = now
+		e.send(flow.Deliver, c, d.service, d.holder.agent, data, out)
 		return
-	}
-	if o == nil && e.refuseOverloaded(now, c, service, route, p, out) {
+	case placementOverloaded:
+		e.refuseOverloaded(&d, p, out)
 		return
-	}
-	request := steering.PlacementRequest{Hash: hash, Zone: e.config.Zone, Bulk: route.Bulk, TargetLatency: route.TargetLatency, Now: now}
-	if o != nil {
-		// A retransmitted opening shows that the first agent did not answer.
-		e.loads.MarkSuspect(o.agent, now)
-		unresponsive := o.agent
-		request.Avoid = func(agent [4]byte) bool { return agent == unresponsive }
-		e.config.Events.Log(EventAgentSilent, key, "agent", flow.Endpoint{Addr: unresponsive}.AddrPort().Addr())
-	}
-	var host *catalog.Host
-	if service != nil {
-		host = steering.ChooseHost(c, service, e.loads, request)
-	}
-	if host == nil {
+	case placementNoHost:
 		e.config.Events.Log(EventRefused, key, "reason", "no_host")
 		reset(e.config.Codec, p, out)
 		return
 	}
+	host, service := d.host, d.service
 	agent := host.Addr.Addr
 	e.loads.RecordPlacement(agent)
 	e.owners[key] = &cachedOwner{agent: agent, lastSeenAt: now, placedAt: now}
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -12,38 +12,32 @@
 // its information about its host is newer than the entry's.
 func (a *Agent) handleOpening(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, out Output) {
 	key := p.FromRequester()
-	if fl := a.flows[key]; fl != nil && fl.state != flowClosed {
-		if fl.state != flowOpening {
-			fl.lastSeenAt = now
-			a.setOrigin(fl, key, f.Origin, out)
-			a.sendToHost(now, data, out)
-			return
-		}
-		a.removeFlow(now, key, fl)
-		a.forwardOpening(now, f, p, data, "host_silent", out)
-		return
-	}
 	c := a.config.Catalog()
-	if reason := a.rejectReason(now, c, f, key); reason != "" {
-		a.forwardOpening(now, f, p, data, reason, out)
+	d := a.decideOpening(now, c, f, key, p.OpeningAge, nil)
+	if d.outcome == openingHeld {
+		fl := a.flows[key]
+		fl.lastSeenAt = now
+		a.setOrigin(fl, key, f.Origin, out)
+		a.sendToHost(now, data, out)
 		return
 	}
-	decision := a.admit(now, c, key, p, f.Hops < maxBusyHops)
-	a.updateLevel(now, c)
-	if decision == steering.Forward {
-		if a.forwardOpening(now, f, p, data, reasonBusy, out) {
-			return
-		}
-		decision = a.admit(now, c, key, p, false)
+	if d.reason == reasonHostSilent {
+		a.removeFlow(now, key, a.flows[key])
 	}
-	if decision == steering.Refuse {
-		a.refuse(f, p, "overloaded", out)
-		return
+	if d.admissionAsked {
+		a.updateLevel(now, c)
+	}
+	if d.busy {
+		a.sendLoad(f, reasonBusy, out)
 	}
-	if !a.admitCold(now, c) {
-		a.forwardOpening(now, f, p, data, "cold", out)
+	if d.cold.startedWithAgent {
+		a.coldLimiter.ForgetAssumed()
+	}
+	if d.outcome != openingAccepted {
+		a.turnAway(f, p, data, &d, out)
 		return
 	}
+	a.coldLimiter.Count(now)
 	a.flows[key] = &ownedFlow{
 		state: flowOpening, origin: f.Origin, openingFrame: *f, lastSeenAt: now,
 		openingSentAt: now - p.OpeningAge, awaitsFirstRequest: true,
@@ -100,58 +94,71 @@
 
 // admit decides whether the host has capacity for another flow. hasAlternative
 // tells whether another host may accept the flow instead.
-func (a *Agent) admit(now time.Duration, c *catalog.Catalog, key flow.Key, p *flow.Packet, hasAlternative bool) steering.Decision {
+func (a *Agent) admit(now time.Duration, c *catalog.Catalog, key flow.Key, openingAge time.Duration, hasAlternative bool) steering.Admission {
 	if c == nil {
-		return steering.Accept
+		return steering.Admission{Decision: steering.Accept}
 	}
 	route := c.Config.Routes[key.Destination]
 	if route == nil {
-		return steering.Accept
+		return steering.Admission{Decision: steering.Accept}
 	}
-	return a.scheduler.queue.AdmitOpening(now, now-p.OpeningAge, openingOf(route), a.backlogAhead(now, route.Priority), hasAlternative)
+	return a.scheduler.queue.Admission(now, now-openingAge, openingOf(route), a.backlogAhead(now, route.Priority), hasAlternative)
 }
 
-// admitCold reports whether the rate limit of a cold host allows another
-// opening, and counts the opening. A host that is not listed yet counts as
-// cold. After a restart the limit counts as just used, unless the host started
-// with the agent.
-func (a *Agent) admitCold(now time.Duration, c *catalog.Catalog) bool {
-	if c != nil {
-		service := c.Services[a.config.Service]
-		host := c.Hosts[a.config.Self.Addr]
-		if service != nil && service.WarmupPerSecond > 0 && (host == nil || host.Cold(now)) {
-			if a.hostStartedWithAgent() {
-				a.coldLimiter.ForgetAssumed()
-			}
-			limit := steering.ColdLimit(service.WarmupPerSecond, a.config.ColdOverage, a.config.ColdSlack)
-			return a.coldLimiter.Admit(now, limit)
-		}
+// coldState is how far the rate limit of a cold host restricts an opening.
+type coldState struct {
+	// limited reports that the limit applies; limit and use are valid then.
+	limited bool
+	limit   int
+	use     steering.ColdRateUse
+	// startedWithAgent reports that the limit was not used before the agent started.
+	startedWithAgent bool
+}
+
+func (s *coldState) admits() bool { return !s.limited || s.use.Admits(s.limit) }
+
+// coldState returns how far the rate limit of a cold host restricts another opening. A
+// host that is not listed yet counts as cold. After a restart the limit counts as just
+// used, unless the host started with the agent.
+func (a *Agent) coldState(now time.Duration, c *catalog.Catalog) coldState {
+	if c == nil {
+		return coldState{}
 	}
-	a.coldLimiter.Count(now)
-	return true
+	service := c.Services[a.config.Service]
+	host := c.Hosts[a.config.Self.Addr]
+	if service == nil || service.WarmupPerSecond <= 0 || host != nil && !host.Cold(now) {
+		return coldState{}
+	}
+	s := coldState{
+		limited: true, use: a.coldLimiter.Use(now), startedWithAgent: a.hostStartedWithAgent(),
+		limit: steering.ColdLimit(service.WarmupPerSecond, a.config.ColdOverage, a.config.ColdSlack),
+	}
+	s.use.AssumedUsed = s.use.AssumedUsed && !s.startedWithAgent
+	return s
 }
 
-// forwardOpening forwards an opening to another host. If there is none, it
-// refuses the opening at once, except that with reasonBusy it reports false,
-// because this host could still accept the flow.
-func (a *Agent) forwardOpening(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, reason string, out Output) bool {
-	key := p.FromRequester()
-	a.sendLoad(f, reason, out)
-	next := *f
-	next.Hops++
-	next.AddAvoid(a.config.Self.Addr)
-	host := a.chooseAlternative(now, a.config.Catalog(), &next, key, reason)
-	if host == nil {
-		if reason != reasonBusy {
-			a.refuse(f, p, reason, out)
-		}
-		return false
+// forwardOpening forwards an opening that the host cannot take to another host. If there
+// is none, it refuses the opening at once.
+func (a *Agent) forwardOpening(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, reason string, out Output) {
+	d := a.decideAlternative(now, a.config.Catalog(), f, p.FromRequester(), reason, nil)
+	a.turnAway(f, p, data, &d, out)
+}
+
+// turnAway forwards an opening to the host that was decided on, or refuses it. The load
+// is reported in either case, unless that has been done because the host is busy.
+func (a *Agent) turnAway(f *flow.Frame, p *flow.Packet, data []byte, d *openingDecision, out Output) {
+	if d.reason != reasonBusy && d.reason != reasonOverloaded {
+		a.sendLoad(f, d.reason, out)
+	}
+	if d.outcome == openingRefused {
+		a.refuse(f, p, d.reason, out)
+		return
 	}
-	a.config.Events.Log(EventForwarded, key, "reason", reason, "to", flow.Endpoint{Addr: host.Addr.Addr}.AddrPort().Addr(),
+	a.config.Events.Log(EventForwarded, p.FromRequester(), "reason", d.reason, "to", flow.Endpoint{Addr: d.to.Addr.Addr}.AddrPort().Addr(),
 		"hops", f.Hops, "busy", a.unansweredRequests, "flows", a.openFlows)
+	next := d.next
 	next.Kind = flow.Deliver
-	out.ToNode(a.endpoint(host.Addr.Addr), &next, data)
-	return true
+	out.ToNode(a.endpoint(d.to.Addr.Addr), &next, data)
 }
 
 // sendLoad reports the host's load to the entry and to the agents that
@@ -181,7 +188,7 @@
 // frame's service to the newest known configuration. It returns nil if there
 // is no other host. An opening that this host could still accept does not go to one
 // that has said that it refuses it.
-func (a *Agent) chooseAlternative(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, reason string) *catalog.Host {
+func (a *Agent) chooseAlternative(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, reason string, list *candidateList) *catalog.Host {
 	if c == nil || f.Hops > maxHops {
 		return nil
 	}
@@ -208,5 +215,6 @@
 		return nil
 	}
 	f.ServiceTag = service.Tag
+	list.recordTo(&request)
 	return steering.ChooseHost(c, service, a.loads, request)
 }
--- a/datagram/overload.go
+++ b/datagram/overload.go
@@ -77,21 +77,10 @@
 	l.logged, l.loggedAt, l.changes = l.Lowest(), now, 0
 }
 
-// refuseOverloaded resets an opening whose service is overloaded on all its hosts. It
-// reports false if the opening is to be placed. Copies of an opening are always placed,
-// since a host may have accepted an earlier one.
-func (e *Entry) refuseOverloaded(now time.Duration, c *catalog.Catalog, service *catalog.Service, route *catalog.Route, p *flow.Packet, out Output) bool {
-	if service == nil || p.OpeningAge > 0 {
-		return false
-	}
-	key := p.FromRequester()
-	level, refuses := e.loads.RefusesAtOnce(c, service, route.Priority, key.Hash(), now)
-	if !refuses {
-		return false
-	}
-	e.refusals[route.Priority]++
-	e.config.Events.Log(EventRefused, key, "reason", "service_overloaded", "service", service.Name, "priority", route.Priority,
-		"admit_priority", level.Lowest, "hosts", level.Hosts, "oldest_report_ms", level.OldestAge.Milliseconds())
+// refuseOverloaded resets an opening whose service is overloaded on all its hosts.
+func (e *Entry) refuseOverloaded(d *placementDecision, p *flow.Packet, out Output) {
+	e.refusals[d.route.Priority]++
+	e.config.Events.Log(EventRefused, p.FromRequester(), "reason", "service_overloaded", "service", d.service.Name, "priority", d.route.Priority,
+		"admit_priority", d.level.Lowest, "hosts", d.level.Hosts, "oldest_report_ms", d.level.OldestAge.Milliseconds())
 	reset(e.config.Codec, p, out)
-	return true
 }
--- a/steering/admission.go
+++ b/steering/admission.go
@@ -39,6 +39,18 @@
 	Refuse
 )
 
+// String implements fmt.Stringer.
+func (d Decision) String() string {
+	switch d {
+	case Accept:
+		return "accept"
+	case Forward:
+		return "forward"
+	default:
+		return "refuse"
+	}
+}
+
 // Backlog describes the outstanding requests of a host. Admission based on it
 // handles bursts of more requests than the hosts can serve: queueing alone would
 // delay all requests beyond their target instead of refusing some of them.
@@ -61,20 +73,55 @@
 // priority. Without a target latency the flow is always accepted. hasAlternative
 // says whether another host may take the flow.
 func (b Backlog) Admit(target time.Duration, priority int, hasAlternative bool) Decision {
+	return b.admission(target, priority, hasAlternative).Decision
+}
+
+// admission is Admit with what the decision rests on.
+func (b Backlog) admission(target time.Duration, priority int, hasAlternative bool) Admission {
+	a := Admission{Decision: Accept, Backlog: b}
 	if target <= 0 || b.Busy < b.Slots {
-		return Accept
+		a.HasFreeSlot = b.Busy < b.Slots
+		return a
 	}
 	limit := min(target.Seconds(), maxServiceTimes/refuseThreshold*b.ServiceTime.Seconds())
-	share := b.EstimatedLatency().Seconds() / limit
-	urgency := max(0, lowestPriority-priority)
+	a.Share = b.EstimatedLatency().Seconds() / limit
+	a.ForwardAbove = forwardThreshold
+	a.RefuseAbove = refuseThreshold + urgencyStep*float64(max(0, lowestPriority-priority))
 	switch {
-	case hasAlternative && share > forwardThreshold:
-		return Forward
-	case share > refuseThreshold+urgencyStep*float64(urgency):
-		return Refuse
-	default:
-		return Accept
+	case hasAlternative && a.Share > a.ForwardAbove:
+		a.Decision = Forward
+	case a.Share > a.RefuseAbove:
+		a.Decision = Refuse
 	}
+	return a
+}
+
+// Admission is a decision on a new flow with what it rests on.
+type Admission struct {
+	Decision Decision
+	Backlog  Backlog
+	// HasFreeSlot reports that the host has a free slot for the flow, whose requests
+	// then wait for none.
+	HasFreeSlot bool
+	// Share is the estimated latency as a fraction of what the route and the host allow.
+	// Above ForwardAbove the flow goes to another host that may take it, above RefuseAbove
+	// it is refused. All are 0 if they were not needed.
+	Share, ForwardAbove, RefuseAbove float64
+	// Late is the estimate for a flow that would be refused otherwise.
+	Late LateAdmission
+}
+
+// LateAdmission is the estimate of whether the requests of a new flow that miss their
+// objective would still be released in time for their requester.
+type LateAdmission struct {
+	// Considered reports that the estimate was needed, Admitted that it admits the flow.
+	Considered, Admitted bool
+	// Ahead is the number of requests that would be released before.
+	Ahead int
+	// Wait is the expected time until the release, and Share the share of releases that
+	// late requests get.
+	Wait  time.Duration
+	Share float64
 }
 
 // ServiceTime estimates the mean service time of requests, without the time that
--- a/steering/cold_rate_limiter.go
+++ b/steering/cold_rate_limiter.go
@@ -42,13 +42,29 @@
 // Admit reports whether one more new flow is within the limit, and counts it if
 // so.
 func (l *ColdRateLimiter) Admit(now time.Duration, limit int) bool {
-	if l.assumedUsed && isRecent(l.assumedUsedAt, now) || l.countRecent(now) >= limit {
+	if !l.Use(now).Admits(limit) {
 		return false
 	}
 	l.Count(now)
 	return true
 }
 
+// ColdRateUse is how much of the limit of a cold host is used.
+type ColdRateUse struct {
+	// Recent is the number of new flows in the last second.
+	Recent int
+	// AssumedUsed reports that the limit counts as used up (see AssumeUsed).
+	AssumedUsed bool
+}
+
+// Admits reports whether one more new flow is within the limit.
+func (u ColdRateUse) Admits(limit int) bool { return !u.AssumedUsed && u.Recent < limit }
+
+// Use returns how much of the limit is used.
+func (l *ColdRateLimiter) Use(now time.Duration) ColdRateUse {
+	return ColdRateUse{Recent: l.countRecent(now), AssumedUsed: l.assumedUsed && isRecent(l.assumedUsedAt, now)}
+}
+
 // Count counts a new flow that was accepted without a limit, so that the limit
 // already covers such flows when the host becomes known to be cold.
 func (l *ColdRateLimiter) Count(now time.Duration) {
--- a/steering/export_test.go
+++ b/steering/export_test.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// AdmitsLate makes admitsLate accessible to tests.
+// AdmitsLate makes lateAdmission accessible to tests.
 func (q *RequestQueue) AdmitsLate(now time.Duration, priority int, limit time.Duration, backlog Backlog) bool {
-	return q.admitsLate(now, priority, limit, backlog, 0)
+	return q.lateAdmission(now, priority, limit, backlog, 0).Admitted
 }
--- a/steering/overload_level.go
+++ b/steering/overload_level.go
@@ -36,17 +36,25 @@
 // backlog is what is ahead of it. A flow that this host would refuse is accepted if its
 // requests would still be released in time for their requester.
 func (q *RequestQueue) AdmitOpening(now, sentAt time.Duration, o Opening, b Backlog, hasAlternative bool) Decision {
-	return q.admitBehind(now, sentAt, o, b, hasAlternative, 0)
+	return q.Admission(now, sentAt, o, b, hasAlternative).Decision
 }
 
-// admitBehind is AdmitOpening with some more requests ahead of the flow.
-func (q *RequestQueue) admitBehind(now, sentAt time.Duration, o Opening, b Backlog, hasAlternative bool, more int) Decision {
+// Admission is AdmitOpening with what the decision rests on.
+func (q *RequestQueue) Admission(now, sentAt time.Duration, o Opening, b Backlog, hasAlternative bool) Admission {
+	return q.admissionBehind(now, sentAt, o, b, hasAlternative, 0)
+}
+
+// admissionBehind is Admission with some more requests ahead of the flow.
+func (q *RequestQueue) admissionBehind(now, sentAt time.Duration, o Opening, b Backlog, hasAlternative bool, more int) Admission {
 	b.Busy += more
-	decision := b.Admit(o.TargetLatency, o.Priority, hasAlternative)
-	if decision == Refuse && o.Timeout > 0 && q.admitsLate(now, o.Priority, sentAt+o.Timeout, b, more) {
-		return Accept
+	a := b.admission(o.TargetLatency, o.Priority, hasAlternative)
+	if a.Decision == Refuse && o.Timeout > 0 {
+		a.Late = q.lateAdmission(now, o.Priority, sentAt+o.Timeout, b, more)
+		if a.Late.Admitted {
+			a.Decision = Accept
+		}
 	}
-	return decision
+	return a
 }
 
 // AdmissionLevel tracks the lowest priority that a host admits. It is what an agent
@@ -90,7 +98,7 @@
 			more = b.Slots
 		}
 		for ; i < len(openings) && openings[i].Priority == priority; i++ {
-			admits = admits || q.admitBehind(now, now, openings[i], b, false, more) != Refuse
+			admits = admits || q.admissionBehind(now, now, openings[i], b, false, more).Decision != Refuse
 		}
 		if admits {
 			delete(l.refused, priority)
@@ -135,8 +143,26 @@
 	OldestAge time.Duration
 	// Lowest is the lowest priority that one of the hosts admits.
 	Lowest int
+	// Placed says why the opening is placed, or is "" if it is refused.
+	Placed PlacedBecause
+	// Admitting is the host that is not known to refuse the priority, if Placed is
+	// PlacedHostMayAdmit.
+	Admitting *catalog.Host
 }
 
+// PlacedBecause is a reason for which an opening is placed at a host.
+type PlacedBecause string
+
+// The reasons for which openings are placed.
+const (
+	// PlacedProbe: one opening in probeShare is placed, whatever the hosts have said.
+	PlacedProbe PlacedBecause = "probe"
+	// PlacedHostMayAdmit: a host has not recently said that it refuses the priority.
+	PlacedHostMayAdmit PlacedBecause = "host_may_admit"
+	// PlacedNoHost: there is no usable host that could have said so.
+	PlacedNoHost PlacedBecause = "no_usable_host"
+)
+
 // RefusesAtOnce reports whether an opening of the given priority is to be refused
 // without offering it to a host, and what decided this. It answers a service whose
 // hosts all have more requests than they can serve in time: an opening would be passed
@@ -148,15 +174,21 @@
 // runs an earlier build or cannot be reached, gets openings as if nothing were known.
 func (t *LoadTable) RefusesAtOnce(c *catalog.Catalog, s *catalog.Service, priority int, hash uint64, now time.Duration) (ServiceLevel, bool) {
 	var level ServiceLevel
-	if placement.Mix(hash^probeSalt)%probeShare == 0 || !t.allRefuse(c, s.Hosts, priority, now, &level) {
-		return level, false
+	switch {
+	case isProbe(hash):
+		level.Placed = PlacedProbe
+	case !t.allRefuse(c, s.Hosts, priority, now, &level),
+		now-c.LapsedAt < catalog.LapsedHostGrace && !t.allRefuse(c, s.Lapsed, priority, now, &level):
+		level.Placed = PlacedHostMayAdmit
+	case level.Hosts == 0:
+		level.Placed = PlacedNoHost
 	}
-	if now-c.LapsedAt < catalog.LapsedHostGrace && !t.allRefuse(c, s.Lapsed, priority, now, &level) {
-		return level, false
-	}
-	return level, level.Hosts > 0
+	return level, level.Placed == ""
 }
 
+// isProbe reports whether an opening is placed whatever the hosts have said.
+func isProbe(hash uint64) bool { return placement.Mix(hash^probeSalt)%probeShare == 0 }
+
 // allRefuse reports whether all usable hosts among the given ones have recently said
 // that they do not admit the priority. It adds them to the level.
 func (t *LoadTable) allRefuse(c *catalog.Catalog, hosts []*catalog.Host, priority int, now time.Duration, level *ServiceLevel) bool {
@@ -165,6 +197,7 @@
 			continue
 		}
 		if !t.Refuses(h.Addr.Addr, priority, now) {
+			level.Admitting = h
 			return false
 		}
 		load := t.hosts[h.Addr.Addr]
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -252,21 +252,27 @@
 func (q *RequestQueue) Ahead(now time.Duration, priority int) int {
 	n := 0
 	for i := range q.waiting {
-		if r := &q.waiting[i]; r.Priority <= priority && r.meetsObjective(now) {
+		if q.waiting[i].isAhead(now, priority) {
 			n++
 		}
 	}
 	return n
 }
 
-// admitsLate reports whether a new request of the given priority that misses its
+// isAhead reports whether the request would be released before a new one of the given
+// priority that can meet its objective.
+func (r *QueuedRequest) isAhead(now time.Duration, priority int) bool {
+	return r.Priority <= priority && r.meetsObjective(now)
+}
+
+// lateAdmission estimates whether a new request of the given priority that misses its
 // objective would still be released in time for its requester, which waits until
 // limit, if some more requests were ahead of it than there are. It answers the backlog
 // after an outage: requests that come at once and are refused use up their tries
 // although there is room a moment later. While requests that can meet their
 // objectives fill the host, late ones are not released, and nothing more is admitted
 // late. Requests that the host was given beyond its slots are served first.
-func (q *RequestQueue) admitsLate(now time.Duration, priority int, limit time.Duration, backlog Backlog, more int) bool {
+func (q *RequestQueue) lateAdmission(now time.Duration, priority int, limit time.Duration, backlog Backlog, more int) LateAdmission {
 	atHost := backlog.Busy - q.Ahead(now, priority)
 	ahead := max(0, atHost-backlog.Slots) + more
 	for i := range q.waiting {
@@ -275,8 +281,12 @@
 		}
 	}
 	full := float64(max(1, backlog.Slots)) / max(backlog.ServiceTime.Seconds(), minServiceTime.Seconds())
-	wait := float64(ahead+1) / max(full*q.late.share(now), minLateRate)
-	return now+time.Duration(wait*float64(time.Second))+backlog.ServiceTime <= limit-deliveryMargin
+	share := q.late.share(now)
+	wait := time.Duration(float64(ahead+1) / max(full*share, minLateRate) * float64(time.Second))
+	return LateAdmission{
+		Considered: true, Admitted: now+wait+backlog.ServiceTime <= limit-deliveryMargin,
+		Ahead: ahead, Wait: wait, Share: share,
+	}
 }
 
 // lateWaiting returns how many waiting requests can no longer meet their objectives.
--- a/steering/service_time.go
+++ b/steering/service_time.go
@@ -74,27 +74,26 @@
 	return ratio
 }
 
-// serviceTimeCost returns the cost that is added to the cost of the host's load for
-// its service time. It handles hosts that are several times as slow as the others,
-// and zones whose hosts are overloaded while others have free slots. It is 0 if the
-// service time of no host is known.
-func (l *hostLoad) serviceTimeCost(h *catalog.Host, r *PlacementRequest, m loadMeans) float64 {
+// addServiceTimeCost sets the terms of the cost of the host's service time, which is
+// added to that of its load. It handles hosts that are several times as slow as the
+// others, and zones whose hosts are overloaded while others have free slots. The terms
+// are 0 if the service time of no host is known.
+func (l *hostLoad) addServiceTimeCost(t *CostTerms, h *catalog.Host, r *PlacementRequest, m loadMeans) {
 	ratio := l.serviceTimeRatio(m.serviceTime)
 	// The load includes the new request, so that an idle slow host costs as much as a
 	// loaded one with the same latency. Open flows are not weighted, since their number
 	// says nothing about how close a host is to its capacity.
 	rounds := l.busyPerSlot(h) + 1/float64(max(1, h.Slots))
-	cost := (ratio - 1) * busyWeight * rounds
+	t.Slow = (ratio - 1) * busyWeight * rounds
 	if r.TargetLatency <= 0 {
-		return cost
+		return
 	}
 	// If the median exceeds the target latency, no host is slow by comparison.
 	share := ratio * float64(m.serviceTime) / float64(r.TargetLatency)
 	if share > 1 && m.serviceTime <= r.TargetLatency {
-		cost += latePenalty
+		t.Late = latePenalty
 	}
 	if excess := (rounds-1)*share - freeWaitShare; excess > 0 {
-		cost += (zonePenalty + bulkZonePenalty) * excess / (maxWaitShare - freeWaitShare)
+		t.Wait = (zonePenalty + bulkZonePenalty) * excess / (maxWaitShare - freeWaitShare)
 	}
-	return cost
 }
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -168,7 +168,10 @@
 	// Avoid reports whether the flow must not go to the host of an agent, for
 	// instance because that host could not take it. It may be nil.
 	Avoid func(agent [4]byte) bool
-	Now   time.Duration
+	// Record, if it is not nil, is called with each host that is considered. It must
+	// not change the load table.
+	Record func(Candidate)
+	Now    time.Duration
 }
 
 // ChooseHost returns the usable host with the lowest cost for the flow, or nil if
@@ -182,12 +185,17 @@
 	avoidFailing := loads.avoidFailing(c, s, request.Now)
 	var best *catalog.Host
 	bestCost := 0.0
+	var terms CostTerms
 	consider := func(hosts []*catalog.Host, penalty float64) {
 		for _, h := range hosts {
-			if !c.Usable(h) || request.Avoid != nil && request.Avoid(h.Addr.Addr) {
+			if reason := request.exclusion(c, h); reason != "" {
+				request.record(h, reason, nil, loads)
 				continue
 			}
-			cost := hostCost(h, loads, &request, means, avoidFailing) + penalty
+			terms.setHostCost(h, loads, &request, means, avoidFailing)
+			terms.Lapsed = penalty
+			cost := terms.Sum()
+			request.record(h, "", &terms, loads)
 			if best == nil || cost < bestCost {
 				best, bestCost = h, cost
 			}
@@ -251,13 +259,12 @@
 	return float64(l.busy+l.placedSinceReport) / float64(max(1, h.Slots))
 }
 
-// cost returns the cost of the load of a host.
-func (l *hostLoad) cost(h *catalog.Host, m loadMeans) float64 {
-	cost := busyWeight * l.busyPerSlot(h)
+// addLoadCost sets the terms of the cost of the load of a host.
+func (l *hostLoad) addLoadCost(t *CostTerms, h *catalog.Host, m loadMeans) {
+	t.Busy = busyWeight * l.busyPerSlot(h)
 	if m.flows > 0 {
-		cost += flowWeight * l.flowsPerSlot(h) / m.flows
+		t.Flows = flowWeight * l.flowsPerSlot(h) / m.flows
 	}
-	return cost
 }
 
 // The penalties of hosts that refuse flows or do not answer. They are large
@@ -268,40 +275,42 @@
 	suspectPenalty  = 1000
 )
 
-// hostCost returns the cost of sending the flow to the host. A host without a
-// recent report gets an assumed cost plus the cost of the flows sent to it since
-// its last report.
-func hostCost(h *catalog.Host, loads *LoadTable, request *PlacementRequest, means loadMeans, avoidFailing bool) float64 {
+// setHostCost sets the terms of the cost of sending the flow to the host. A host
+// without a recent report gets an assumed cost plus the cost of the flows sent to it
+// since its last report.
+func (t *CostTerms) setHostCost(h *catalog.Host, loads *LoadTable, request *PlacementRequest, means loadMeans, avoidFailing bool) {
 	sameZone := h.Zone == request.Zone || request.Zone == ""
-	cost := means.unknownCost(sameZone)
+	*t = CostTerms{Assumed: means.unknownCost(sameZone)}
 	if load := loads.hosts[h.Addr.Addr]; load != nil {
 		if request.Now-load.reportedAt < maxLoadAge {
-			cost = load.cost(h, means) + load.serviceTimeCost(h, request, means)
+			t.Assumed = 0
+			load.addLoadCost(t, h, means)
+			load.addServiceTimeCost(t, h, request, means)
 		} else {
-			cost += busyWeight * float64(load.placedSinceReport) / float64(max(1, h.Slots))
+			t.Busy = busyWeight * float64(load.placedSinceReport) / float64(max(1, h.Slots))
 		}
 		if request.Now < load.suspectUntil {
-			cost += suspectPenalty
+			t.Suspect = suspectPenalty
 		}
 		if request.Now < load.refusingUntil {
-			cost += refusingPenalty
+			t.Refusing = refusingPenalty
 		}
 		if avoidFailing {
-			cost += failingPenalty * load.decayedFailureShare(request.Now)
+			t.Failing = failingPenalty * load.decayedFailureShare(request.Now)
 		}
 	}
 	if !sameZone {
-		cost += zonePenalty
+		t.Zone = zonePenalty
 		if request.Bulk {
-			cost += bulkZonePenalty
+			t.Bulk = bulkZonePenalty
 		}
 	}
 	if h.Cold(request.Now) {
-		cost += coldPenalty
+		t.Cold = coldPenalty
 	}
 	// Break ties by a hash of flow and host, so that flows with equal choices
 	// spread over the hosts.
-	return cost + tieBreakWeight*float64(placement.Mix(request.Hash^uint64(h.StartUnixMilli)^addrHash(h.Addr.Addr))>>11)/(1<<53)
+	t.TieBreak = tieBreakWeight * float64(placement.Mix(request.Hash^uint64(h.StartUnixMilli)^addrHash(h.Addr.Addr))>>11) / (1 << 53)
 }
 
 // tieBreakWeight is the upper bound of the cost that breaks ties. It does not
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -272,3 +272,21 @@
 	fmt.Println(backlog.EstimatedLatency(), backlog.Admit(100*time.Millisecond, 2, true) == steering.Forward)
 	// Output: 52.5ms true
 }
+
+// BenchmarkChooseHost chooses among 21 hosts in 3 zones with recent reports.
+func BenchmarkChooseHost(b *testing.B) {
+	c, service := &catalog.Catalog{}, &catalog.Service{}
+	loads := steering.NewLoadTable()
+	for n := byte(0); n < 21; n++ {
+		h := &catalog.Host{Addr: flow.Endpoint{Addr: [4]byte{10, 0, 0, n}}, Zone: string('a' + rune(n%3)), Slots: 3}
+		service.Hosts = append(service.Hosts, h)
+		loads.Report(h.Addr.Addr, int(n), int(n%5), time.Second)
+		loads.SetServiceTime(h.Addr.Addr, time.Duration(40+n)*time.Millisecond)
+	}
+	request := steering.PlacementRequest{Zone: "a", TargetLatency: 300 * time.Millisecond, Now: time.Second}
+	b.ReportAllocs()
+	for b.Loop() {
+		request.Hash++
+		steering.ChooseHost(c, service, loads, request)
+	}
+}
