Add the explain command

Cause: why a new flow goes to a host, or is refused, could be found only afterwards, from log lines that hold the load of the chosen host but neither the other hosts nor the terms of their costs.

Change: datagram-entry and datagram-agent answer GET /explain on the metrics address with what Entry.decidePlacement and Agent.decideOpening decide on a new flow now, and on what the decision rests; turmericrock explain prints it as text or, with -json, as JSON. Unknown route, unknown zone, no catalog, and a process that does not answer have exit codes 3 to 6 and types of their own.

Ruled out: an example requester with a fixed port, which may belong to the flows that are placed whatever hosts say; explaining at the agent without restoring the number of slots last listed, which hostSlots records.

Tests: in the simulated cluster the explanations of entry and first agent name where each of 300 openings goes, with equal, slow, refusing, failing, silent, cold, busy and overloaded hosts and two zones; a run with 10,000 explanations has the same frames, packets, answers and metrics as one without; the state of all processes is the same, field by field, before and after. The harness now ticks agents in a fixed order, so that runs can be compared.

Mutations under which the tests fail: a placement recorded by the explanation, a suspicion marked, a flow counted at the cold limit, the assumed use of the limit forgotten, the admission level updated, the number of slots not restored, the zone ignored, the agent asked as the last host.

--- a/datagram/cold_test.go
+++ b/datagram/cold_test.go
@@ -14,7 +14,12 @@
 // publishCold publishes a catalog in which the hosts, started at the given time in Unix
 // milliseconds, are cold and tolerate 9.5 new flows per second.
 func (c *cluster) publishCold(startUnixMilli int64) {
-	c.publish(1, func(values *[]catalog.Value) {
+	c.publishColdAt(1, startUnixMilli)
+}
+
+// publishColdAt is publishCold with a version.
+func (c *cluster) publishColdAt(version, startUnixMilli int64) {
+	c.publish(version, func(values *[]catalog.Value) {
 		for i := range *values {
 			v := &(*values)[i]
 			v.Data = bytes.ReplaceAll(v.Data, []byte(`"warmup_s":2.0,"warmup_per_s":0`), []byte(`"warmup_s":60,"warmup_per_s":3`))
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -1,8 +1,11 @@
 package datagram_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -45,6 +48,8 @@
 	dropKind flow.Kind
 	// onHostPacket is called for each packet that is sent to a host. It may be nil.
 	onHostPacket func(at [4]byte)
+	// onFrame is called for each frame that a process sends. It may be nil.
+	onFrame func(from, to [4]byte, kind flow.Kind)
 }
 
 // host simulates a backend server, which returns packets of flows that it does
@@ -176,20 +181,26 @@
 	c.tracker.Replace(catalog.Position{Revision: version}, changes, c.now)
 	c.current = c.tracker.Current()
 	if before != nil {
-		for a, agent := range c.agents {
-			agent.KeepersChanged(before, c.current, &clusterOutput{c, a})
-			agent.HostsRemoved(c.now, before, c.current, &clusterOutput{c, a})
+		for _, a := range c.sortedAgents() {
+			c.agents[a].KeepersChanged(before, c.current, &clusterOutput{c, a})
+			c.agents[a].HostsRemoved(c.now, before, c.current, &clusterOutput{c, a})
 		}
 	}
 	c.deliverAll()
 }
 
+// sortedAgents returns the addresses of the agents in a fixed order, so that runs can be
+// compared.
+func (c *cluster) sortedAgents() [][4]byte {
+	return slices.SortedFunc(maps.Keys(c.agents), func(a, b [4]byte) int { return bytes.Compare(a[:], b[:]) })
+}
+
 // confirmCatalog confirms the catalog as current.
 func (c *cluster) confirmCatalog() {
 	c.tracker.Apply(c.tracker.Position(), nil, c.now)
 	c.current = c.tracker.Current()
-	for a, agent := range c.agents {
-		agent.Tick(c.now, &clusterOutput{c, a})
+	for _, a := range c.sortedAgents() {
+		c.agents[a].Tick(c.now, &clusterOutput{c, a})
 	}
 	c.deliverAll()
 }
@@ -209,6 +220,9 @@
 func (o *clusterOutput) ToNode(to flow.Endpoint, f *flow.Frame, packet []byte) {
 	data := append(f.Append(nil), packet...)
 	o.c.frames[f.Kind]++
+	if o.c.onFrame != nil {
+		o.c.onFrame(o.from, to.Addr, f.Kind)
+	}
 	if f.Kind == o.c.dropKind {
 		return
 	}
--- a/datagram/explain_bench_test.go
+++ b/datagram/openings_bench_test.go
@@ -19,8 +19,8 @@
 	}
 }
 
-// BenchmarkAgentOpening accepts openings, each as a retransmission by a host that has
-// answered none, or passes them on.
+// BenchmarkAgentOpening accepts openings of new flows and, once the ports repeat, passes
+// on copies of openings that the host has left unanswered.
 func BenchmarkAgentOpening(b *testing.B) {
 	c, r, _ := benchFlow(b)
 	n := uint16(0)
@@ -33,3 +33,20 @@
 		c.agents[addr(11)].HandleFrame(c.now, addr(1), framed, discard{})
 	}
 }
+
+// BenchmarkExplain explains a flow at an entry among 120 hosts. The entry handles no
+// packets meanwhile.
+func BenchmarkExplain(b *testing.B) {
+	c := newCluster(b)
+	c.addEntry(1)
+	for n := byte(11); n <= 130; n++ {
+		c.addHost(n, "s")
+	}
+	c.publish(1, nil, "s")
+	c.openFlows(1000, 500)
+	r := c.requester(2000, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.explainAtEntry()
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 	commander.Register(newStatusCommand(out, err), groupOperators)
 	commander.Register(newAuditCommand(out, err), groupOperators)
 	commander.Register(newTraceCommand(out, err), groupOperators)
+	commander.Register(newExplainCommand(out, err), groupOperators)
 	commander.Register(newVersionCommand(out, err), groupOperators)
 	commander.Register(newCallCommand(out, err), groupCallers)
 	parseErr := flags.Parse(rewriteHelpFlag(args[1:]))
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -20,6 +20,7 @@
 	"github.com/turmericrock/turmericrock/catalog"
 	"github.com/turmericrock/turmericrock/datagram"
 	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/internal/explain"
 	"github.com/turmericrock/turmericrock/internal/logging"
 	"github.com/turmericrock/turmericrock/internal/metrics"
 	"github.com/turmericrock/turmericrock/internal/ops"
@@ -108,6 +109,8 @@
 	syncer *catalog.Syncer
 	// metricSources are the sources of the metrics served at metricsPort.
 	metricSources []metrics.Source
+	// explain says where a new flow would go. It is served with the metrics.
+	explain explain.Func
 	// onCatalogChange is called with the previous catalog, which is nil at first,
 	// and the new one. It may be nil.
 	onCatalogChange func(old, c *catalog.Catalog)
@@ -160,12 +163,20 @@
 	if c.metricsPort != 0 {
 		address := netip.AddrPortFrom(loaded.IP, uint16(c.metricsPort)).String()
 		node.Servers = append(node.Servers, datagram.Server{
-			Name: "metrics", Address: address, Handler: ops.MetricsHandler(n.metricSources), Optional: true,
+			Name: "metrics", Address: address, Handler: n.metricsHandler(), Optional: true,
 		})
 	}
 	return n.run(ctx, node, c.shutdownDelay)
 }
 
+// metricsHandler serves explanations, and the metrics at all other paths.
+func (n *datagramNode) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(explain.Path, explain.Handler(n.now, n.explain))
+	mux.Handle("/", ops.MetricsHandler(n.metricSources))
+	return mux
+}
+
 func (n *datagramNode) run(ctx context.Context, node *datagram.Node, shutdownDelay time.Duration) error {
 	signalCtx, stop := signals.Context(ctx)
 	defer stop()
@@ -295,7 +306,7 @@
 		Zone: n.settings.Zone, Self: flow.EndpointOf(n.peerAddr()), PeerPort: n.settings.PeerPort,
 		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
-	n.metricSources = []metrics.Source{n.events, e}
+	n.metricSources, n.explain = []metrics.Source{n.events, e}, e.Explain
 	node := n.newNode()
 	node.Sockets.Requesters = n.settings.PacketAddr
 	node.OnRequester = e.HandlePacket
@@ -354,7 +365,7 @@
 		HostRunning: n.hostRunning.Load, HostWasDown: n.hostWasDown.Load,
 		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
 	})
-	n.metricSources = []metrics.Source{n.events, a}
+	n.metricSources, n.explain = []metrics.Source{n.events, a}, a.Explain
 	n.background = n.watchUnlistedHost
 	node := n.newNode()
 	n.onCatalogChange = func(old, c *catalog.Catalog) {
--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -23,6 +23,18 @@
 	ExitHTTPStatus subcommands.ExitStatus = 5
 )
 
+// Exit codes of the explain command.
+const (
+	// ExitUnknownRoute means that the process knows no such route.
+	ExitUnknownRoute subcommands.ExitStatus = 3
+	// ExitUnknownZone means that the process knows no such zone.
+	ExitUnknownZone subcommands.ExitStatus = 4
+	// ExitNoCatalog means that the process has no catalog yet.
+	ExitNoCatalog subcommands.ExitStatus = 5
+	// ExitUnreachable means that the process does not answer.
+	ExitUnreachable subcommands.ExitStatus = 6
+)
+
 // UsageError reports invalid flags or arguments.
 type UsageError struct {
 	Reason string
