Try no packets at hosts of services unknown to the route

Cause: a search that had found nothing sent one packet of the flow to each agent of the other services, which tried it at their hosts. A packet that is meant for one service must not reach another.

Ruled out: the same with fewer hosts, since one packet is one too many; a peer that vouches that no route has moved, since peers leave superseded configurations out.

Change: agents of other services are still asked (Query). They answer NotHeld if they have seen all flows of their hosts, MayHold if they know that their service may hold flows of the route, and otherwise nothing, so that the flow is not declared lost. A query and a probe name the service of the agent's host only if the searching agent knows that it holds such flows. A Deliver frame, or the probe of a keeper's record, is still tried at the host, now once and never again.

--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -15,8 +15,6 @@
 type hostLiveness struct {
 	waitingSince time.Duration
 	waiting      bool
-	// heardAt is when the host last sent a packet.
-	heardAt time.Duration
 }
 
 // packetSent records that a packet that calls for an answer was sent to the
@@ -29,7 +27,7 @@
 
 // packetReceived records that the host sent a packet, which ends the wait for
 // an answer.
-func (h *hostLiveness) packetReceived(now time.Duration) { h.waiting, h.heardAt = false, now }
+func (h *hostLiveness) packetReceived() { h.waiting = false }
 
 // maxEventGap is the time between two events after which the agent counts as having been
 // stopped, for instance by a lack of CPU time. It is five ticks long.
@@ -83,7 +81,7 @@
 		a.config.Events.Drop(DropMalformed)
 		return
 	}
-	a.hostLiveness.packetReceived(now)
+	a.hostLiveness.packetReceived()
 	if p.Returned {
 		a.config.Codec.ClearReturned(data)
 		a.handleReturned(now, p, data, out)
--- a/datagram/orders_test.go
+++ b/datagram/orders_test.go
@@ -25,8 +25,10 @@
 	// that the host's catalog entry has lapsed.
 	flowHeld, unlisted bool
 	reset              bool
-	// target is the service that the route names.
-	target string
+	// target is the service that the route names. everNamed reports that the route has named
+	// another one than that of the flow's host.
+	target    string
+	everNamed bool
 }
 
 func newOwnerProtocol(t *testing.T) *ownerProtocol {
@@ -115,6 +117,18 @@
 
 // checkFlow checks the invariants of the observed flow.
 func (p *ownerProtocol) checkFlow(sequence string) {
+	answered := p.finalRequests()
+	if p.flowHeld {
+		must.False(p.t, p.reset, must.Sprintf("%s: a flow that the host holds was reset", sequence))
+		must.True(p.t, answered, must.Sprintf("%s: a flow that the host holds was not found", sequence))
+	}
+	if !p.flowHeld && !p.unlisted {
+		must.True(p.t, p.reset, must.Sprintf("%s: the requester of a lost flow was not reset", sequence))
+	}
+}
+
+// finalRequests sends a request with retransmissions and reports whether it was answered.
+func (p *ownerProtocol) finalRequests() bool {
 	p.advance(hostListSettleTime)
 	answered := p.request(1)
 	for _, pause := range []time.Duration{200, 400, 800} {
@@ -123,13 +137,7 @@
 			answered = p.request(2)
 		}
 	}
-	if p.flowHeld {
-		must.False(p.t, p.reset, must.Sprintf("%s: a flow that the host holds was reset", sequence))
-		must.True(p.t, answered, must.Sprintf("%s: a flow that the host holds was not found", sequence))
-	}
-	if !p.flowHeld && !p.unlisted {
-		must.True(p.t, p.reset, must.Sprintf("%s: the requester of a lost flow was not reset", sequence))
-	}
+	return answered
 }
 
 // Runs every sequence of sequenceLength events, with repetition, against the
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -32,8 +32,7 @@
 // isAddressed reports whether a packet of an unknown flow may be meant for this
 // agent's host: its sender names the host's service, or took this agent for the
 // flow's owner, or the service is known to hold flows of the route. A search names
-// the host's service, also if the route does not, once the route's own services
-// have been asked.
+// the host's service only if the searching agent knows that it holds such flows.
 func (a *Agent) isAddressed(f *flow.Frame, key flow.Key) bool {
 	return f.ServiceTag == a.tag || f.Kind == flow.Deliver || a.isOwnService(f, key)
 }
@@ -82,24 +81,23 @@
 	return true
 }
 
-// tryOtherService is tryHost for a route that is not known to have flows at hosts of
-// this service. The host gets one packet of the flow, and others only once it is
-// known to be running and has not returned the first one. Packets that it would leave
-// unanswered if it held the flow are not tried, since nothing would follow from them.
+// tryOtherService is tryHost for a route that this agent does not know to have flows at
+// hosts of this service, for a packet whose sender took this agent for the flow's owner or
+// knows more of the route. The host gets one packet of the flow. Packets that it would
+// leave unanswered if it held the flow are not tried, since nothing would follow from them.
 func (a *Agent) tryOtherService(now time.Duration, key flow.Key, t *trialDelivery, f *flow.Frame, data []byte, out Output) bool {
 	switch {
 	case a.hostStartedWithAgent() || t != nil && t.returned:
 		return false
-	case t == nil && !callsForAnswer(&a.packet):
+	case t != nil:
+		t.frame = *f
 		a.config.Events.Drop(DropNoOwner)
 		return true
-	case t == nil:
-		a.trials[key] = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
-	case a.hostLiveness.heardAt-t.firstSentAt <= trialReturnTimeout:
-		t.frame = *f
+	case !callsForAnswer(&a.packet):
 		a.config.Events.Drop(DropNoOwner)
 		return true
 	}
+	a.trials[key] = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
 	a.sendToHost(now, data, out)
 	return true
 }
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -31,9 +31,7 @@
 
 // ownerSearch is the state of a search for the owner of a flow.
 type ownerSearch struct {
-	// startedAt is when the search began, and firstStartedAt when the first of the
-	// flow's successive searches did.
-	startedAt, firstStartedAt time.Duration
+	startedAt time.Duration
 	// frame is the frame of the Probes, for the service that the route names.
 	frame flow.Frame
 	// packets holds the packets of the flow that arrived during the search.
@@ -43,14 +41,10 @@
 	// notHeld holds the agents whose hosts do not hold the flow. A host cannot come
 	// to hold an open flow later.
 	pending, mayHold, notHeld map[[4]byte]bool
-	// widened reports that the agents of all zones were asked, not only those of the
-	// zone that the requester's packets arrive in. extended reports that also those of
-	// services were asked that are not known to hold flows of the route.
-	widened, extended bool
-	// trialPacket is the first packet that a host holding the flow answers, or nil.
-	// triedElsewhere holds the agents of such services that were sent it.
-	trialPacket    []byte
-	triedElsewhere map[[4]byte]bool
+	// widened reports that the agents of all zones were asked, and those of services that
+	// are not known to hold flows of the route, not only the likely ones of the zone that
+	// the requester's packets arrive in.
+	widened bool
 	// lastPacket is the header of the latest packet.
 	lastPacket flow.Packet
 	// reset reports that the flow was reset after its last packet.
@@ -59,9 +53,10 @@
 
 // search looks for the owner of a flow that neither keeper knows. It asks the agents
 // whose hosts may hold the flow, first those of the requester's zone, where most of
-// its flows are, and sends the packet to those that need it to find out. The agents of
-// services that are not known to hold flows of the route come last, see extend. If all
-// agents answer that their hosts do not hold the flow, the flow is lost.
+// its flows are, and sends the packet to those that need it to find out. An agent of a
+// service that is not known to hold flows of the route is asked, but gets no packet
+// unless it answers that its host may hold the flow. If all agents answer that their
+// hosts do not hold the flow, the flow is lost.
 func (a *Agent) search(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, data []byte, out Output) {
 	var p flow.Packet
 	if !a.config.Codec.Decode(data, &p) {
@@ -75,9 +70,7 @@
 	}
 	started := s == nil || now-s.startedAt >= searchInterval
 	if started {
-		extend := s != nil && s.widened && a.canExtend(now, c, s)
 		s = newOwnerSearch(now, s)
-		s.extended = s.extended || extend
 		a.searches[key] = s
 	}
 	if len(s.packets) >= a.maxPacketsPerSearch() {
@@ -86,9 +79,6 @@
 	}
 	s.lastPacket, s.reset = p, false
 	s.packets = append(s.packets, slices.Clone(data))
-	if s.trialPacket == nil && callsForAnswer(&p) {
-		s.trialPacket = s.packets[len(s.packets)-1]
-	}
 	s.frame = *f
 	s.frame.Kind, s.frame.ReplyTo = flow.Probe, a.config.Self.Addr
 	agents := a.candidateAgents(now, c, key)
@@ -99,9 +89,6 @@
 		return
 	}
 	a.probeAgain(now, c, key, s, data, out)
-	if s.widened && !s.extended && a.canExtend(now, c, s) {
-		a.widen(now, c, key, s, out)
-	}
 	a.resetIfNotHeld(now, key, s, out)
 }
 
@@ -109,12 +96,10 @@
 // for the same flow, which may be nil.
 func newOwnerSearch(now time.Duration, previous *ownerSearch) *ownerSearch {
 	s := &ownerSearch{
-		startedAt: now, firstStartedAt: now,
-		pending: make(map[[4]byte]bool), mayHold: make(map[[4]byte]bool), notHeld: make(map[[4]byte]bool),
+		startedAt: now, pending: make(map[[4]byte]bool), mayHold: make(map[[4]byte]bool), notHeld: make(map[[4]byte]bool),
 	}
 	if previous != nil {
-		s.firstStartedAt, s.notHeld = previous.firstStartedAt, previous.notHeld
-		s.widened, s.extended = previous.widened, previous.extended
+		s.notHeld, s.widened = previous.notHeld, previous.widened
 	}
 	return s
 }
@@ -134,9 +119,9 @@
 }
 
 // query asks agents whether their hosts may hold the flow: first those of the
-// requester's zone whose services are known to hold flows of the route, then, if there
-// are none or the search was widened, those of all zones, and all of them if it was
-// extended.
+// requester's zone whose services are known to hold flows of the route or, if there
+// are none or the search was widened, all of them. An agent of another service may be
+// unable to answer.
 func (a *Agent) query(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agents [][4]byte, out Output) {
 	var chosen [][4]byte
 	scope := a.searchScope(now, c, key, s.frame.OriginZone)
@@ -144,12 +129,12 @@
 		if s.notHeld[agent] || s.pending[agent] {
 			continue
 		}
-		if s.extended || s.widened && a.isNamed(c, scope, agent) || scope.IsLikely(c.Hosts[agent]) {
+		if s.widened || scope.IsLikely(c.Hosts[agent]) {
 			chosen = append(chosen, agent)
 		}
 	}
-	if len(chosen) == 0 && !s.extended && (!s.widened || a.canExtend(now, c, s)) {
-		s.widened, s.extended = true, s.widened
+	if len(chosen) == 0 && !s.widened {
+		s.widened = true
 		a.query(now, c, key, s, agents, out)
 		return
 	}
@@ -158,7 +143,7 @@
 	}
 	for _, agent := range chosen {
 		q := a.newReport(flow.Query, key)
-		q.ServiceTag = a.probeServiceTag(c, agent, s.frame.ServiceTag)
+		q.ServiceTag = a.probeServiceTag(c, scope, agent, s.frame.ServiceTag)
 		if agent == a.config.Self.Addr {
 			a.answerQuery(now, &q, out)
 			continue
@@ -205,27 +190,20 @@
 		return
 	}
 	s.mayHold[agent] = true
-	if !a.isNamed(c, a.searchScope(now, c, key, 0), agent) {
-		a.probeOnce(now, c, key, s, agent, out)
-		return
-	}
 	for _, data := range s.packets {
 		a.probe(now, c, key, s, agent, data, out)
 	}
 }
 
 // probeAgain sends a further packet of the flow to the agents that need the flow's
-// packets, and to those that have left the query unanswered.
+// packets, and to those that have left the query unanswered and whose services are known
+// to hold flows of the route.
 func (a *Agent) probeAgain(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
 	overdue := now-s.startedAt >= lookupTimeout
 	scope := a.searchScope(now, c, key, 0)
 	for _, agent := range slices.Collect(maps.Keys(s.pending)) {
-		switch {
-		case !s.mayHold[agent] && !overdue:
-		case a.isNamed(c, scope, agent):
+		if s.mayHold[agent] || overdue && a.isNamed(c, scope, agent) {
 			a.probe(now, c, key, s, agent, data, out)
-		default:
-			a.probeOnce(now, c, key, s, agent, out)
 		}
 	}
 }
@@ -233,7 +211,7 @@
 // probe sends a packet of the flow to an agent, so that it is tried at its host.
 func (a *Agent) probe(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agent [4]byte, data []byte, out Output) {
 	f := s.frame
-	f.ServiceTag = a.probeServiceTag(c, agent, f.ServiceTag)
+	f.ServiceTag = a.probeServiceTag(c, a.searchScope(now, c, key, 0), agent, f.ServiceTag)
 	if agent != a.config.Self.Addr {
 		out.ToNode(a.endpoint(agent), &f, data)
 		return
@@ -243,11 +221,11 @@
 	}
 }
 
-// probeServiceTag returns the service that a probe of an agent is for: that of the
-// agent's host, so that the agent tries the packet there whatever it knows of the
-// route, or the given one if the host's service is not known.
-func (a *Agent) probeServiceTag(c *catalog.Catalog, agent [4]byte, configured uint32) uint32 {
-	if service, known := a.serviceOf(c, agent); known {
+// probeServiceTag returns the service that a query or probe of an agent is for: that of
+// the agent's host if it is known to hold flows of the route, so that the agent tries the
+// packet there even if it does not know so itself, and the given one otherwise.
+func (a *Agent) probeServiceTag(c *catalog.Catalog, scope steering.SearchScope, agent [4]byte, configured uint32) uint32 {
+	if service, known := a.serviceOf(c, agent); known && scope.Names(service) {
 		return catalog.Tag(service)
 	}
 	return configured
@@ -359,7 +337,7 @@
 	if _, waiting := a.pendingAgent(now, c, s); waiting {
 		return
 	}
-	if !s.extended {
+	if !s.widened {
 		a.widen(now, c, key, s, out)
 		return
 	}
