Send the questions of several searches in one frame

Cause: after a restart of the fleet each flow is searched for, and each search asks each agent of the service with a frame of 76 bytes and gets one back.

Change: steering.QuestionBatcher decides which questions are due. The first one to an agent after a pause of 20 ms is sent at once as a Query, further ones wait for at most 20 ms, in all stages of a search together, and go out as a QueryMany of up to 100 flows. The answer is a NotHeldMany. Agents say in their report frames that they know these kinds (AcceptsBatches, bit 0 at offset 37); others get one question a frame. A node calls Agent.Flush at the times that the agent asks for.

The test harness lets its clock go on to the end of the delays whenever a requester has sent a packet. No existing test was changed.

The time to an answer grows by at most 20 ms. That full batches are sent in the middle of an event has no test of its own at the agent, only in steering.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -40,9 +40,12 @@
 	// started, so that the agent has seen all its flows. It must not block. If it is
 	// nil, that is not known.
 	HostWasDown func() bool
-	Codec       flow.Codec
-	Catalog     CatalogFunc
-	Events      *Events
+	// WakeAt asks for a call of Agent.Flush at the given time. It must not block. If it
+	// is nil, each question of a search is sent at once.
+	WakeAt  func(at time.Duration)
+	Codec   flow.Codec
+	Catalog CatalogFunc
+	Events  *Events
 }
 
 // flowState is the state of a flow at its owner.
@@ -146,6 +149,7 @@
 	// searches holds the flows whose owner this agent is asking all other
 	// agents for.
 	searches     map[flow.Key]*ownerSearch
+	questions    questions
 	liveness     livenessTable
 	lookups      lookupTable
 	hostLiveness hostLiveness
@@ -192,6 +196,7 @@
 		records:        make(map[flow.Key]*ownerRecord),
 		trials:         make(map[flow.Key]*trialDelivery),
 		searches:       make(map[flow.Key]*ownerSearch),
+		questions:      newQuestions(),
 		liveness:       make(livenessTable),
 		lookups:        make(lookupTable),
 		serviceHistory: steering.NewServiceHistory(),
@@ -210,6 +215,7 @@
 func (a *Agent) HandleFrame(now time.Duration, from [4]byte, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.sendQuestions(now, out)
 	a.pause.observe(now)
 	f := &a.frame
 	packet, ok := f.Parse(data)
@@ -225,12 +231,18 @@
 	case flow.Deliver, flow.Lookup, flow.Probe:
 		a.handlePacket(now, f, packet, out)
 		return
+	}
+	a.questions.recordFrame(f, now)
+	switch f.Kind {
 	case flow.Ping:
 		a.answerPing(f.Sender, out)
 		return
 	case flow.Query:
 		a.answerQuery(now, f, out)
 		return
+	case flow.QueryMany:
+		a.answerQueries(now, f, packet, out)
+		return
 	case flow.UnlistedQuery:
 		a.reportUnlisted(now, f.Sender, out)
 		return
@@ -252,6 +264,8 @@
 		}
 	case flow.NotHeld:
 		a.handleNotHeld(now, f.Key, f.Sender, out)
+	case flow.NotHeldMany:
+		a.handleNotHeldMany(now, f.Sender, packet, out)
 	case flow.MayHold:
 		a.handleMayHold(now, f.Key, f.Sender, out)
 	case flow.AgentStarted:
@@ -415,25 +429,6 @@
 	}
 }
 
-// sendOwned reports to another process that this agent owns the flow.
-func (a *Agent) sendOwned(to flow.Endpoint, key flow.Key, established bool, out Output) {
-	f := a.newReport(flow.Owned, key)
-	f.Established = established
-	out.ToNode(to, &f, nil)
-}
-
-// newReport returns a frame of a kind that reports on its sender: on its
-// ownership of the flow with the given key, or on the agent as a whole, for
-// which the key is zero. Every report carries the load of the host.
-func (a *Agent) newReport(kind flow.Kind, key flow.Key) flow.Frame {
-	return flow.Frame{
-		Kind: kind, Key: key, Sender: a.config.Self.Addr, ServiceTag: a.tag, StartedAt: uint32(a.config.StartedAt.Unix()),
-		FailureShare: a.failureShare, ServiceMillis: serviceMillis(a.serviceTime.Comparable()),
-		AdmitPriority: a.level.encoded(),
-		Flows:         uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
-	}
-}
-
 // removeFlow removes a flow and updates the counters by close, but restores the
 // flow's state: dropLostFlow resets the requester's end only if the flow was
 // not closed before.
@@ -476,6 +471,7 @@
 	}
 	a.updateFailureShare(now, flow.Key{})
 	a.expireAnnouncements(now)
+	a.questions.expire(now)
 	a.serviceHistory.Expire(a.config.FlowLifetime, now)
 	for key, r := range a.records {
 		if now-r.updatedAt > a.config.FlowLifetime+recordRetention {
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -45,6 +45,20 @@
 	// dropNext and duplicateNext are how many of the next frames are lost or
 	// delivered twice.
 	dropNext, duplicateNext int
+	// flushAt is when agents have asked to be called. It is not asked for if unbatched is
+	// set, so that each question is sent at once.
+	flushAt   map[[4]byte]time.Duration
+	unbatched bool
+	// earlier holds the machines whose agents run an earlier build, which neither sends
+	// nor knows what later ones have added to frames. bytes counts the bytes of frames.
+	// unknownFrames counts the frames of later builds that they got or sent.
+	earlier              map[[4]byte]bool
+	bytes, unknownFrames int
+	// asked counts the questions of searches.
+	asked int
+	// delay is how long frames take. If it is not 0, they are delivered by runUntil only.
+	delay time.Duration
+	timed []timedFrame
 	// dropKind is a kind of frame that is always lost.
 	dropKind flow.Kind
 	// onHostPacket is called for each packet that is sent to a host. It may be nil.
@@ -78,12 +92,15 @@
 	received []flow.Packet
 }
 
+// frameOverhead is the size of the IP and UDP headers of a frame.
+const frameOverhead = 28
+
 func addr(n byte) [4]byte { return [4]byte{10, 0, 0, n} }
 
 func newCluster(t testing.TB) *cluster {
 	return &cluster{
 		t: t, now: time.Second, entries: make(map[[4]byte]*datagram.Entry), agents: make(map[[4]byte]*datagram.Agent),
-		hosts: make(map[[4]byte]*host), isolated: make(map[[4]byte]bool), restarted: make(map[[4]byte]bool), frames: make(map[flow.Kind]int),
+		hosts: make(map[[4]byte]*host), isolated: make(map[[4]byte]bool), restarted: make(map[[4]byte]bool), flushAt: make(map[[4]byte]time.Duration), frames: make(map[flow.Kind]int),
 	}
 }
 
@@ -140,8 +157,14 @@
 		}
 		return c.current
 	}
+	delete(c.flushAt, addr(n))
+	var wakeAt func(at time.Duration)
+	if !c.unbatched {
+		wakeAt = func(at time.Duration) { c.flushAt[addr(n)] = at }
+	}
 	return datagram.NewAgent(datagram.AgentConfig{
-		Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
+		WakeAt: wakeAt,
+		Self:   flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
 		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started, ClockStart: c.now,
 		HostWasDown: func() bool { return c.hosts[addr(n)].wasDown },
 		Codec:       platform.Codec{}, Catalog: current, Events: newDiscardEvents(),
@@ -220,6 +243,24 @@
 func (o *clusterOutput) ToNode(to flow.Endpoint, f *flow.Frame, packet []byte) {
 	data := append(f.Append(nil), packet...)
 	o.c.frames[f.Kind]++
+	o.c.bytes += len(data) + frameOverhead
+	switch f.Kind {
+	case flow.Query:
+		o.c.asked++
+	case flow.QueryMany:
+		keys, ok := flow.ParseKeys(packet)
+		must.True(o.c.t, ok)
+		o.c.asked += len(keys)
+	}
+	if o.c.earlier[o.from] || o.c.earlier[to.Addr] {
+		if f.Kind > flow.UnlistedReport {
+			o.c.unknownFrames++
+			return
+		}
+		if f.Kind != flow.Deliver && f.Kind != flow.Lookup && f.Kind != flow.Probe {
+			data[37] = 0
+		}
+	}
 	if f.Kind == o.c.dropKind {
 		return
 	}
@@ -236,6 +277,10 @@
 			o.c.agents[to.Addr].HandleFrame(o.c.now, o.from, data, &clusterOutput{o.c, to.Addr})
 		}
 	}
+	if o.c.delay > 0 {
+		o.c.timed = append(o.c.timed, timedFrame{o.c.now + o.c.delay, deliver})
+		return
+	}
 	o.c.queue = append(o.c.queue, deliver)
 	if o.c.duplicateNext > 0 {
 		o.c.duplicateNext--
@@ -251,7 +296,17 @@
 	o.c.queue = append(o.c.queue, func() { o.c.hosts[o.from].receive(o.c, o.from, data) })
 }
 
+// deliverAll delivers all frames and packets, and lets the clock go on to the end of the
+// delays of questions.
 func (c *cluster) deliverAll() {
+	c.deliverQueue()
+	for len(c.flushAt) > 0 {
+		c.flushNext()
+	}
+}
+
+// deliverQueue delivers the frames and packets that have been sent.
+func (c *cluster) deliverQueue() {
 	for len(c.queue) > 0 {
 		next := c.queue[0]
 		c.queue = c.queue[1:]
@@ -259,6 +314,25 @@
 	}
 }
 
+// nextFlush returns the agent that is to be called first, and when.
+func (c *cluster) nextFlush() (agent [4]byte, at time.Duration, ok bool) {
+	for a, t := range c.flushAt {
+		if !ok || t < at || t == at && a[3] < agent[3] {
+			agent, at, ok = a, t, true
+		}
+	}
+	return agent, at, ok
+}
+
+// flushNext calls the agent that is to be called first.
+func (c *cluster) flushNext() {
+	agent, at, _ := c.nextFlush()
+	delete(c.flushAt, agent)
+	c.now = max(c.now, at)
+	c.agents[agent].Flush(c.now, &clusterOutput{c, agent})
+	c.deliverQueue()
+}
+
 // receive processes a packet as the platform specifies for hosts.
 func (h *host) receive(c *cluster, at [4]byte, data []byte) {
 	var p flow.Packet
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -75,6 +75,7 @@
 func (a *Agent) HandleHost(now time.Duration, data []byte, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.sendQuestions(now, out)
 	a.pause.observe(now)
 	p := &a.packet
 	if !a.config.Codec.Decode(data, p) {
--- a/datagram/keepers.go
+++ b/datagram/keepers.go
@@ -96,3 +96,22 @@
 	first, second, _ := steering.Keepers(c, hash)
 	return [2][4]byte{first, second}
 }
+
+// sendOwned reports to another process that this agent owns the flow.
+func (a *Agent) sendOwned(to flow.Endpoint, key flow.Key, established bool, out Output) {
+	f := a.newReport(flow.Owned, key)
+	f.Established = established
+	out.ToNode(to, &f, nil)
+}
+
+// newReport returns a frame of a kind that reports on its sender: on its
+// ownership of the flow with the given key, or on the agent as a whole, for
+// which the key is zero. Every report carries the load of the host.
+func (a *Agent) newReport(kind flow.Kind, key flow.Key) flow.Frame {
+	return flow.Frame{
+		Kind: kind, Key: key, Sender: a.config.Self.Addr, ServiceTag: a.tag, StartedAt: uint32(a.config.StartedAt.Unix()),
+		FailureShare: a.failureShare, ServiceMillis: serviceMillis(a.serviceTime.Comparable()),
+		AdmitPriority: a.level.encoded(), AcceptsBatches: true,
+		Flows: uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
+	}
+}
--- a/datagram/node.go
+++ b/datagram/node.go
@@ -66,6 +66,9 @@
 	Expire func(now time.Duration)
 	// Tick is called about every tickInterval. It may be nil.
 	Tick func(now time.Duration, out Output)
+	// Flush is called at the times that Alarm passes. Both may be nil.
+	Flush func(now time.Duration, out Output)
+	Alarm *Alarm
 	// Servers are the HTTP servers that run together with the node.
 	Servers []Server
 	// Background are functions that run until the context of Run is done. They may use the
@@ -257,11 +260,22 @@
 		defer ticker.Stop()
 		tick = ticker.C
 	}
+	var wake <-chan time.Duration
+	if n.Alarm != nil {
+		wake = n.Alarm.times
+	}
+	flush := time.NewTimer(0)
+	defer flush.Stop()
+	<-flush.C
 	out := n.NewOutput()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case at := <-wake:
+			flush.Reset(max(0, at-n.Now()))
+		case <-flush.C:
+			n.contain("flush", func() { n.Flush(n.Now(), out) })
 		case <-tick:
 			n.contain("tick", func() { n.Tick(n.Now(), out) })
 		case <-expire.C:
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -45,6 +45,9 @@
 	// are not known to hold flows of the route, not only the likely ones of the zone that
 	// the requester's packets arrive in.
 	widened bool
+	// delayed is how long the search's questions have waited at most to be sent together
+	// with others.
+	delayed time.Duration
 	// lastPacket is the header of the latest packet.
 	lastPacket flow.Packet
 	// reset reports that the flow was reset after its last packet.
@@ -141,14 +144,20 @@
 	for _, agent := range chosen {
 		s.pending[agent] = true
 	}
+	var delay time.Duration
 	for _, agent := range chosen {
-		q := a.newReport(flow.Query, key)
-		q.ServiceTag = a.probeServiceTag(c, scope, agent, s.frame.ServiceTag)
+		serviceTag := a.queryServiceTag(c, scope, agent, s.frame.ServiceTag)
 		if agent == a.config.Self.Addr {
+			q := a.newReport(flow.Query, key)
+			q.ServiceTag = serviceTag
 			a.answerQuery(now, &q, out)
 			continue
 		}
-		out.ToNode(a.endpoint(agent), &q, nil)
+		delay = max(delay, a.ask(now, key, s, agent, serviceTag, out))
+	}
+	s.delayed += delay
+	if a.questions.batcher.Full() {
+		a.sendQuestions(now, out)
 	}
 	if s.widened {
 		// The agents that were asked may all have ended.
@@ -159,27 +168,37 @@
 // answerQuery tells the searching agent whether the host may hold the flow. If the
 // agent cannot find out, it does not answer, so that the flow is not declared lost.
 func (a *Agent) answerQuery(now time.Duration, f *flow.Frame, out Output) {
-	key, searcher := f.Key, f.Sender
-	kind := flow.NotHeld
+	switch a.answerTo(now, f, f.Key) {
+	case flow.NotHeld:
+		a.sendNotHeld(now, f.Sender, f.Key, out)
+	case flow.MayHold:
+		a.sendMayHold(now, f.Sender, f.Key, out)
+	}
+}
+
+// answerTo returns the kind of the answer to a query for a flow, or 0 if the agent cannot
+// find out whether its host holds it.
+func (a *Agent) answerTo(now time.Duration, f *flow.Frame, key flow.Key) flow.Kind {
 	switch {
 	case a.flows[key] != nil:
-		kind = flow.MayHold
+		return flow.MayHold
 	case a.knowsNotHeld(now, key):
+		return flow.NotHeld
 	case !a.isAddressed(f, key):
 		a.config.Events.Drop(DropNoOwner)
-		return
-	default:
-		kind = flow.MayHold
+		return 0
 	}
-	switch {
-	case kind == flow.NotHeld:
-		a.sendNotHeld(now, searcher, key, out)
-	case searcher == a.config.Self.Addr:
+	return flow.MayHold
+}
+
+// sendMayHold tells the searching agent that the host may hold the flow.
+func (a *Agent) sendMayHold(now time.Duration, searcher [4]byte, key flow.Key, out Output) {
+	if searcher == a.config.Self.Addr {
 		a.handleMayHold(now, key, searcher, out)
-	default:
-		answer := a.newReport(flow.MayHold, key)
-		out.ToNode(a.endpoint(searcher), &answer, nil)
+		return
 	}
+	answer := a.newReport(flow.MayHold, key)
+	out.ToNode(a.endpoint(searcher), &answer, nil)
 }
 
 // handleMayHold sends the packets of a flow to an agent that needs them to find out
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -51,6 +51,7 @@
 func (a *Agent) Tick(now time.Duration, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.sendQuestions(now, out)
 	a.pause.observe(now)
 	a.expireRequests(now, out)
 	c := a.config.Catalog()
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -74,6 +74,12 @@
 	// UnlistedReport answers an UnlistedQuery. The agents follow the header, see
 	// AppendUnlisted.
 	UnlistedReport
+	// QueryMany is a Query for several flows. Their keys follow the header, see
+	// AppendKeys. It is sent only to agents that have set AcceptsBatches.
+	QueryMany
+	// NotHeldMany is a NotHeld for several flows, whose keys follow the header. It
+	// answers a QueryMany.
+	NotHeldMany
 )
 
 // Frame is the header of a datagram between processes. Which fields are sent
@@ -127,6 +133,9 @@
 	// ServiceMillis is the mean service time of a request at the sender's host, in
 	// milliseconds, or 0 if it is not known.
 	ServiceMillis uint16
+	// AcceptsBatches reports that the sender knows QueryMany and NotHeldMany. It is not
+	// set in frames of earlier builds, which drop these kinds.
+	AcceptsBatches bool
 }
 
 // Append appends the encoded header to to and returns the extended slice.
@@ -144,7 +153,8 @@
 		for i := range f.Avoided {
 			copy(b[avoidOffset+4*i:], f.Avoided[i][:])
 		}
-	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold, UnlistedQuery, UnlistedReport:
+	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold, UnlistedQuery, UnlistedReport,
+		QueryMany, NotHeldMany:
 		if f.Established {
 			b[2] = 1
 		}
@@ -157,6 +167,9 @@
 		binary.LittleEndian.PutUint32(b[28:], f.StartedAt)
 		binary.LittleEndian.PutUint32(b[32:], f.ListeningMS)
 		b[36] = f.AdmitPriority
+		if f.AcceptsBatches {
+			b[37] = 1
+		}
 		binary.LittleEndian.PutUint16(b[38:], f.ServiceMillis)
 	}
 	return append(to, b[:]...)
@@ -180,7 +193,8 @@
 		for i := range f.Avoided {
 			f.Avoided[i] = [4]byte(data[avoidOffset+4*i:])
 		}
-	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold, UnlistedQuery, UnlistedReport:
+	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold, UnlistedQuery, UnlistedReport,
+		QueryMany, NotHeldMany:
 		f.Established = data[2] == 1
 		f.FailureShare = data[3]
 		f.Key = decodeKey(data[4:])
@@ -191,6 +205,7 @@
 		f.StartedAt = binary.LittleEndian.Uint32(data[28:])
 		f.ListeningMS = binary.LittleEndian.Uint32(data[32:])
 		f.AdmitPriority = data[36]
+		f.AcceptsBatches = data[37]&1 != 0
 		f.ServiceMillis = binary.LittleEndian.Uint16(data[38:])
 	default:
 		return nil, false
@@ -226,6 +241,33 @@
 	f.Avoided[0] = agent
 }
 
+// MaxKeys is how many flows a QueryMany or NotHeldMany can name.
+const MaxKeys = 100
+
+// AppendKeys appends the flows of a QueryMany or NotHeldMany, at most MaxKeys, to to and
+// returns the extended slice.
+func AppendKeys(to []byte, keys []Key) []byte {
+	var b [keySize]byte
+	for _, k := range keys {
+		k.encode(b[:])
+		to = append(to, b[:]...)
+	}
+	return to
+}
+
+// ParseKeys decodes the flows of a QueryMany or NotHeldMany. It reports false if data is not
+// such a list.
+func ParseKeys(data []byte) ([]Key, bool) {
+	if len(data) == 0 || len(data)%keySize != 0 || len(data) > MaxKeys*keySize {
+		return nil, false
+	}
+	keys := make([]Key, 0, len(data)/keySize)
+	for ; len(data) > 0; data = data[keySize:] {
+		keys = append(keys, decodeKey(data))
+	}
+	return keys, true
+}
+
 // MaxUnlisted is how many agents an UnlistedReport can name.
 const MaxUnlisted = 100
 
--- a/flow/frame_test.go
+++ b/flow/frame_test.go
@@ -103,3 +103,47 @@
 	must.True(t, ok)
 	must.Zero(t, read.ServiceMillis)
 }
+
+// Processes of different builds exchange frames. Guards against AcceptsBatches being read from
+// or written to another bit than one that earlier builds leave zero.
+func TestAcceptsBatchesFollowsTheFieldsOfEarlierBuilds(t *testing.T) {
+	frame := flow.Frame{Kind: flow.Load, Sender: [4]byte{10, 0, 0, 5}, ListeningMS: 1<<32 - 1, AdmitPriority: 255, ServiceMillis: 1<<16 - 1}
+	earlier := frame.Append(nil)
+	frame.AcceptsBatches = true
+	want := append([]byte(nil), earlier...)
+	want[37] = 1
+	must.Eq(t, want, frame.Append(nil))
+	var read flow.Frame
+	_, ok := read.Parse(earlier)
+	must.True(t, ok)
+	must.False(t, read.AcceptsBatches)
+	_, ok = read.Parse(want)
+	must.True(t, ok)
+	must.Eq(t, frame, read)
+}
+
+// Guards against lists of flows being decoded as others, and against lists of the wrong size.
+func TestKeysRoundTrip(t *testing.T) {
+	var keys []flow.Key
+	for n := range flow.MaxKeys {
+		keys = append(keys, flow.Key{Requester: flow.Endpoint{Addr: [4]byte{100, 64, 0, byte(n)}, Port: uint16(n)}, Destination: exampleKey.Destination})
+	}
+	data := flow.AppendKeys(nil, keys)
+	must.Len(t, 12*flow.MaxKeys, data)
+	read, ok := flow.ParseKeys(data)
+	must.True(t, ok)
+	must.Eq(t, keys, read)
+	for _, invalid := range [][]byte{nil, data[:11], data[:13], flow.AppendKeys(data, keys[:1])} {
+		_, ok := flow.ParseKeys(invalid)
+		must.False(t, ok)
+	}
+}
+
+func FuzzKeys(f *testing.F) {
+	f.Add(flow.AppendKeys(nil, []flow.Key{exampleKey, exampleKey}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if keys, ok := flow.ParseKeys(data); ok {
+			must.Eq(t, data, flow.AppendKeys(nil, keys))
+		}
+	})
+}
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -347,8 +347,10 @@
 }
 
 func buildDatagramAgent(n *datagramNode) *datagram.Node {
+	alarm := datagram.NewAlarm()
 	a := datagram.NewAgent(datagram.AgentConfig{
-		Self: flow.EndpointOf(n.peerAddr()), Service: n.settings.Service, FlowLifetime: n.settings.FlowLifetime,
+		WakeAt: alarm.WakeAt,
+		Self:   flow.EndpointOf(n.peerAddr()), Service: n.settings.Service, FlowLifetime: n.settings.FlowLifetime,
 		ColdOverage: n.settings.ColdOverage, ColdSlack: n.settings.ColdSlack,
 		Restarted: !n.settings.FirstStart, StartedAt: n.started,
 		HostRunning: n.hostRunning.Load, HostWasDown: n.hostWasDown.Load,
@@ -376,6 +378,7 @@
 			a.HostEnded(node.NewOutput())
 		}
 	}
+	node.Flush, node.Alarm = a.Flush, alarm
 	node.OnPeer = a.HandleFrame
 	node.OnHost = a.HandleHost
 	node.Expire = a.Expire
