--- a/datagram/search_batch_test.go
+++ b/datagram/search_batch_test.go
@@ -334,3 +334,45 @@
 	c.flushNext()
 	must.Eq(t, 3*searches, c.asked)
 }
+
+// Guards against memory growing with the number of searches that one tick extends to other
+// zones: a full batch is sent in the middle of an event.
+func TestFullBatchesAreSentWithinAnEvent(t *testing.T) {
+	const searches = 2000
+	c := newCluster(t)
+	c.addEntry(1)
+	for n := byte(11); n <= 14; n++ {
+		c.addHost(n, "s")
+	}
+	c.publishWithZones(1, func(host [4]byte) bool { return host == addr(12) }, "s")
+	c.restartAll()
+	for n, agent := range c.agents {
+		agent.Start(c.current, &clusterOutput{c, n})
+	}
+	c.deliverAll()
+	c.advance(hostListSettleTime)
+	c.isolated[addr(12)] = true
+	data := packet(ack, flow.Endpoint{}, destination(), 1, 777, 50)
+	out := &clusterOutput{c, addr(11)}
+	for n := range searches {
+		binary.LittleEndian.PutUint32(data[10:], uint32(n)) // The source address.
+		f := flow.Frame{Kind: flow.Lookup, ServiceTag: catalog.Tag("s"), Origin: flow.Endpoint{Addr: addr(1), Port: peerPort}, OriginZone: catalog.ZoneTag("a")}
+		f.AddAvoid(addr(12))
+		f.AddAvoid(addr(13))
+		f.AddAvoid(addr(14))
+		c.agents[addr(11)].HandleFrame(c.now, addr(1), append(f.Append(nil), data...), out)
+	}
+	c.deliverAll()
+	must.Eq(t, searches, c.asked, must.Sprint("questions to the agent of the zone"))
+	c.asked = 0
+	tried, most := 0, 0
+	c.onHostPacket = func([4]byte) {
+		// The agent tries the packet of each search at its own host as well.
+		tried++
+		most = max(most, 2*tried-c.asked)
+	}
+	c.now += 200 * time.Millisecond
+	c.agents[addr(11)].Tick(c.now, out)
+	must.Eq(t, searches, tried)
+	must.LessEq(t, 2*flow.MaxKeys, most, must.Sprint("waiting questions"))
+}
