Admit openings again at a host with a free slot

A host that has stopped admitting a priority admits it again once it would accept an opening with one more request ahead for each slot. With a service time near or above the target latency it accepts none behind other requests, so that the level stayed at "refused" with free slots, and for ever at an idle host.

Ruled out: fewer requests ahead than one for each slot, which changes the level at saturated hosts.

--- a/steering/overload_level.go
+++ b/steering/overload_level.go
@@ -64,7 +64,10 @@
 // A priority stops being admitted once the host would refuse an opening of it if no
 // other host could take it. It is admitted again once the host would accept it with one
 // more request ahead for each slot. Without this difference, a saturated host would
-// change its level with each answer, since every answer leaves room for one opening.
+// change its level with each answer, since every answer leaves room for one opening. A
+// host with a free slot admits all, since with a service time near the target latency
+// it would accept nothing behind other requests, and its level would stay as it is even
+// while it is idle.
 //
 // It is not safe for concurrent use.
 type AdmissionLevel struct {
@@ -94,7 +97,7 @@
 	for i := 0; i < len(openings); {
 		priority, admits := openings[i].Priority, false
 		b, more := ahead(priority), 0
-		if l.refused[priority] {
+		if l.refused[priority] && b.Busy >= b.Slots {
 			more = b.Slots
 		}
 		for ; i < len(openings) && openings[i].Priority == priority; i++ {
