Place openings of priorities that reports cannot carry

Priorities of routes go up to 1,000,000, the level in a report up to 254, which means that the host admits all. An opening of a priority above 254 compared as refused by idle hosts, so that entries reset 15 of 16 first copies of it, and agents passed none on. A host that says that it admits all now admits every priority.

Ruled out: a lower limit of priorities in the configuration, which would drop configurations that were valid.

Before, TestHostsThatAdmitAllAdmitEveryPriority failed at priority 255; it passes now.

--- a/steering/admission_level_test.go
+++ b/steering/admission_level_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/turmericrock/turmericrock/placement"
 	"github.com/turmericrock/turmericrock/steering"
 )
 
@@ -34,3 +35,21 @@
 		})
 	}
 }
+
+// Route priorities may exceed what reports can carry. Guards against entries and agents
+// that refuse openings of such routes although all hosts say that they admit all.
+func TestHostsThatAdmitAllAdmitEveryPriority(t *testing.T) {
+	c, s := newCatalog("a", "a")
+	loads := steering.NewLoadTable()
+	for _, agent := range c.Agents {
+		loads.Report(agent, 0, 0, time.Minute)
+		loads.SetAdmitPriority(agent, steering.AdmitsAll, true)
+	}
+	for _, priority := range []int{0, 2, 253, 254, 255, 1_000_000} {
+		must.False(t, loads.Refuses(c.Agents[0], priority, time.Minute), must.Sprint("priority", priority))
+		for hash := range uint64(64) {
+			_, refused := loads.RefusesAtOnce(c, s, priority, placement.Mix(hash), time.Minute)
+			must.False(t, refused, must.Sprint("priority", priority, "hash", hash))
+		}
+	}
+}
--- a/steering/overload_level.go
+++ b/steering/overload_level.go
@@ -127,7 +127,13 @@
 // openings of the given priority. Agents do not pass openings on to such hosts.
 func (t *LoadTable) Refuses(agent [4]byte, priority int, now time.Duration) bool {
 	load := t.hosts[agent]
-	return load != nil && load.admitKnown && priority > load.admitPriority && now-load.reportedAt <= load.levelLifetime()
+	return load != nil && load.refuses(priority) && now-load.reportedAt <= load.levelLifetime()
+}
+
+// refuses reports whether the host has said that it does not admit the priority. Routes
+// may have priorities beyond AdmitsAll, which a host that admits all admits too.
+func (l *hostLoad) refuses(priority int) bool {
+	return l.admitKnown && l.admitPriority < AdmitsAll && priority > l.admitPriority
 }
 
 // levelLifetime returns how long the host's report of its admission level counts.
