Bound the cost of a service time

The costs of a slow host and of a wait at it grew with the service time that it reports, up to 65 s. With 2 s against a median of 50 ms and ten unanswered requests on two slots, they exceeded the cost of a host that refuses flows (100), with 65 s that of one that does not answer (1,000), so that flows went to hosts that take none.

Ruled out: a limit of the ratio, because the number of unanswered requests multiplies it; a limit of the load itself, which is older than service times and has its own uses.

Before, all five cases of TestSlowestHostIsChosenBeforeThoseThatTakeNoFlows failed; they pass now.

--- a/steering/service_time.go
+++ b/steering/service_time.go
@@ -22,6 +22,12 @@
 	// latePenalty is the cost of a host that cannot serve a request within the target
 	// latency even when idle. Such a host is chosen after all others that take flows.
 	latePenalty = 50
+	// maxSlowCost and maxWaitCost limit the other costs of the service time. With
+	// latePenalty and the load of a full queue they stay below refusingPenalty, whatever
+	// service time is reported: a slow host that takes flows is better than one that
+	// takes none.
+	maxSlowCost = 20
+	maxWaitCost = 20
 	// freeWaitShare is the fraction of the target latency up to which a wait for a
 	// slot adds no cost, and maxWaitShare the fraction at which the cost added equals
 	// that of leaving the zone. The rest of the target latency is left for the
@@ -84,7 +90,7 @@
 	// loaded one with the same latency. Open flows are not weighted, since their number
 	// says nothing about how close a host is to its capacity.
 	rounds := l.busyPerSlot(h) + 1/float64(max(1, h.Slots))
-	t.Slow = (ratio - 1) * busyWeight * rounds
+	t.Slow = min(maxSlowCost, (ratio-1)*busyWeight*rounds)
 	if r.TargetLatency <= 0 {
 		return
 	}
@@ -94,6 +100,6 @@
 		t.Late = latePenalty
 	}
 	if excess := (rounds-1)*share - freeWaitShare; excess > 0 {
-		t.Wait = (zonePenalty + bulkZonePenalty) * excess / (maxWaitShare - freeWaitShare)
+		t.Wait = min(maxWaitCost, (zonePenalty+bulkZonePenalty)*excess/(maxWaitShare-freeWaitShare))
 	}
 }
--- a/steering/service_time_test.go
+++ b/steering/service_time_test.go
@@ -219,6 +219,23 @@
 	}
 }
 
+// Reports carry service times of up to 65 s. Guards against a host that is very slow, or
+// says so, costing more than one that refuses flows or does not answer.
+func TestSlowestHostIsChosenBeforeThoseThatTakeNoFlows(t *testing.T) {
+	for _, tc := range []struct{ busy, millis, median int }{{0, 65_535, 1}, {10, 65_535, 1}, {10, 2_000, 50}, {10, 2_000, 5}, {10, 500, 290}} {
+		t.Run(fmt.Sprintf("%+v", tc), func(t *testing.T) {
+			c, s := newCatalog("a", "a", "a", "a")
+			now := time.Minute
+			loads := reportServiceTimes(c.Agents, now, []int{tc.busy, 0, 0, 0}, []int{tc.millis, tc.median, tc.median, tc.median})
+			loads.MarkRefusing(c.Agents[1], now)
+			loads.MarkSuspect(c.Agents[2], now)
+			loads.MarkSuspect(c.Agents[3], now)
+			request := steering.PlacementRequest{Hash: 1, Zone: "a", TargetLatency: 300 * time.Millisecond, Now: now}
+			must.Eq(t, "0", steering.ChooseHost(c, s, loads, request).ID)
+		})
+	}
+}
+
 // Guards against a slow host being measured no longer, since nothing else would show
 // that it has recovered.
 func TestOnePlacementIn64IgnoresServiceTime(t *testing.T) {
