Compare service times with those of usable hosts only

Draining hosts and those of evacuated zones report while they serve their open flows, and counted in the median service time. Where they are the slow ones, which may be why they were taken out of use, a slow host among the rest did not count as slow.

Ruled out: leaving out hosts that the flow avoids, too, which would make the median depend on the path of the flow.

Before, TestHostsOutOfUseDoNotSetTheMedianServiceTime failed: with one fast and one slow host in use and three slow ones out of use, the slow host got the flows. It passes now, as do the tests of service times.

--- a/steering/service_time.go
+++ b/steering/service_time.go
@@ -49,13 +49,13 @@
 	return placement.Mix(r.Hash)%ignoringShare == 0
 }
 
-// medianServiceTime returns the median of the service times of a service's hosts
+// medianServiceTime returns the median of the service times of a service's usable hosts
 // that have reported one recently, the lower of the two middle ones if their number
 // is even. It is 0 if there are none.
-func (t *LoadTable) medianServiceTime(s *catalog.Service, now time.Duration) time.Duration {
+func (t *LoadTable) medianServiceTime(c *catalog.Catalog, s *catalog.Service, now time.Duration) time.Duration {
 	times := t.serviceTimes[:0]
 	for _, h := range s.Hosts {
-		if load := t.hosts[h.Addr.Addr]; load != nil && load.serviceTime > 0 && now-load.reportedAt < maxLoadAge {
+		if load := t.hosts[h.Addr.Addr]; c.Usable(h) && load != nil && load.serviceTime > 0 && now-load.reportedAt < maxLoadAge {
 			times = append(times, load.serviceTime)
 		}
 	}
--- a/steering/service_time_test.go
+++ b/steering/service_time_test.go
@@ -236,6 +236,24 @@
 	}
 }
 
+// Hosts that are drained or evacuated because they are slow still report while they serve
+// their open flows. Guards against them setting what counts as slow for the others.
+func TestHostsOutOfUseDoNotSetTheMedianServiceTime(t *testing.T) {
+	c, s := newCatalog("a", "a", "a", "b", "b")
+	now := time.Minute
+	loads := reportServiceTimes(c.Agents, now, []int{0, 2, 0, 0, 0}, []int{400, 50, 400, 400, 400})
+	s.Hosts[2].Draining = true
+	c.Evacuated["b"] = true
+	for hash := range uint64(1000) {
+		request := steering.PlacementRequest{Hash: placement.Mix(hash), Zone: "a", TargetLatency: 300 * time.Millisecond, Now: now}
+		want := "1"
+		if steering.IgnoresServiceTime(request.Hash) {
+			want = "0"
+		}
+		must.Eq(t, want, steering.ChooseHost(c, s, loads, request).ID)
+	}
+}
+
 // Guards against a slow host being measured no longer, since nothing else would show
 // that it has recovered.
 func TestOnePlacementIn64IgnoresServiceTime(t *testing.T) {
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -180,7 +180,7 @@
 func ChooseHost(c *catalog.Catalog, s *catalog.Service, loads *LoadTable, request PlacementRequest) *catalog.Host {
 	means := loads.means(s, request.Now)
 	if !request.ignoresServiceTime() {
-		means.serviceTime = loads.medianServiceTime(s, request.Now)
+		means.serviceTime = loads.medianServiceTime(c, s, request.Now)
 	}
 	avoidFailing := loads.avoidFailing(c, s, request.Now)
 	var best *catalog.Host
