Say which load the limits of service time costs leave room for

The comment claimed room for any full queue. A host's own queue holds four requests per slot; an agent may hold up to 256 more, whose load alone comes near refusingPenalty, as it did before. No change of behavior.

--- a/steering/service_time.go
+++ b/steering/service_time.go
@@ -23,9 +23,9 @@
 	// latency even when idle. Such a host is chosen after all others that take flows.
 	latePenalty = 50
 	// maxSlowCost and maxWaitCost limit the other costs of the service time. With
-	// latePenalty and the load of a full queue they stay below refusingPenalty, whatever
-	// service time is reported: a slow host that takes flows is better than one that
-	// takes none.
+	// latePenalty and the load of a host whose own queue is full, about five requests
+	// per slot, they stay below refusingPenalty, whatever service time is reported: a
+	// slow host that takes flows is better than one that takes none.
 	maxSlowCost = 20
 	maxWaitCost = 20
 	// freeWaitShare is the fraction of the target latency up to which a wait for a
