Forget the refusal of priorities that have no route any more

A priority whose last route was removed while it was not admitted stayed marked. If a route of it was added later, the host refused it at a load at which it would have admitted it, and the set grew with each such change.

Before, TestLevelForgetsPrioritiesWithoutRoutes failed at 6 unanswered requests on three slots; it passes now.

--- a/steering/admission_level_test.go
+++ b/steering/admission_level_test.go
@@ -53,3 +53,22 @@
 		}
 	}
 }
+
+// Guards against a priority whose last route was removed while it was refused counting as
+// refused when a route of it is added later.
+func TestLevelForgetsPrioritiesWithoutRoutes(t *testing.T) {
+	var q steering.RequestQueue
+	openings := []steering.Opening{{Priority: 2, TargetLatency: 300 * time.Millisecond, Timeout: 1500 * time.Millisecond}}
+	update := func(level *steering.AdmissionLevel, openings []steering.Opening, busy int) int {
+		level.Update(time.Second, &q, openings, func(int) steering.Backlog {
+			return steering.Backlog{Busy: busy, Slots: 3, ServiceTime: 200 * time.Millisecond}
+		})
+		return level.Lowest()
+	}
+	for busy := range 24 {
+		var fresh, former steering.AdmissionLevel
+		must.Eq(t, 0, update(&former, openings, 24))
+		must.Eq(t, steering.AdmitsAll, update(&former, nil, 24))
+		must.Eq(t, update(&fresh, openings, busy), update(&former, openings, busy), must.Sprint("busy", busy))
+	}
+}
--- a/steering/overload_level.go
+++ b/steering/overload_level.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/turmericrock/turmericrock/catalog"
@@ -71,7 +73,7 @@
 //
 // It is not safe for concurrent use.
 type AdmissionLevel struct {
-	// refused holds the priorities that are not admitted.
+	// refused holds the priorities of the last openings that are not admitted.
 	refused map[int]bool
 	lowest  int
 	known   bool
@@ -92,6 +94,9 @@
 	if l.refused == nil {
 		l.refused = make(map[int]bool)
 	}
+	maps.DeleteFunc(l.refused, func(priority int, _ bool) bool {
+		return !slices.ContainsFunc(openings, func(o Opening) bool { return o.Priority == priority })
+	})
 	l.known, l.lowest = true, 0
 	all := true
 	for i := 0; i < len(openings); {
