--- a/steering/overload_level.go
+++ b/steering/overload_level.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/turmericrock/turmericrock/catalog"
@@ -64,11 +66,14 @@
 // A priority stops being admitted once the host would refuse an opening of it if no
 // other host could take it. It is admitted again once the host would accept it with one
 // more request ahead for each slot. Without this difference, a saturated host would
-// change its level with each answer, since every answer leaves room for one opening.
+// change its level with each answer, since every answer leaves room for one opening. A
+// host with a free slot admits all, since with a service time near the target latency
+// it would accept nothing behind other requests, and its level would stay as it is even
+// while it is idle.
 //
 // It is not safe for concurrent use.
 type AdmissionLevel struct {
-	// refused holds the priorities that are not admitted.
+	// refused holds the priorities of the last openings that are not admitted.
 	refused map[int]bool
 	lowest  int
 	known   bool
@@ -89,12 +94,15 @@
 	if l.refused == nil {
 		l.refused = make(map[int]bool)
 	}
+	maps.DeleteFunc(l.refused, func(priority int, _ bool) bool {
+		return !slices.ContainsFunc(openings, func(o Opening) bool { return o.Priority == priority })
+	})
 	l.known, l.lowest = true, 0
 	all := true
 	for i := 0; i < len(openings); {
 		priority, admits := openings[i].Priority, false
 		b, more := ahead(priority), 0
-		if l.refused[priority] {
+		if l.refused[priority] && b.Busy >= b.Slots {
 			more = b.Slots
 		}
 		for ; i < len(openings) && openings[i].Priority == priority; i++ {
@@ -124,7 +132,13 @@
 // openings of the given priority. Agents do not pass openings on to such hosts.
 func (t *LoadTable) Refuses(agent [4]byte, priority int, now time.Duration) bool {
 	load := t.hosts[agent]
-	return load != nil && load.admitKnown && priority > load.admitPriority && now-load.reportedAt <= load.levelLifetime()
+	return load != nil && load.refuses(priority) && now-load.reportedAt <= load.levelLifetime()
+}
+
+// refuses reports whether the host has said that it does not admit the priority. Routes
+// may have priorities beyond AdmitsAll, which a host that admits all admits too.
+func (l *hostLoad) refuses(priority int) bool {
+	return l.admitKnown && l.admitPriority < AdmitsAll && priority > l.admitPriority
 }
 
 // levelLifetime returns how long the host's report of its admission level counts.
