Explain refusals and waits in metrics, logs and trace

A refused flow left a line without the figures that admission had compared, and a request that waited too long left no line at all. Metrics counted refusals at entries only, and waits without the priority.

Refusals are counted by reason and priority at agents and entries (openings_refused), waits and waiting requests by priority (request_wait, requests_waiting). flow_refused has the priority, objective, estimate of the latency, requests running and waiting ahead, whether late admission was considered, and the admission level. request_late, request_expired, request_canceled and request_overflow name their flow. All are limited to 20 lines a second and kind, as before. trace adds the last admission level of each host of the service before a refusal.

Ruled out: an estimate by the entry itself, since the entry decides by the levels alone; its line has the least loaded host's figures instead. One histogram with a priority label: metrics have a single label, so the cause is joined from priority and quantile, as in priority_2_p99.

ServiceLevel has two more fields, which the table of TestRefusalNeedsEveryHost now expects exactly.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -171,6 +171,8 @@
 	// entry of a running host may lapse while the store is unavailable.
 	listedSlots int
 	level       reportedLevel
+	// refusals counts the refused openings.
+	refusals refusalCounts
 	// failureShare is the share of the host's requests that fail, in units of
 	// 1/255 as in frames.
 	failureShare uint8
@@ -198,6 +200,7 @@
 		announcements:  announcements{received: make(map[[4]byte]unlistedAgent), reports: make(map[[4]byte]receivedReport)},
 		loads:          steering.NewLoadTable(),
 		scheduler:      newRequestScheduler(),
+		refusals:       make(refusalCounts),
 		answerLatency:  NewLatency("request_answer"),
 	}
 	if config.Restarted {
@@ -380,7 +383,7 @@
 	if p.Fin || p.Rst {
 		a.checkOverdue(now, fl, key)
 		if fl.waiting && p.Size == 0 {
-			a.countCanceled(key)
+			a.countCanceled(now, fl, key)
 			a.endRequest(now, fl, key)
 		}
 	}
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -35,9 +35,8 @@
 	// listed.
 	liveness livenessTable
 	lookups  lookupTable
-	// refusals counts the openings refused for the overload of their service, by
-	// priority.
-	refusals map[int]int64
+	// refusals counts the refused openings.
+	refusals refusalCounts
 	// packet and frame are reused for each packet. As locals they would be
 	// allocated per packet, because they are passed to interface methods.
 	packet flow.Packet
@@ -67,7 +66,7 @@
 		loads:          steering.NewLoadTable(),
 		liveness:       make(livenessTable),
 		lookups:        make(lookupTable),
-		refusals:       make(map[int]int64),
+		refusals:       make(refusalCounts),
 		openingLatency: NewLatency("opening_answer"),
 	}
 }
@@ -129,7 +128,8 @@
 		host = steering.ChooseHost(c, service, e.loads, request)
 	}
 	if host == nil {
-		e.config.Events.Log(EventRefused, key, "reason", "no_host")
+		e.refusals.count(reasonNoHost, route)
+		e.config.Events.Log(EventRefused, key, "reason", reasonNoHost, "priority", route.Priority)
 		reset(e.config.Codec, p, out)
 		return
 	}
@@ -167,7 +167,8 @@
 		e.config.Events.Drop(DropNoRoute)
 		return
 	}
-	e.config.Events.Log(EventRefused, p.FromRequester(), "reason", "no_route", "config", c.Config.Version)
+	e.refusals.count(reasonNoRoute, nil)
+	e.config.Events.Log(EventRefused, p.FromRequester(), "reason", reasonNoRoute, "config", c.Config.Version)
 	reset(e.config.Codec, p, out)
 }
 
--- a/datagram/events.go
+++ b/datagram/events.go
@@ -80,6 +80,15 @@
 	// EventPanic: an unexpected error occurred while a datagram was processed or
 	// during periodic work. The process goes on.
 	EventPanic Event = "unexpected_error"
+	// EventRequestLate: a request was released too late for its objective.
+	EventRequestLate Event = "request_late"
+	// EventRequestExpired: the time limit of a request passed while it waited.
+	EventRequestExpired Event = "request_expired"
+	// EventRequestCanceled: the requester ended or reset the flow of a request that
+	// waited.
+	EventRequestCanceled Event = "request_canceled"
+	// EventRequestOverflow: a request was given to the host because the queue was full.
+	EventRequestOverflow Event = "request_overflow"
 	// EventAdmissionLevel: the lowest priority that the host admits has changed.
 	EventAdmissionLevel Event = "admission_level"
 	// EventHostFailing and EventHostRecovered: the host starts or stops counting
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -37,7 +37,7 @@
 		decision = a.admit(now, c, key, p, false)
 	}
 	if decision == steering.Refuse {
-		a.refuse(f, p, "overloaded", out)
+		a.refuse(now, f, p, reasonOverloaded, out)
 		return
 	}
 	if !a.admitCold(now, c) {
@@ -143,7 +143,7 @@
 	host := a.chooseAlternative(now, a.config.Catalog(), &next, key, reason)
 	if host == nil {
 		if reason != reasonBusy {
-			a.refuse(f, p, reason, out)
+			a.refuse(now, f, p, reason, out)
 		}
 		return false
 	}
@@ -169,14 +169,6 @@
 	}
 }
 
-// refuse resets a flow that is not opened. The requester knows from this at
-// once that none of its requests was run.
-func (a *Agent) refuse(f *flow.Frame, p *flow.Packet, reason string, out Output) {
-	a.config.Events.Log(EventRefused, p.FromRequester(), "reason", reason, "hops", f.Hops,
-		"busy", a.unansweredRequests, "service_ms", a.serviceTime.Mean().Milliseconds())
-	reset(a.config.Codec, p, out)
-}
-
 // chooseAlternative chooses another host for an opening and updates the
 // frame's service to the newest known configuration. It returns nil if there
 // is no other host. An opening that this host could still accept does not go to one
--- a/datagram/overload.go
+++ b/datagram/overload.go
@@ -72,7 +72,7 @@
 	if l.loggedAt == 0 {
 		from = steering.AdmitsAll
 	}
-	a.config.Events.Log(EventAdmissionLevel, flow.Key{}, "from", from, "to", l.Lowest(), "changes", l.changes,
+	a.config.Events.Log(EventAdmissionLevel, flow.Key{}, "service", a.config.Service, "from", from, "to", l.Lowest(), "changes", l.changes,
 		"busy", a.unansweredRequests, "waiting", a.scheduler.queue.Len(), "service_ms", a.serviceTime.Mean().Milliseconds())
 	l.logged, l.loggedAt, l.changes = l.Lowest(), now, 0
 }
@@ -89,8 +89,9 @@
 	if !refuses {
 		return false
 	}
-	e.refusals[route.Priority]++
-	e.config.Events.Log(EventRefused, key, "reason", "service_overloaded", "service", service.Name, "priority", route.Priority,
+	e.refusals.count(reasonServiceOverloaded, route)
+	e.config.Events.Log(EventRefused, key, "reason", reasonServiceOverloaded, "service", service.Name, "priority", route.Priority,
+		"target_ms", route.TargetLatency.Milliseconds(), "latency_ms", level.LeastLatency.Milliseconds(), "busy", level.LeastBusy,
 		"admit_priority", level.Lowest, "hosts", level.Hosts, "oldest_report_ms", level.OldestAge.Milliseconds())
 	reset(e.config.Codec, p, out)
 	return true
--- a/datagram/overload_test.go
+++ b/datagram/overload_test.go
@@ -65,11 +65,11 @@
 	placed, resets := s.tryToOpen(4000, 320, servicePort)
 	must.Between(t, 8, placed, 36, must.Sprint("one in sixteen"))
 	must.Eq(t, 320, resets)
-	must.GreaterEq(t, 320-int64(placed), metric(s.entries[addr(1)].Collect, "openings_refused", "priority_2"))
+	must.GreaterEq(t, 320-int64(placed), metric(s.entries[addr(1)].Collect, "openings_refused", "service_overloaded_priority_2"))
 	placed, resets = s.tryToOpen(5000, 3, urgentPort)
 	must.Eq(t, 3, placed)
 	must.Zero(t, resets)
-	must.Eq(t, -1, metric(s.entries[addr(1)].Collect, "openings_refused", "priority_1"))
+	must.Eq(t, -1, metric(s.entries[addr(1)].Collect, "openings_refused", "service_overloaded_priority_1"))
 }
 
 // A host may have accepted the first copy of an opening, whose answer was lost. Guards
--- a/datagram/scheduler.go
+++ b/datagram/scheduler.go
@@ -182,6 +182,7 @@
 		a.startRequest(now, fl, key)
 	case a.scheduler.queue.Len() >= maxHeldRequests:
 		a.scheduler.stats.of(route.Priority).overflow++
+		a.config.Events.Log(EventRequestOverflow, key, "priority", route.Priority, "running", len(a.scheduler.running), "waiting", a.scheduler.queue.Len())
 		a.startRequest(now, fl, key)
 	default:
 		a.queueRequest(fl, key, route, sentAt)
@@ -287,7 +288,9 @@
 	if fl == nil || !fl.waiting {
 		return
 	}
-	a.scheduler.stats.observeRelease(now, fl.requestedAt, r)
+	if a.scheduler.stats.observeRelease(now, fl.requestedAt, r) {
+		a.logRequest(EventRequestLate, now, fl.requestedAt, r)
+	}
 	held := fl.held
 	fl.waiting, fl.held = false, nil
 	a.startRequest(now, fl, r.Key)
@@ -329,6 +332,7 @@
 		}
 		a.scheduler.stats.of(r.Priority).expired++
 		if fl := a.flows[r.Key]; fl != nil && fl.waiting {
+			a.logRequest(EventRequestExpired, now, fl.requestedAt, &r)
 			fl.requestPending = false
 			a.unansweredRequests--
 			a.discardHeld(fl)
@@ -379,8 +383,10 @@
 }
 
 // countCanceled counts a waiting request whose requester ended or reset the flow.
-func (a *Agent) countCanceled(key flow.Key) {
+func (a *Agent) countCanceled(now time.Duration, fl *ownedFlow, key flow.Key) {
 	if route := schedulable(a.config.Catalog(), key); route != nil {
 		a.scheduler.stats.of(route.Priority).canceled++
+		a.config.Events.Log(EventRequestCanceled, key, "priority", route.Priority, "waited_ms", (now - fl.requestedAt).Milliseconds(),
+			"waiting", a.scheduler.queue.Len())
 	}
 }
--- a/datagram/scheduler_test.go
+++ b/datagram/scheduler_test.go
@@ -102,12 +102,13 @@
 	s.confirmCatalog()
 }
 
-// counter returns the value of a metric of the agent for a cause.
+// counter returns the value of a metric of the agent for a cause, or, if the cause is empty,
+// the sum of its values.
 func (s *scheduled) counter(name, cause string) int64 {
 	value := int64(0)
 	s.agents[s.at].Collect(func(m metrics.Sample) {
-		if m.Name == name && m.Cause == cause {
-			value = m.Value
+		if m.Name == name && (cause == "" || m.Cause == cause) {
+			value += m.Value
 		}
 	})
 	return value
--- a/datagram/stats.go
+++ b/datagram/stats.go
@@ -1,7 +1,6 @@
 package datagram
 
 import (
-	"strconv"
 	"sync"
 	"time"
 
@@ -28,8 +27,10 @@
 // Latency is a histogram of durations. It is safe for concurrent use.
 type Latency struct {
 	name string
-	mu   sync.Mutex
-	hist *hdr.Histogram
+	// cause distinguishes histograms of the same name. It may be empty.
+	cause string
+	mu    sync.Mutex
+	hist  *hdr.Histogram
 }
 
 // NewLatency returns an empty histogram that is exported under the name.
@@ -51,11 +52,15 @@
 func (l *Latency) Collect(emit func(metrics.Sample)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	emit(metrics.Sample{Name: l.name + "_count", Value: l.hist.TotalCount()})
+	prefix := l.cause
+	if prefix != "" {
+		prefix += "_"
+	}
+	emit(metrics.Sample{Name: l.name + "_count", Cause: l.cause, Value: l.hist.TotalCount()})
 	for _, q := range latencyQuantiles {
-		emit(metrics.Sample{Name: l.name + "_us", Cause: q.name, Value: l.hist.ValueAtPercentile(q.value), Gauge: true})
+		emit(metrics.Sample{Name: l.name + "_us", Cause: prefix + q.name, Value: l.hist.ValueAtPercentile(q.value), Gauge: true})
 	}
-	emit(metrics.Sample{Name: l.name + "_us", Cause: "max", Value: l.hist.Max(), Gauge: true})
+	emit(metrics.Sample{Name: l.name + "_us", Cause: prefix + "max", Value: l.hist.Max(), Gauge: true})
 }
 
 // Collect implements metrics.Source. It emits the counters of drops and lookups
@@ -75,12 +80,12 @@
 func (a *Agent) Collect(emit func(metrics.Sample)) {
 	a.mu.Lock()
 	flows, busy, records, meanServiceTime := a.openFlows, a.unansweredRequests, len(a.records), a.serviceTime.Mean()
-	waiting, level := a.scheduler.queue.Len(), a.level.Lowest()
-	a.scheduler.stats.collect(emit)
+	level := a.level.Lowest()
+	a.scheduler.stats.collect(a.scheduler.queue.WaitingByPriority(), emit)
+	a.refusals.collect(emit)
 	a.mu.Unlock()
 	emit(metrics.Sample{Name: "flows", Value: int64(flows), Gauge: true})
 	emit(metrics.Sample{Name: "requests_in_service", Value: int64(busy), Gauge: true})
-	emit(metrics.Sample{Name: "requests_waiting", Value: int64(waiting), Gauge: true})
 	emit(metrics.Sample{Name: "admit_priority", Value: int64(level), Gauge: true})
 	emit(metrics.Sample{Name: "keeper_records", Value: int64(records), Gauge: true})
 	emit(metrics.Sample{Name: "service_time_us", Cause: "mean", Value: meanServiceTime.Microseconds(), Gauge: true})
@@ -91,9 +96,7 @@
 func (e *Entry) Collect(emit func(metrics.Sample)) {
 	e.mu.Lock()
 	owners := len(e.owners)
-	for priority, n := range e.refusals {
-		emit(metrics.Sample{Name: "openings_refused", Cause: "priority_" + strconv.Itoa(priority), Value: n})
-	}
+	e.refusals.collect(emit)
 	e.mu.Unlock()
 	emit(metrics.Sample{Name: "cached_owners", Value: int64(owners), Gauge: true})
 	e.openingLatency.Collect(emit)
--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -20,6 +19,9 @@
 REQUESTER>SERVICE. Clocks of machines may differ, and timestamps are not corrected:
 an effect that is listed before its cause shows the clock skew.
 
+If the flow was refused, the last line on the admission level of each host of the service
+before the refusal (admission_level) is printed, too.
+
 Examples:
   turmericrock trace 100.64.0.7:40001 entry-1.log agent-*.log
   turmericrock trace '100.64.0.7:40001>198.18.0.1:443' logs/*`
@@ -52,14 +54,17 @@
 
 func printTrace(out io.Writer, flowID string, paths []string) error {
 	var lines []traceLine
+	var levels [][]traceLine
 	for _, path := range paths {
-		found, err := readTraceFile(flowID, path)
+		found, level, err := readTraceFile(flowID, path)
 		if err != nil {
 			return err
 		}
-		lines = append(lines, found...)
+		lines, levels = append(lines, found...), append(levels, level)
 	}
-	slices.SortStableFunc(lines, func(a, b traceLine) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	slices.SortStableFunc(lines, compareTraceTimes)
+	lines = append(lines, levelsBeforeRefusal(lines, levels)...)
+	slices.SortStableFunc(lines, compareTraceTimes)
 	for i, line := range lines {
 		elapsed := time.Duration(0)
 		if i > 0 {
@@ -72,18 +77,19 @@
 	return nil
 }
 
-func readTraceFile(flowID, path string) ([]traceLine, error) {
+// readTraceFile returns the lines of a log on a flow, and those on admission levels.
+func readTraceFile(flowID, path string) (lines, levels []traceLine, err error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, nil, errors.WithStack(err)
 	}
 	defer func() { _ = file.Close() }()
-	var lines []traceLine
 	scanner := bufio.NewScanner(file)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
-		flow := traceFlow.FindStringSubmatch(scanner.Text())
-		if flow == nil || flow[1] != flowID && !strings.HasPrefix(flow[1], flowID+">") {
+		level := isLevel(scanner.Text())
+		flow := fieldOf(traceFlow, scanner.Text())
+		if !level && (flow == "" || flow != flowID && !strings.HasPrefix(flow, flowID+">")) {
 			continue
 		}
 		line := traceLine{text: scanner.Text()}
@@ -92,7 +98,11 @@
 			// all lines with a time.
 			line.at, _ = time.Parse(time.RFC3339Nano, timestamp[1])
 		}
-		lines = append(lines, line)
+		if level {
+			levels = append(levels, line)
+		} else {
+			lines = append(lines, line)
+		}
 	}
-	return lines, errors.WithStack(scanner.Err())
+	return lines, levels, errors.WithStack(scanner.Err())
 }
--- a/steering/overload_level.go
+++ b/steering/overload_level.go
@@ -135,6 +135,22 @@
 	OldestAge time.Duration
 	// Lowest is the lowest priority that one of the hosts admits.
 	Lowest int
+	// LeastBusy is the smallest number of unanswered requests among the hosts, and
+	// LeastLatency the smallest expected latency of one more request, or 0 if no
+	// host has reported its service time.
+	LeastBusy    int
+	LeastLatency time.Duration
+}
+
+// addLoad adds a host with a backlog. Its latency is not known without a service time.
+func (l *ServiceLevel) addLoad(b Backlog) {
+	if latency := b.EstimatedLatency(); latency > 0 && (l.LeastLatency == 0 || latency < l.LeastLatency) {
+		l.LeastLatency = latency
+	}
+	if l.Hosts == 0 || b.Busy < l.LeastBusy {
+		l.LeastBusy = b.Busy
+	}
+	l.Hosts++
 }
 
 // RefusesAtOnce reports whether an opening of the given priority is to be refused
@@ -168,7 +184,7 @@
 			return false
 		}
 		load := t.hosts[h.Addr.Addr]
-		level.Hosts++
+		level.addLoad(Backlog{Busy: load.busy, Slots: h.Slots, ServiceTime: load.serviceTime})
 		level.OldestAge = max(level.OldestAge, now-load.reportedAt)
 		level.Lowest = max(level.Lowest, load.admitPriority)
 	}
--- a/steering/overload_level_test.go
+++ b/steering/overload_level_test.go
@@ -258,28 +258,31 @@
 		age      time.Duration
 		priority int
 		want     bool
+		// latency is the expected one of the host whose service time is known.
+		latency time.Duration
 	}{
-		{"all refuse", nil, 0, 2, true},
-		{"the higher priority", nil, 0, 1, false},
-		{"reports are 500 ms old", nil, 500 * time.Millisecond, 2, true},
-		{"reports are older", nil, 501 * time.Millisecond, 2, false},
-		{"one report is two service times old", func(l *steering.LoadTable, a [4]byte) { l.SetServiceTime(a, 40*time.Millisecond) }, 80 * time.Millisecond, 2, true},
-		{"one report is older than that", func(l *steering.LoadTable, a [4]byte) { l.SetServiceTime(a, 40*time.Millisecond) }, 81 * time.Millisecond, 2, false},
-		{"one host runs an earlier build", func(l *steering.LoadTable, a [4]byte) { l.SetAdmitPriority(a, -1, false) }, 0, 2, false},
-		{"one host admits", func(l *steering.LoadTable, a [4]byte) { l.SetAdmitPriority(a, 2, true) }, 0, 2, false},
-		{"one host admits all", func(l *steering.LoadTable, a [4]byte) { l.SetAdmitPriority(a, steering.AdmitsAll, true) }, 0, 2, false},
+		{"all refuse", nil, 0, 2, true, 0},
+		{"the higher priority", nil, 0, 1, false, 0},
+		{"reports are 500 ms old", nil, 500 * time.Millisecond, 2, true, 0},
+		{"reports are older", nil, 501 * time.Millisecond, 2, false, 0},
+		{"one report is two service times old", func(l *steering.LoadTable, a [4]byte) { l.SetServiceTime(a, 40*time.Millisecond) }, 80 * time.Millisecond, 2, true, 260 * time.Millisecond},
+		{"one report is older than that", func(l *steering.LoadTable, a [4]byte) { l.SetServiceTime(a, 40*time.Millisecond) }, 81 * time.Millisecond, 2, false, 0},
+		{"one host runs an earlier build", func(l *steering.LoadTable, a [4]byte) { l.SetAdmitPriority(a, -1, false) }, 0, 2, false, 0},
+		{"one host admits", func(l *steering.LoadTable, a [4]byte) { l.SetAdmitPriority(a, 2, true) }, 0, 2, false, 0},
+		{"one host admits all", func(l *steering.LoadTable, a [4]byte) { l.SetAdmitPriority(a, steering.AdmitsAll, true) }, 0, 2, false, 0},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c, s := newCatalog("a", "a", "b")
 			loads := refusing(c.Agents, now-tc.age)
+			want := steering.ServiceLevel{Hosts: 3, OldestAge: tc.age, Lowest: 1, LeastBusy: 12, LeastLatency: tc.latency}
 			if tc.change != nil {
 				tc.change(loads, c.Agents[2])
 			}
 			level, refuses := loads.RefusesAtOnce(c, s, tc.priority, hash, now)
 			must.Eq(t, tc.want, refuses)
 			if refuses {
-				must.Eq(t, steering.ServiceLevel{Hosts: 3, OldestAge: tc.age, Lowest: 1}, level)
+				must.Eq(t, want, level)
 			}
 		})
 	}
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -70,6 +70,15 @@
 // Len returns the number of waiting requests.
 func (q *RequestQueue) Len() int { return len(q.waiting) }
 
+// WaitingByPriority returns the numbers of waiting requests by priority.
+func (q *RequestQueue) WaitingByPriority() map[int]int {
+	waiting := make(map[int]int)
+	for i := range q.waiting {
+		waiting[q.waiting[i].Priority]++
+	}
+	return waiting
+}
+
 // Push adds a request.
 func (q *RequestQueue) Push(r QueuedRequest) {
 	q.waiting = append(q.waiting, r)
@@ -267,6 +276,17 @@
 // objectives fill the host, late ones are not released, and nothing more is admitted
 // late. Requests that the host was given beyond its slots are served first.
 func (q *RequestQueue) admitsLate(now time.Duration, priority int, limit time.Duration, backlog Backlog, more int) bool {
+	return now+q.lateLatency(now, priority, backlog, more) <= limit-deliveryMargin
+}
+
+// LateLatency returns the expected latency of a new request of the given priority that
+// misses its objective. The backlog is what is ahead of one that meets it.
+func (q *RequestQueue) LateLatency(now time.Duration, priority int, backlog Backlog) time.Duration {
+	return q.lateLatency(now, priority, backlog, 0)
+}
+
+// lateLatency is LateLatency with some more requests ahead.
+func (q *RequestQueue) lateLatency(now time.Duration, priority int, backlog Backlog, more int) time.Duration {
 	atHost := backlog.Busy - q.Ahead(now, priority)
 	ahead := max(0, atHost-backlog.Slots) + more
 	for i := range q.waiting {
@@ -276,7 +296,7 @@
 	}
 	full := float64(max(1, backlog.Slots)) / max(backlog.ServiceTime.Seconds(), minServiceTime.Seconds())
 	wait := float64(ahead+1) / max(full*q.late.share(now), minLateRate)
-	return now+time.Duration(wait*float64(time.Second))+backlog.ServiceTime <= limit-deliveryMargin
+	return time.Duration(wait*float64(time.Second)) + backlog.ServiceTime
 }
 
 // lateWaiting returns how many waiting requests can no longer meet their objectives.
