Read the state changes of agents of opaque flows in audit

audit asks a process's local endpoint, which these agents do not have, so the history of admission levels and failing hosts could only be collected by hand. It now also takes logs and prints admission_level and host_failing as records.

Ruled out: a trail and an endpoint in the agent, which has 88 MB of memory and logs these changes already.

go test ./internal/cli ./internal/audit: passed.

--- a/datagram/overload_test.go
+++ b/datagram/overload_test.go
@@ -137,7 +137,7 @@
 	s.tryToOpen(3000, 3, servicePort)
 	s.now += 20 * time.Millisecond
 	s.tryToOpen(4000, 3, servicePort)
-	for _, want := range []string{"flow_refused", "reason=service_overloaded", "service=s", "priority=2", "admit_priority=1", "hosts=1", "oldest_report_ms=20"} {
+	for _, want := range []string{"flow_refused", "reason=service_overloaded", "service=s", "priority=2", "target_ms=300", " latency_ms=0 ", " busy=80 ", "admit_priority=1", "hosts=1", "oldest_report_ms=20"} {
 		must.StrContains(t, lines.String(), want)
 	}
 }
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -26,6 +26,10 @@
 	Limit               Subject = "limit"
 	Keys                Subject = "keys"
 	Certificate         Subject = "certificate"
+	// AdmissionLevel and HostFailing are subjects of agents of opaque flows, which only
+	// log them.
+	AdmissionLevel Subject = "admission_level"
+	HostFailing    Subject = "host_failing"
 )
 
 // Of returns the value of Record.What for the object with the given name.
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -15,10 +15,15 @@
 zone/NAME, vm_list/ZONE, host/ADDRESS, host_state, peer/ID, process, keys,
 certificate, invariant_violations.
 
+Agents of opaque flows have no local endpoint. For them, logs are given instead of an
+address, and the changes are read from these: admission_level/NODE (the lowest priority
+that the host admits; 254 is all) and host_failing/NODE.
+
 Examples:
   turmericrock audit -address 127.0.0.1:7480
   turmericrock audit -address 127.0.0.1:7480 -what zone -since 15m
-  turmericrock audit -address 127.0.0.1:7480 -what zone/mid-2 -since 2026-01-31T09:00:00Z`
+  turmericrock audit -address 127.0.0.1:7480 -what zone/mid-2 -since 2026-01-31T09:00:00Z
+  turmericrock audit -what admission_level agent-*.log`
 
 type auditCommand struct {
 	address string
@@ -32,7 +37,7 @@
 	return &command{
 		name:     "audit",
 		synopsis: "print a process's audit trail",
-		usage:    "-address IP:PORT [-what SUBJECT] [-since WHEN]",
+		usage:    "[-address IP:PORT] [-what SUBJECT] [-since WHEN] [LOG...]",
 		help:     auditHelp,
 		err:      err,
 		flags: func(f *flag.FlagSet) {
@@ -45,12 +50,16 @@
 }
 
 func (c *auditCommand) run(ctx context.Context, args []string) error {
+	filter, err := audit.ParseFilter(c.what, c.since, time.Now())
+	if err != nil {
+		return &UsageError{Reason: "flag -" + err.Error()}
+	}
+	if c.address == "" && len(args) > 0 {
+		return printLogRecords(c.out, filter, args)
+	}
 	client, err := opsClient(c.address, args)
 	if err != nil {
 		return err
 	}
-	if _, err := audit.ParseFilter(c.what, c.since, time.Now()); err != nil {
-		return &UsageError{Reason: "flag -" + err.Error()}
-	}
 	return client.Audit(ctx, c.out, c.what, c.since)
 }
