Press on services in the soak while agents fail

The soak's load stayed below what its hosts serve, so nothing waited, nothing was refused, and no check looked at what runs.

New checks: BYTES (packets arrive as they were written), ONCE (no request runs twice), REFUSED (what was refused has not run), and everything is answered within 2 s of the end of the load (RECOVER). They are also on in the other runs.

Changed checks: resetReceived looks for the host that accepted the flow by its sequence number; before, a flow counted as open only from the first data at its host. The checker no longer takes a host's mutex while it holds its own, in the opposite order of hosts that call it. Copies of openings state their number.

--- a/internal/standin/soak/checks.go
+++ b/internal/standin/soak/checks.go
@@ -33,7 +33,10 @@
 // checker checks the guarantees against what requesters and hosts observe.
 type checker struct {
 	started time.Time
+	// hosts are all hosts, set before the first requester starts.
+	hosts []*host
 
+	// mu is not held while a host's mutex is taken, since hosts call the checker with theirs.
 	mu         sync.Mutex
 	owners     map[flow.Key]*host
 	misrouted  map[flow.Key][]time.Time
@@ -46,12 +49,20 @@
 	served     int
 	failed     int
 	resets     int
+	// written holds the packets that requesters and hosts have sent.
+	written map[string]bool
+	// runs counts how often each request was run; refused holds those that were refused in
+	// their last attempt, and refusals counts the attempts that were.
+	runs     map[string]int
+	refused  map[string]bool
+	refusals int
 }
 
 func newChecker() *checker {
 	return &checker{
 		started: time.Now(), owners: make(map[flow.Key]*host), misrouted: make(map[flow.Key][]time.Time),
 		routes: make(map[flow.Endpoint]string), closedAt: make(map[*host]time.Time), closeBound: make(map[*host]time.Duration),
+		written: make(map[string]bool), runs: make(map[string]int), refused: make(map[string]bool),
 	}
 }
 
@@ -99,6 +110,15 @@
 
 // packetReceived checks a packet that a host received.
 func (c *checker) packetReceived(h *host, key flow.Key, opening bool) {
+	if owner, detail := c.checkPacket(h, key, opening); owner != nil && owner.holds(key) {
+		c.addViolationLocked("FLOW", detail)
+	}
+}
+
+// checkPacket checks a packet that a host received. If the packet is one too many for a host
+// other than the flow's owner, it returns the owner and the detail of the violation, which it
+// is if the owner holds the flow.
+func (c *checker) checkPacket(h *host, key flow.Key, opening bool) (owner *host, detail string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	service := c.routes[key.Destination]
@@ -118,10 +138,11 @@
 	case !opening && owner != h:
 		c.misrouted[key] = append(c.misrouted[key], time.Now())
 		first := c.misrouted[key][0]
-		if len(c.misrouted[key]) >= misroutedLimit && time.Since(first) > misroutedWindow && c.settled() && owner.holds(key) {
-			c.addViolation("FLOW", "%d packets of %v reached hosts other than its owner within %v", len(c.misrouted[key]), key, time.Since(first))
+		if len(c.misrouted[key]) >= misroutedLimit && time.Since(first) > misroutedWindow && c.settled() {
+			return owner, fmt.Sprintf("%d packets of %v reached hosts other than its owner within %v", len(c.misrouted[key]), key, time.Since(first))
 		}
 	}
+	return nil, ""
 }
 
 // flowOpened records that the host holds the flow.
@@ -131,14 +152,16 @@
 	c.owners[key] = h
 }
 
-// resetReceived checks a reset that a requester received on an open flow.
-func (c *checker) resetReceived(key flow.Key) {
+// resetReceived checks a reset that a requester received on an open flow. Its host is the one
+// that accepted it with the given sequence number, even if it has got no packet since.
+func (c *checker) resetReceived(key flow.Key, hostSeq uint32) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.resets++
-	owner := c.owners[key]
-	if owner != nil && owner.holds(key) {
-		c.addViolation("FLOW", "open flow %v was reset although its host still holds it", key)
+	c.mu.Unlock()
+	for _, h := range c.hosts {
+		if h.holdsFrom(key, hostSeq) {
+			c.addViolationLocked("FLOW", fmt.Sprintf("open flow %v was reset although its host %v still holds it", key, h.listen.Addr()))
+		}
 	}
 }
 
@@ -155,6 +178,52 @@
 	return false
 }
 
+// packetWritten records a packet that a requester or a host sends.
+func (c *checker) packetWritten(packet []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written[string(packet)] = true
+}
+
+// checkWritten checks that a received packet was sent in this form.
+func (c *checker) checkWritten(packet []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.written[string(packet)] {
+		c.addViolation("BYTES", "packet %x was received and never sent", packet)
+	}
+}
+
+// requestRun checks a request that a host begins to run.
+func (c *checker) requestRun(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[id]++
+	if c.runs[id] > 1 {
+		c.addViolation("ONCE", "request %q was run %d times", id, c.runs[id])
+	}
+	if c.refused[id] {
+		c.addViolation("REFUSED", "request %q was run after it was refused", id)
+	}
+}
+
+// attemptRefused checks a request, an attempt of which was refused.
+func (c *checker) attemptRefused(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusals++
+	if c.runs[id] > 0 {
+		c.addViolation("REFUSED", "request %q was refused although it was run", id)
+	}
+}
+
+// requestRefused records that a request is not tried again.
+func (c *checker) requestRefused(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[id] = true
+}
+
 // processExited records that a process ended by itself.
 func (c *checker) processExited(name string) {
 	c.addViolationLocked("LOST", name+" ended by itself")
--- a/internal/standin/soak/cmd/main.go
+++ b/internal/standin/soak/cmd/main.go
@@ -22,6 +22,7 @@
 	hosts := flag.Int("hosts", 8, "number of hosts, each with an agent")
 	requesters := flag.Int("requesters", 40, "number of requesters")
 	restores := flag.Int("restores", 2, "number of times that the store returns from a copy after the faults")
+	loads := flag.Bool("loads", false, "inject loads above what the hosts serve, and faults of agents only")
 	verbose := flag.Bool("v", false, "print each fault")
 	flag.Parse()
 	failedSeeds := 0
@@ -34,7 +35,7 @@
 		}
 		report, err := soak.Run(context.Background(), soak.Config{
 			Binary: *binary, Dir: dir, Seed: seed, FaultDuration: *faults, NetworkOctet: byte(*network),
-			Entries: *entries, Hosts: *hosts, Requesters: *requesters, Restores: *restores,
+			Entries: *entries, Hosts: *hosts, Requesters: *requesters, Restores: *restores, Loads: *loads,
 			Log: func(format string, args ...any) {
 				if *verbose {
 					fmt.Printf(format+"\n", args...)
@@ -45,7 +46,7 @@
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
-		fmt.Printf("seed=%d served=%d failed=%d resets=%d probes=%d violations=%d\n", seed, report.Served, report.Failed, report.Resets, report.Probes, len(report.Violations))
+		fmt.Printf("seed=%d served=%d failed=%d resets=%d refusals=%d probes=%d violations=%d\n", seed, report.Served, report.Failed, report.Resets, report.Refusals, report.Probes, len(report.Violations))
 		for _, v := range report.Violations {
 			fmt.Println("  " + v.String())
 		}
--- a/internal/standin/soak/requester.go
+++ b/internal/standin/soak/requester.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -23,6 +24,8 @@
 	// may be from the requester's last acknowledgement; other resets are
 	// ignored.
 	resetWindow = 76_800
+	// maxCopies is the greatest number of copies that an opening states.
+	maxCopies = 2
 )
 
 // requester simulates a client. It keeps one flow at a time and sends requests
@@ -48,8 +51,7 @@
 	go r.receive()
 	defer func() { _ = r.conn.Close() }() // Ends receive.
 	for ctx.Err() == nil {
-		r.flowCount++
-		key := flow.Key{Requester: flow.Endpoint{Addr: r.addr.As4(), Port: 1024 + r.flowCount}, Destination: r.service}
+		key := r.nextFlow()
 		seq, ok := r.openFlow(ctx, key)
 		if !ok {
 			r.checker.requestFailed()
@@ -57,7 +59,8 @@
 			continue
 		}
 		for n := 0; n < 50 && ctx.Err() == nil; n++ {
-			if !r.sendRequest(ctx, key, seq, n) {
+			payload := fmt.Sprintf("%v#%04d", key, n)
+			if r.sendRequest(ctx, key, seq, 2+uint32(n*len(payload)), payload) != answered {
 				r.checker.requestFailed()
 				break
 			}
@@ -66,6 +69,12 @@
 	}
 }
 
+// nextFlow returns the key of a new flow.
+func (r *requester) nextFlow() flow.Key {
+	r.flowCount++
+	return flow.Key{Requester: flow.Endpoint{Addr: r.addr.As4(), Port: 1024 + r.flowCount}, Destination: r.service}
+}
+
 func (r *requester) receive() {
 	buffer := make([]byte, 2048)
 	for {
@@ -94,12 +103,21 @@
 		case <-deadline:
 			return false
 		case <-retransmit.C:
+			if !flowOpen {
+				// The field ack of an opening counts its copies.
+				packet = bytes.Clone(packet)
+				packet[offsetAck] = min(packet[offsetAck]+1, maxCopies)
+			}
 			r.router.forward(packet, key)
 			retransmitDelay *= 2
 			retransmit.Reset(retransmitDelay)
 		case data := <-r.inbox:
 			var p flow.Packet
-			if !(platform.Codec{}).Decode(data, &p) || p.FromHost() != key {
+			decoded := (platform.Codec{}).Decode(data, &p)
+			if !decoded || !p.Rst {
+				r.checker.checkWritten(data)
+			}
+			if !decoded || p.FromHost() != key {
 				continue
 			}
 			if p.Rst {
@@ -107,7 +125,7 @@
 					continue
 				}
 				if flowOpen {
-					r.checker.resetReceived(key)
+					r.checker.resetReceived(key, lastAck-1)
 				}
 				return false
 			}
@@ -127,16 +145,38 @@
 	return seq, ok
 }
 
-func (r *requester) sendRequest(ctx context.Context, key flow.Key, seq uint32, n int) bool {
-	payload := fmt.Sprintf("%v#%d", key, n)
-	packet := buildPacket(flagAck, key.Requester, key.Destination, 2+uint32(n), seq+1, payload)
-	return r.exchange(ctx, key, true, seq+1, packet, func(p *flow.Packet, data []byte) bool {
-		if p.Size == 0 || p.AckSeq != 2+uint32(n)+uint32(len(payload)) {
+// result is what became of a request.
+type result int
+
+const (
+	// failed: the request was not answered and may have run.
+	failed result = iota
+	answered
+	// refused: the host says that it does not run the request.
+	refused
+)
+
+// sendRequest sends a request on an open flow, whose host has the given initial sequence
+// number, and awaits the answer.
+func (r *requester) sendRequest(ctx context.Context, key flow.Key, hostSeq, seq uint32, payload string) result {
+	end, got := seq+uint32(len(payload)), failed
+	packet := buildPacket(flagAck, key.Requester, key.Destination, seq, hostSeq+1, payload)
+	r.exchange(ctx, key, true, hostSeq+1, packet, func(p *flow.Packet, data []byte) bool {
+		if p.Size == 0 || p.AckSeq != end {
 			return false
 		}
-		r.lastServed.Store(time.Now().UnixNano())
-		return r.checker.responseReceived(key, responsePrefix+r.wantService+" "+payload, string(data[platform.HeaderSize:]))
+		response := string(data[platform.HeaderSize:])
+		if response == busyPrefix+r.wantService+" "+payload {
+			got = refused
+			return true
+		}
+		if r.checker.responseReceived(key, responsePrefix+r.wantService+" "+payload, response) {
+			r.lastServed.Store(time.Now().UnixNano())
+			got = answered
+		}
+		return got == answered
 	})
+	return got
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/standin/soak/router.go
+++ b/internal/standin/soak/router.go
@@ -23,6 +23,7 @@
 	conn       *net.UDPConn
 	packetPort uint16
 	readyPort  uint16
+	checker    *checker
 
 	mu           sync.Mutex
 	entries      []netip.Addr
@@ -31,12 +32,12 @@
 	delay        func() time.Duration
 }
 
-func newRouter(entries []netip.Addr, packetPort, readyPort uint16) (*router, error) {
+func newRouter(entries []netip.Addr, packetPort, readyPort uint16, c *checker) (*router, error) {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
 	}
-	return &router{conn: conn, packetPort: packetPort, readyPort: readyPort, entries: entries, failedChecks: make(map[netip.Addr]int)}, nil
+	return &router{conn: conn, packetPort: packetPort, readyPort: readyPort, checker: c, entries: entries, failedChecks: make(map[netip.Addr]int)}, nil
 }
 
 // checkReadiness polls the readiness of the entries until the context ends.
@@ -77,6 +78,7 @@
 }
 
 func (r *router) forward(packet []byte, key flow.Key) {
+	r.checker.packetWritten(packet)
 	r.mu.Lock()
 	entries := r.inRotation()
 	to := entries[key.Hash()%uint64(len(entries))]
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -35,6 +35,9 @@
 	// Restores is the number of times that the store returns from a copy after the last
 	// of the other faults, each followed by a change of the configuration.
 	Restores int
+	// Loads replaces the other faults by loads above what the hosts serve, during which
+	// agents fail.
+	Loads bool
 	// NetworkOctet is the second octet of the loopback addresses. Runs at the
 	// same time need different values.
 	NetworkOctet byte
@@ -45,6 +48,8 @@
 // Report is the result of a run.
 type Report struct {
 	Served, Failed, Resets int
+	// Refusals is the number of attempts that were refused under load.
+	Refusals int
 	// Probes is the number of checks that the latest configuration is in force.
 	Probes     int
 	Violations []Violation
@@ -70,7 +75,13 @@
 var services = []struct {
 	name string
 	port uint16
-}{{"desk", 8080}, {"gallery", 8443}}
+}{{"desk", normalPort}, {"gallery", 8443}}
+
+// The first service has a second route, of priority 1; the others have priority 2.
+const (
+	normalPort = 8080
+	urgentPort = 8081
+)
 
 var virtualIP = [4]byte{198, 18, 0, 1}
 
@@ -91,6 +102,8 @@
 	hosts      []*host
 	requesters []*requester
 	version    int
+	// pressed holds the ports of the routes that are pressed, or nil.
+	pressed atomic.Pointer[[]uint16]
 	// hostWrites counts the writes of each host to its record.
 	hostWritesMu sync.Mutex
 	hostWrites   map[int]int
@@ -141,17 +154,24 @@
 	if err := r.start(storeAddress, r.startSupervised); err != nil {
 		return Report{}, err
 	}
-	r.awaitResponses("first responses")
-	go r.writeOddEntries()
-	r.injectFaults()
-	r.endFaults()
-	r.awaitResponses("responses after the last fault")
+	r.awaitResponses("first responses", recoveryBound)
+	if config.Loads {
+		err = r.injectLoads()
+	} else {
+		go r.writeOddEntries()
+		r.injectFaults()
+		r.endFaults()
+		r.awaitResponses("responses after the last fault", recoveryBound)
+	}
+	if err != nil {
+		return Report{}, err
+	}
 	for range r.Restores {
 		r.changeAfterRestore()
 	}
 	r.checker.mu.Lock()
 	defer r.checker.mu.Unlock()
-	return Report{Served: r.checker.served, Failed: r.checker.failed, Resets: r.checker.resets, Probes: int(r.probes.Load()), Violations: r.checker.violations}, nil
+	return Report{Served: r.checker.served, Failed: r.checker.failed, Resets: r.checker.resets, Refusals: r.checker.refusals, Probes: int(r.probes.Load()), Violations: r.checker.violations}, nil
 }
 
 // startSupervised starts a process that is restarted whenever it ends.
@@ -174,6 +194,7 @@
 	for _, s := range services {
 		r.checker.routes[flow.Endpoint{Addr: virtualIP, Port: s.port}] = s.name
 	}
+	r.checker.routes[flow.Endpoint{Addr: virtualIP, Port: urgentPort}] = services[0].name
 	r.writeConfiguration()
 	var addresses []netip.Addr
 	for n := range r.Entries {
@@ -195,10 +216,11 @@
 		}
 	}
 	var err error
-	if r.router, err = newRouter(addresses, portPackets, portReady); err != nil {
+	if r.router, err = newRouter(addresses, portPackets, portReady, r.checker); err != nil {
 		return errors.WithStack(err)
 	}
 	go r.router.checkReadiness(r.ctx)
+	r.checker.hosts = r.hosts
 	return r.startRequesters()
 }
 
@@ -211,6 +233,9 @@
 		r.requesters = append(r.requesters, q)
 		go q.run(r.ctx)
 	}
+	if r.Loads {
+		return nil // Overloaded services refuse the prober's flows, too.
+	}
 	prober, err := r.newRequester(r.Requesters)
 	if err != nil {
 		return err
@@ -226,9 +251,13 @@
 		return nil, errors.WithStack(err)
 	}
 	s := services[n%2]
+	port := s.port
+	if n%4 == 2 {
+		port = urgentPort
+	}
 	return &requester{
 		addr: ip, port: portPackets, router: r.router, checker: r.checker, conn: conn, inbox: make(chan []byte, 64),
-		random: rand.New(rand.NewPCG(r.Seed, uint64(n)+2)), service: flow.Endpoint{Addr: virtualIP, Port: s.port}, wantService: s.name,
+		random: rand.New(rand.NewPCG(r.Seed, uint64(n)+2)), service: flow.Endpoint{Addr: virtualIP, Port: port}, wantService: s.name,
 	}, nil
 }
 
@@ -241,15 +270,16 @@
 	group.Wait()
 	for _, h := range r.hosts {
 		_ = h.conn.Close() // No more packets are read.
+		h.crash()
 	}
 }
 
 // awaitResponses waits until each requester has received a response, and
-// records a violation if that takes longer than the recovery bound.
-func (r *run) awaitResponses(phase string) {
+// records a violation if that takes longer than the bound.
+func (r *run) awaitResponses(phase string, bound time.Duration) {
 	begin := time.Now()
 	waiting := append([]*requester(nil), r.requesters...)
-	for len(waiting) > 0 && time.Since(begin) < recoveryBound && r.ctx.Err() == nil {
+	for len(waiting) > 0 && time.Since(begin) < bound && r.ctx.Err() == nil {
 		var unanswered []*requester
 		for _, q := range waiting {
 			if q.lastServed.Load() < begin.UnixNano() {
@@ -263,7 +293,7 @@
 	if len(waiting) > 0 {
 		r.checker.mu.Lock()
 		defer r.checker.mu.Unlock()
-		r.checker.addViolation("RECOVER", "%s: %d of %d requesters received no response within %v", phase, len(waiting), len(r.requesters), recoveryBound)
+		r.checker.addViolation("RECOVER", "%s: %d of %d requesters received no response within %v", phase, len(waiting), len(r.requesters), bound)
 	}
 }
 
@@ -272,17 +302,18 @@
 func (r *run) writeConfiguration() {
 	r.version += 1 + int(r.version)%3
 	var routes, declared []map[string]any
-	for _, s := range services {
+	addRoute := func(name string, port uint16, priority, timeout int, service string) {
 		routes = append(routes, map[string]any{
-			"name": "r-" + s.name, "vhost": netip.AddrFrom4(virtualIP).String(), "prefix": fmt.Sprintf("/%d/", s.port),
-			"route_type": "idempotent", "timeout_ms": 2000 + r.version, "target_latency_ms": 200, "priority": 2, "backend": s.name, "max_attempts": 2,
+			"name": name, "vhost": netip.AddrFrom4(virtualIP).String(), "prefix": fmt.Sprintf("/%d/", port),
+			"route_type": "idempotent", "timeout_ms": timeout, "target_latency_ms": 200, "priority": priority, "backend": service, "max_attempts": 2,
 		})
+	}
+	for _, s := range services {
+		addRoute("r-"+s.name, s.port, 2, 2000+r.version, s.name)
 		declared = append(declared, map[string]any{"name": s.name, "health_path": "/health", "max_conns": 2000, "warmup_s": 2.0, "warmup_per_s": 0})
 	}
-	routes = append(routes, map[string]any{
-		"name": "marker", "vhost": netip.AddrFrom4(virtualIP).String(), "prefix": fmt.Sprintf("/%d/", markerOf(r.version).Port),
-		"route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 200, "priority": 2, "backend": services[0].name, "max_attempts": 2,
-	})
+	addRoute("urgent", urgentPort, 1, 2000, services[0].name)
+	addRoute("marker", markerOf(r.version).Port, 2, 2000, services[0].name)
 	defer r.written.add(r.version)
 	r.putJSON("op/config", map[string]any{
 		"version": r.version, "routes": routes, "services": declared, "limits": map[string]any{"idle_timeout_ms": 15000},
@@ -297,7 +328,7 @@
 	r.hostWritesMu.Unlock()
 	r.putJSON(fmt.Sprintf("servers/h%d", n), map[string]any{
 		"backend": services[n%2].name, "address": netip.AddrPortFrom(r.nodeIP(kindHost, n), portHost).String(), "zone": zoneName(n / 2),
-		"version": "v1", "concurrency": 5, "state": state, "warmup_left_ms": 0, "sequence": sequence, "born": r.startedAtMs,
+		"version": "v1", "concurrency": hostSlots, "state": state, "warmup_left_ms": 0, "sequence": sequence, "born": r.startedAtMs,
 	})
 }
 
