Keep flows whose openings waited at a paused agent

An agent took its host for silent when a copy of an opening came before the host's answer. After a pause, an opening and its copy are read at once, so the agent forgot the flow, passed the copy on, and the host accepted the first one. The requester's data then led to a search in which every agent said that it does not hold the flow: an open flow was reset while its host lived, and each packet was tried at hosts of the other service beside agents that had restarted.

A copy counts as a sign of a silent host only 100 ms after the opening was given to the host; earlier ones go to the host, too, which answers them alike. Copies are 200 ms apart. Ruled out: ignoring the copies, because the host's answer to the first may be lost.

--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -8,6 +8,11 @@
 	"github.com/turmericrock/turmericrock/steering"
 )
 
+// minHostSilence is how long after an opening its copy shows that the host is silent. Copies
+// are 200 ms apart, but those that waited at a paused agent arrive together at its end. The
+// flow was then removed before the host could answer, and an open flow was reset.
+const minHostSilence = 100 * time.Millisecond
+
 // handleOpening decides on a new flow. The decision is the agent's, because
 // its information about its host is newer than the entry's.
 func (a *Agent) handleOpening(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, out Output) {
@@ -19,6 +24,10 @@
 			a.sendToHost(now, data, out)
 			return
 		}
+		if now-fl.lastSeenAt < minHostSilence {
+			a.sendToHost(now, data, out)
+			return
+		}
 		a.removeFlow(now, key, fl)
 		a.forwardOpening(now, f, p, data, "host_silent", out)
 		return
