--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -35,7 +35,7 @@
 	// Restores is the number of times that the store returns from a copy after the last
 	// of the other faults, each followed by a change of the configuration.
 	Restores int
-	// Loads replaces the other faults by loads above what the hosts serve, during which
+	// Loads replaces the other faults and the restores by loads above what the hosts serve, during which
 	// agents fail.
 	Loads bool
 	// NetworkOctet is the second octet of the loopback addresses. Runs at the
@@ -162,13 +162,13 @@
 		r.injectFaults()
 		r.endFaults()
 		r.awaitResponses("responses after the last fault", recoveryBound)
+		for range r.Restores {
+			r.changeAfterRestore()
+		}
 	}
 	if err != nil {
 		return Report{}, err
 	}
-	for range r.Restores {
-		r.changeAfterRestore()
-	}
 	r.checker.mu.Lock()
 	defer r.checker.mu.Unlock()
 	return Report{Served: r.checker.served, Failed: r.checker.failed, Resets: r.checker.resets, Refusals: r.checker.refusals, Probes: int(r.probes.Load()), Violations: r.checker.violations}, nil
