--- a/datagram/decisions.go
+++ b/datagram/decisions.go
@@ -91,7 +91,8 @@
 const (
 	// openingAccepted: the opening goes to the agent's host.
 	openingAccepted openingOutcome = "accepted"
-	// openingHeld: the host has accepted the flow before.
+	// openingHeld: the host has accepted the flow before, or was given the opening too
+	// recently to be silent.
 	openingHeld openingOutcome = "held"
 	// openingPassedOn: the opening goes to another host.
 	openingPassedOn openingOutcome = "passed_on"
@@ -102,7 +103,6 @@
 // The reasons for which openings are not accepted, besides those of rejectReason.
 const (
 	reasonHostSilent = "host_silent"
-	reasonOverloaded = "overloaded"
 	reasonCold       = "cold"
 )
 
@@ -125,7 +125,7 @@
 // decideOpening decides on an opening that arrived in a frame. It changes nothing.
 func (a *Agent) decideOpening(now time.Duration, c *catalog.Catalog, f *flow.Frame, key flow.Key, openingAge time.Duration, list *candidateList) openingDecision {
 	if fl := a.flows[key]; fl != nil && fl.state != flowClosed {
-		if fl.state != flowOpening {
+		if fl.state != flowOpening || now-fl.lastSeenAt < minHostSilence {
 			return openingDecision{outcome: openingHeld}
 		}
 		return a.decideAlternative(now, c, f, key, reasonHostSilent, list)
--- a/datagram/openings.go
+++ b/datagram/openings.go
@@ -8,6 +8,11 @@
 	"github.com/turmericrock/turmericrock/steering"
 )
 
+// minHostSilence is how long after an opening its copy shows that the host is silent. Copies
+// are 200 ms apart, but those that waited at a paused agent arrive together at its end. The
+// flow was then removed before the host could answer, and an open flow was reset.
+const minHostSilence = 100 * time.Millisecond
+
 // handleOpening decides on a new flow. The decision is the agent's, because
 // its information about its host is newer than the entry's.
 func (a *Agent) handleOpening(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, out Output) {
@@ -15,9 +20,10 @@
 	c := a.config.Catalog()
 	d := a.decideOpening(now, c, f, key, p.OpeningAge, nil)
 	if d.outcome == openingHeld {
-		fl := a.flows[key]
-		fl.lastSeenAt = now
-		a.setOrigin(fl, key, f.Origin, out)
+		if fl := a.flows[key]; fl.state != flowOpening {
+			fl.lastSeenAt = now
+			a.setOrigin(fl, key, f.Origin, out)
+		}
 		a.sendToHost(now, data, out)
 		return
 	}
@@ -34,7 +40,7 @@
 		a.coldLimiter.ForgetAssumed()
 	}
 	if d.outcome != openingAccepted {
-		a.turnAway(f, p, data, &d, out)
+		a.turnAway(now, f, p, data, &d, out)
 		return
 	}
 	a.coldLimiter.Count(now)
@@ -141,17 +147,17 @@
 // is none, it refuses the opening at once.
 func (a *Agent) forwardOpening(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, reason string, out Output) {
 	d := a.decideAlternative(now, a.config.Catalog(), f, p.FromRequester(), reason, nil)
-	a.turnAway(f, p, data, &d, out)
+	a.turnAway(now, f, p, data, &d, out)
 }
 
 // turnAway forwards an opening to the host that was decided on, or refuses it. The load
 // is reported in either case, unless that has been done because the host is busy.
-func (a *Agent) turnAway(f *flow.Frame, p *flow.Packet, data []byte, d *openingDecision, out Output) {
+func (a *Agent) turnAway(now time.Duration, f *flow.Frame, p *flow.Packet, data []byte, d *openingDecision, out Output) {
 	if d.reason != reasonBusy && d.reason != reasonOverloaded {
 		a.sendLoad(f, d.reason, out)
 	}
 	if d.outcome == openingRefused {
-		a.refuse(f, p, d.reason, out)
+		a.refuse(now, f, p, d.reason, out)
 		return
 	}
 	a.config.Events.Log(EventForwarded, p.FromRequester(), "reason", d.reason, "to", flow.Endpoint{Addr: d.to.Addr.Addr}.AddrPort().Addr(),
@@ -176,14 +182,6 @@
 	}
 }
 
-// refuse resets a flow that is not opened. The requester knows from this at
-// once that none of its requests was run.
-func (a *Agent) refuse(f *flow.Frame, p *flow.Packet, reason string, out Output) {
-	a.config.Events.Log(EventRefused, p.FromRequester(), "reason", reason, "hops", f.Hops,
-		"busy", a.unansweredRequests, "service_ms", a.serviceTime.Mean().Milliseconds())
-	reset(a.config.Codec, p, out)
-}
-
 // chooseAlternative chooses another host for an opening and updates the
 // frame's service to the newest known configuration. It returns nil if there
 // is no other host. An opening that this host could still accept does not go to one
--- a/datagram/overload.go
+++ b/datagram/overload.go
@@ -72,15 +72,16 @@
 	if l.loggedAt == 0 {
 		from = steering.AdmitsAll
 	}
-	a.config.Events.Log(EventAdmissionLevel, flow.Key{}, "from", from, "to", l.Lowest(), "changes", l.changes,
+	a.config.Events.Log(EventAdmissionLevel, flow.Key{}, "service", a.config.Service, "from", from, "to", l.Lowest(), "changes", l.changes,
 		"busy", a.unansweredRequests, "waiting", a.scheduler.queue.Len(), "service_ms", a.serviceTime.Mean().Milliseconds())
 	l.logged, l.loggedAt, l.changes = l.Lowest(), now, 0
 }
 
 // refuseOverloaded resets an opening whose service is overloaded on all its hosts.
 func (e *Entry) refuseOverloaded(d *placementDecision, p *flow.Packet, out Output) {
-	e.refusals[d.route.Priority]++
-	e.config.Events.Log(EventRefused, p.FromRequester(), "reason", "service_overloaded", "service", d.service.Name, "priority", d.route.Priority,
+	e.refusals.count(reasonServiceOverloaded, d.route)
+	e.config.Events.Log(EventRefused, p.FromRequester(), "reason", reasonServiceOverloaded, "service", d.service.Name, "priority", d.route.Priority,
+		"target_ms", d.route.TargetLatency.Milliseconds(), "latency_ms", d.level.LeastLatency.Milliseconds(), "busy", d.level.LeastBusy,
 		"admit_priority", d.level.Lowest, "hosts", d.level.Hosts, "oldest_report_ms", d.level.OldestAge.Milliseconds())
 	reset(e.config.Codec, p, out)
 }
--- a/datagram/overload_test.go
+++ b/datagram/overload_test.go
@@ -65,11 +65,11 @@
 	placed, resets := s.tryToOpen(4000, 320, servicePort)
 	must.Between(t, 8, placed, 36, must.Sprint("one in sixteen"))
 	must.Eq(t, 320, resets)
-	must.GreaterEq(t, 320-int64(placed), metric(s.entries[addr(1)].Collect, "openings_refused", "priority_2"))
+	must.GreaterEq(t, 320-int64(placed), metric(s.entries[addr(1)].Collect, "openings_refused", "service_overloaded_priority_2"))
 	placed, resets = s.tryToOpen(5000, 3, urgentPort)
 	must.Eq(t, 3, placed)
 	must.Zero(t, resets)
-	must.Eq(t, -1, metric(s.entries[addr(1)].Collect, "openings_refused", "priority_1"))
+	must.Eq(t, -1, metric(s.entries[addr(1)].Collect, "openings_refused", "service_overloaded_priority_1"))
 }
 
 // A host may have accepted the first copy of an opening, whose answer was lost. Guards
@@ -137,7 +137,7 @@
 	s.tryToOpen(3000, 3, servicePort)
 	s.now += 20 * time.Millisecond
 	s.tryToOpen(4000, 3, servicePort)
-	for _, want := range []string{"flow_refused", "reason=service_overloaded", "service=s", "priority=2", "admit_priority=1", "hosts=1", "oldest_report_ms=20"} {
+	for _, want := range []string{"flow_refused", "reason=service_overloaded", "service=s", "priority=2", "target_ms=300", " latency_ms=0 ", " busy=80 ", "admit_priority=1", "hosts=1", "oldest_report_ms=20"} {
 		must.StrContains(t, lines.String(), want)
 	}
 }
--- a/steering/request_queue.go
+++ b/steering/request_queue.go
@@ -70,6 +70,15 @@
 // Len returns the number of waiting requests.
 func (q *RequestQueue) Len() int { return len(q.waiting) }
 
+// WaitingByPriority returns the numbers of waiting requests by priority.
+func (q *RequestQueue) WaitingByPriority() map[int]int {
+	waiting := make(map[int]int)
+	for i := range q.waiting {
+		waiting[q.waiting[i].Priority]++
+	}
+	return waiting
+}
+
 // Push adds a request.
 func (q *RequestQueue) Push(r QueuedRequest) {
 	q.waiting = append(q.waiting, r)
@@ -289,6 +298,12 @@
 	}
 }
 
+// LateLatency returns the expected latency of a new request of the given priority that
+// misses its objective. The backlog is what is ahead of one that meets it.
+func (q *RequestQueue) LateLatency(now time.Duration, priority int, backlog Backlog) time.Duration {
+	return q.lateAdmission(now, priority, 0, backlog, 0).Wait + backlog.ServiceTime
+}
+
 // lateWaiting returns how many waiting requests can no longer meet their objectives.
 func (q *RequestQueue) lateWaiting(now time.Duration) int {
 	n := 0
