Keep the creation of a host's entry across a restore

Cause: a full read of a restored store gives every entry the new era, and with it the creation of a host's own entry. A copy of the entry that the store lost is kept for the grace, with its creation in the earlier era, so it counted as the first entry and held the host's address.

Ruled out: comparing revisions across eras without regard to what was known. An entry that was written after the restore may have a lower revision than one that was lost.

Change: an entry that was known, with the same start and the same revision of its creation, keeps the era of its creation. A process that starts within the grace and takes over the state of a peer does not know the earlier era.

Before: TestCopyOfAHostEntryDoesNotDisplaceItAfterARestore fails, the copy holds the address.

--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -42,6 +42,16 @@
 	return !h.Position.Before(holder.Position)
 }
 
+// keepCreation sets when the entry was created to the earlier era in which it was known, if
+// the store has been restored since and the entry is part of the copy. Otherwise an entry that
+// the copy lacks, and that is kept at first, would count as created before it.
+func (h *Host) keepCreation(known *Host) {
+	if known != nil && known.StartUnixMilli == h.StartUnixMilli &&
+		known.Created.Revision == h.Created.Revision && known.Created.Era < h.Created.Era && known.Created.Era > 0 {
+		h.Created = known.Created
+	}
+}
+
 func comparePositions(a, b Position) int {
 	return cmp.Or(cmp.Compare(a.Era, b.Era), cmp.Compare(a.Revision, b.Revision))
 }
--- a/catalog/holder_test.go
+++ b/catalog/holder_test.go
@@ -114,3 +114,29 @@
 		f.requireThroughout(time.Second, "the host drains", func(m *member) bool { return !m.hostUsable(2) })
 	})
 }
+
+// Guards against a copy of a host's entry taking the address once the store is restored to a
+// revision before the copy was written: the copy is kept at first, and the host's own entry
+// is then read in a new era.
+func TestCopyOfAHostEntryDoesNotDisplaceItAfterARestore(t *testing.T) {
+	const start = 1_769_703_757_010
+	entry := func(position catalog.Position, id string, created int64) catalog.Change {
+		c := hostChange(position.Revision, id, 1, start)
+		c.Value.Position, c.Value.Created = position, created
+		c.Host.Position, c.Host.Created = position, catalog.Position{Era: position.Era, Revision: created}
+		return c
+	}
+	restored := func(revision int64) catalog.Position {
+		return catalog.Position{Era: at(1).Era + 1, Revision: revision}
+	}
+	config := configChange(5, 1, "s")
+	tracker := catalog.NewTracker()
+	tracker.SettleTime = 10 * time.Second
+	tracker.Replace(at(15), []catalog.Change{config, entry(at(15), "own", 10)}, time.Second)
+	tracker.Apply(at(20), []catalog.Change{entry(at(20), "copy", 20)}, 2*time.Second)
+	config.Value.Era++
+	tracker.Replace(restored(15), []catalog.Change{config, entry(restored(15), "own", 10)}, 3*time.Second)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+	tracker.Apply(restored(16), []catalog.Change{entry(restored(16), "own", 10)}, 3500*time.Millisecond)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+}
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -125,6 +125,9 @@
 	t.evacuated = make(map[string]bool)
 	t.applied = make(map[string]Change)
 	for i := range changes {
+		if h := changes[i].Host; h != nil {
+			h.keepCreation(previousHosts[h.ID])
+		}
 		t.apply(&changes[i], confirmedAt)
 		t.setApplied(&changes[i])
 	}
@@ -308,6 +311,9 @@
 	delete(t.settling.withheld, c.Value.Key)
 	delete(t.settling.evacuated, c.Value.Key)
 	last, known := t.applied[c.Value.Key]
+	if c.Host != nil {
+		c.Host.keepCreation(t.hosts[c.Host.ID])
+	}
 	if !t.apply(c, now) {
 		if known && last.Value.Era < c.Value.Era {
 			t.confirmKept(c)
