Take a host's description in the read of a claim to its address

Cause: a description that changes nothing but its position is applied only if the address is contested, which was looked up in the published catalog. If one read held another writer's claim of a later start and then the host's own description, the claim was not published yet, the description was ignored, and the claim held the address until the host wrote again. A process that started later decided otherwise.

Change: isContested looks at the entries themselves. The catalog keeps no contenders.

Before: TestHostThatWritesAgainInTheReadOfAClaimHoldsItsAddress fails with the claim. After: it passes, as does catalog (one run).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -169,8 +169,6 @@
 	ByTag        map[uint32]*Service
 	// Hosts maps the address of a machine to the host that holds it (see holderOf).
 	Hosts map[[4]byte]*Host
-	// contenders holds the entries for each address that more than one gives.
-	contenders map[[4]byte][]*Host
 	// Agents are the addresses of all agents, sorted.
 	Agents [][4]byte
 	// LapsedAt is when the hosts in Service.Lapsed were found to be removed.
@@ -240,22 +238,22 @@
 
 // addHosts adds the hosts of declared services, one for each address.
 func (c *Catalog) addHosts(hosts map[string]*Host) {
-	c.contenders = make(map[[4]byte][]*Host)
+	contenders := make(map[[4]byte][]*Host) // The entries for each address that more than one gives.
 	for _, h := range hosts {
 		if _, declared := c.Config.Services[h.Service]; !declared {
 			continue
 		}
 		addr := h.Addr.Addr
 		if other, ok := c.Hosts[addr]; ok {
-			if c.contenders[addr] == nil {
-				c.contenders[addr] = []*Host{other}
+			if contenders[addr] == nil {
+				contenders[addr] = []*Host{other}
 			}
-			c.contenders[addr] = append(c.contenders[addr], h)
+			contenders[addr] = append(contenders[addr], h)
 			continue
 		}
 		c.Hosts[addr] = h
 	}
-	for addr, entries := range c.contenders {
+	for addr, entries := range contenders {
 		c.Hosts[addr] = holderOf(entries)
 	}
 }
--- a/catalog/holder_test.go
+++ b/catalog/holder_test.go
@@ -140,3 +140,19 @@
 	tracker.Apply(restored(16), []catalog.Change{entry(restored(16), "own", 10)}, 3500*time.Millisecond)
 	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
 }
+
+// Guards against processes that differ in the holder of an address, because one read the
+// claim of a later start and the host's next description at once: the description changes
+// nothing but its position, and was ignored since the claim was not published yet.
+func TestHostThatWritesAgainInTheReadOfAClaimHoldsItsAddress(t *testing.T) {
+	const start = 1_769_703_757_010
+	entry := func(id string, created, written, start int64) catalog.Change {
+		c := hostChange(written, id, 1, start)
+		c.Value.Created, c.Host.Created = created, at(created)
+		return c
+	}
+	tracker := catalog.NewTracker()
+	tracker.Replace(at(15), []catalog.Change{configChange(5, 1, "s"), entry("own", 10, 15, start)}, time.Second)
+	tracker.Apply(at(25), []catalog.Change{entry("claim", 20, 20, start+5000), entry("own", 10, 25, start)}, 2*time.Second)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+}
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -378,11 +378,15 @@
 	return true
 }
 
-// isContested reports whether another entry gives the host's address. That the host writes
-// its entry again then shows that it runs.
+// isContested reports whether another entry gives the host's address, also one of the same
+// read that is not published yet. That the host writes its entry again then shows that it runs.
 func (t *Tracker) isContested(h *Host) bool {
-	c := t.current.Load()
-	return c != nil && len(c.contenders[h.Addr.Addr]) > 0
+	for id, other := range t.hosts {
+		if id != h.ID && other.Addr.Addr == h.Addr.Addr {
+			return true
+		}
+	}
+	return false
 }
 
 // sameHost reports whether two descriptions of a host lead to the same
