Keep the creation of a host's entry that is written again after a restore

Cause: if the copy of the store lacks a host's entry, the host writes it again, with a new revision of its creation. Another writer's copy of the entry that is kept at first, or that is written again before the host's, then counted as the first entry. In the second case it held the host's address for good.

Ruled out: the same without a start. Such an entry may be that of a host that has restarted.

Change: the era and revision of the creation are kept for an entry with the same ID and start. A process that starts after the restore knows only the restored store.

Before: TestCopyOfAHostEntryDoesNotDisplaceItAfterARestore fails for the host that writes first.

--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -43,11 +43,15 @@
 }
 
 // keepCreation sets when the entry was created to the earlier era in which it was known, if
-// the store has been restored since and the entry is part of the copy. Otherwise an entry that
-// the copy lacks, and that is kept at first, would count as created before it.
+// the store has been restored since. The copy of the store holds the entry, or its host has
+// written it again. Otherwise another writer's entry that is kept at first, or written again
+// before it, would count as the first. Without a start, an entry with another creation may be
+// that of a host that has restarted.
 func (h *Host) keepCreation(known *Host) {
-	if known != nil && known.StartUnixMilli == h.StartUnixMilli &&
-		known.Created.Revision == h.Created.Revision && known.Created.Era < h.Created.Era && known.Created.Era > 0 {
+	if known == nil || known.StartUnixMilli != h.StartUnixMilli || (known.Created == Position{}) || known.Created.Era >= h.Created.Era {
+		return
+	}
+	if h.StartUnixMilli != 0 || known.Created.Revision == h.Created.Revision {
 		h.Created = known.Created
 	}
 }
--- a/catalog/holder_test.go
+++ b/catalog/holder_test.go
@@ -116,29 +116,40 @@
 }
 
 // Guards against a copy of a host's entry taking the address once the store is restored to a
-// revision before the copy was written: the copy is kept at first, and the host's own entry
-// is then read in a new era.
+// revision before the copy, or before both entries, was written: the copy is kept at first, and
+// the host's own entry is then read in a new era, possibly after the copy.
 func TestCopyOfAHostEntryDoesNotDisplaceItAfterARestore(t *testing.T) {
 	const start = 1_769_703_757_010
+	restored := func(revision int64) catalog.Position { return catalog.Position{Era: 2, Revision: revision} }
 	entry := func(position catalog.Position, id string, created int64) catalog.Change {
 		c := hostChange(position.Revision, id, 1, start)
 		c.Value.Position, c.Value.Created = position, created
 		c.Host.Position, c.Host.Created = position, catalog.Position{Era: position.Era, Revision: created}
 		return c
 	}
-	restored := func(revision int64) catalog.Position {
-		return catalog.Position{Era: at(1).Era + 1, Revision: revision}
+	for name, test := range map[string]struct {
+		copied int64
+		held   []catalog.Change
+		later  []catalog.Change
+	}{
+		"the host's entry is in the restored store": {15, []catalog.Change{entry(restored(15), "own", 10)}, []catalog.Change{entry(restored(16), "own", 10)}},
+		"the host writes first":                     {6, nil, []catalog.Change{entry(restored(7), "own", 7), entry(restored(8), "copy", 8)}},
+		"the other writer writes first":             {6, nil, []catalog.Change{entry(restored(7), "copy", 7), entry(restored(8), "own", 8)}},
+	} {
+		config := configChange(5, 1, "s")
+		tracker := catalog.NewTracker()
+		tracker.SettleTime = 10 * time.Second
+		requireOwn := func() { must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID, must.Sprint(name)) }
+		tracker.Replace(at(15), []catalog.Change{config, entry(at(15), "own", 10)}, time.Second)
+		tracker.Apply(at(20), []catalog.Change{entry(at(20), "copy", 20)}, 2*time.Second)
+		config.Value.Era = 2
+		tracker.Replace(restored(test.copied), append(test.held, config), 3*time.Second)
+		requireOwn()
+		for _, c := range test.later {
+			tracker.Apply(c.Value.Position, []catalog.Change{c}, 3500*time.Millisecond)
+			requireOwn()
+		}
 	}
-	config := configChange(5, 1, "s")
-	tracker := catalog.NewTracker()
-	tracker.SettleTime = 10 * time.Second
-	tracker.Replace(at(15), []catalog.Change{config, entry(at(15), "own", 10)}, time.Second)
-	tracker.Apply(at(20), []catalog.Change{entry(at(20), "copy", 20)}, 2*time.Second)
-	config.Value.Era++
-	tracker.Replace(restored(15), []catalog.Change{config, entry(restored(15), "own", 10)}, 3*time.Second)
-	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
-	tracker.Apply(restored(16), []catalog.Change{entry(restored(16), "own", 10)}, 3500*time.Millisecond)
-	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
 }
 
 // Guards against processes that differ in the holder of an address, because one read the
