Shorten the shutdown delay to the grace period

Cause: an entry goes on serving for 1.8 s after SIGTERM, whatever grace period the settings name. With a period below that it was killed, and the time for its goroutines, which is taken from the rest of the period, was already used up.

Change: the delay ends early enough to leave the times that are reserved for the exit. With the platform's 6 s it stays 1.8 s.

Before: with a grace period of 1.2 s, TestEntryStopsWithinAShortGracePeriod measures 1.80 s. After: it passes, as do the tests of stops, hangups and signals in internal/cli (three runs).

--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -185,6 +185,7 @@
 	if err := node.Listen(); err != nil {
 		return err
 	}
+	shutdownDelay = limitShutdownDelay(n.settings.ShutdownGrace, shutdownDelay)
 	node.StopTimeout = stopTimeout(n.settings.ShutdownGrace, shutdownDelay)
 	node.Background = append(node.Background, n.watchReload, n.syncer.Run, func(ctx context.Context) {
 		defer stopServing()
@@ -198,6 +199,19 @@
 	return errors.WithStack(err)
 }
 
+// stopReserve is the part of the grace period that neither the shutdown delay nor the node's
+// goroutines may use.
+const stopReserve = hostDialTimeout + logging.FlushTimeout + exitMargin
+
+// limitShutdownDelay shortens the shutdown delay so that the process ends within the platform's
+// grace period. It returns the delay unchanged if the settings name no grace period.
+func limitShutdownDelay(grace, shutdownDelay time.Duration) time.Duration {
+	if grace <= 0 {
+		return shutdownDelay
+	}
+	return max(0, min(shutdownDelay, grace-stopReserve-minStopTimeout))
+}
+
 // stopTimeout returns how long the node may wait for its goroutines after the shutdown
 // delay, so that the process ends within the platform's grace period. It returns 0, the
 // node's default, if the settings name no grace period.
@@ -205,7 +219,7 @@
 	if grace <= 0 {
 		return 0
 	}
-	return max(minStopTimeout, grace-shutdownDelay-hostDialTimeout-logging.FlushTimeout-exitMargin)
+	return max(minStopTimeout, grace-shutdownDelay-stopReserve)
 }
 
 // awaitStop waits for a signal to stop, makes the process report not ready, and returns
--- a/internal/cli/stop_test.go
+++ b/internal/cli/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,8 +11,10 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/turmericrock/turmericrock/internal/signals"
 )
@@ -103,3 +106,28 @@
 	slices.Sort(commands)
 	must.Eq(t, signals.Roles(), commands)
 }
+
+// Guards against an entry that is killed because it goes on serving for longer than the
+// platform's grace period.
+func TestEntryStopsWithinAShortGracePeriod(t *testing.T) {
+	settings := bytes.Replace(datagramSettings(t, "127.83.0.2"), []byte(`"grace_s":6`), []byte(`"grace_s":1.2`), 1)
+	must.StrContains(t, string(settings), `"grace_s":1.2`)
+	path := filepath.Join(t.TempDir(), "settings")
+	must.NoError(t, os.WriteFile(path, settings, 0o600))
+	process := exec.Command(buildBinary(t), "datagram-entry", "-settings", path)
+	var output bytes.Buffer
+	process.Stdout, process.Stderr = &output, &output
+	must.NoError(t, process.Start())
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond), wait.ErrorFunc(func() error {
+		conn, err := net.Dial("tcp4", "127.83.0.2:17267")
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	})), must.Sprint("the entry does not listen"))
+	told := time.Now()
+	must.NoError(t, process.Process.Signal(syscall.SIGTERM))
+	must.NoError(t, process.Wait(), must.Sprint(output.String()))
+	must.Less(t, 1200*time.Millisecond, time.Since(told))
+	must.StrContains(t, output.String(), "msg=stopped")
+}
