Keep the creation of entries that a peer of an earlier build does not tell

Cause: such a peer's answer lacks when entries were created. A full read from it replaced what the process knew, and the entry that was written last, a copy, held the host's address.

Change: the creation that is known of an entry with the same ID and start stays.

Before: TestAnswerOfAnEarlierBuildKeepsTheCreationOfEntries fails with the copy.

--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -42,16 +42,19 @@
 	return !h.Position.Before(holder.Position)
 }
 
-// keepCreation sets when the entry was created to the earlier era in which it was known, if
-// the store has been restored since. The copy of the store holds the entry, or its host has
-// written it again. Otherwise another writer's entry that is kept at first, or written again
-// before it, would count as the first. Without a start, an entry with another creation may be
-// that of a host that has restarted.
+// keepCreation takes over when the entry was created from what is known of it, if it is the
+// same entry and its creation is not told, as by peers of an earlier build, or is told in a
+// later era, because the store was restored. The copy of the store then holds the entry, or its
+// host has written it again. Otherwise another writer's entry that is kept at first, or written
+// again before it, would count as the first. Without a start, an entry with another creation may
+// be that of a host that has restarted.
 func (h *Host) keepCreation(known *Host) {
-	if known == nil || known.StartUnixMilli != h.StartUnixMilli || (known.Created == Position{}) || known.Created.Era >= h.Created.Era {
+	if known == nil || known.StartUnixMilli != h.StartUnixMilli || (known.Created == Position{}) {
 		return
 	}
-	if h.StartUnixMilli != 0 || known.Created.Revision == h.Created.Revision {
+	isUntold, isLaterEra := h.Created == Position{}, known.Created.Era < h.Created.Era
+	isSameEntry := h.StartUnixMilli != 0 || known.Created.Revision == h.Created.Revision
+	if (isUntold || isLaterEra) && isSameEntry {
 		h.Created = known.Created
 	}
 }
--- a/catalog/holder_test.go
+++ b/catalog/holder_test.go
@@ -167,3 +167,24 @@
 	tracker.Apply(at(25), []catalog.Change{entry("claim", 20, 20, start+5000), entry("own", 10, 25, start)}, 2*time.Second)
 	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
 }
+
+// Guards against a copy of a host's entry taking the address when a process reads everything
+// from a peer of an earlier build, which does not say when entries were created.
+func TestAnswerOfAnEarlierBuildKeepsTheCreationOfEntries(t *testing.T) {
+	const start = 1_769_703_757_010
+	entry := func(id string, created, written int64) catalog.Change {
+		c := hostChange(written, id, 1, start)
+		c.Value.Created, c.Host.Created = created, catalog.Position{}
+		if created > 0 {
+			c.Host.Created = at(created)
+		}
+		return c
+	}
+	tracker := catalog.NewTracker()
+	tracker.Replace(at(20), []catalog.Change{configChange(5, 1, "s"), entry("own", 10, 15), entry("copy", 20, 20)}, time.Second)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+	tracker.Merge(at(21), []catalog.Change{configChange(5, 1, "s"), entry("own", 0, 15), entry("copy", 0, 20)}, 2*time.Second, false, 0)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+	tracker.Apply(at(22), []catalog.Change{entry("copy", 0, 22)}, 3*time.Second)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+}
