--- a/catalog/holder_test.go
+++ b/catalog/holder_test.go
@@ -114,3 +114,77 @@
 		f.requireThroughout(time.Second, "the host drains", func(m *member) bool { return !m.hostUsable(2) })
 	})
 }
+
+// Guards against a copy of a host's entry taking the address once the store is restored to a
+// revision before the copy, or before both entries, was written: the copy is kept at first, and
+// the host's own entry is then read in a new era, possibly after the copy.
+func TestCopyOfAHostEntryDoesNotDisplaceItAfterARestore(t *testing.T) {
+	const start = 1_769_703_757_010
+	restored := func(revision int64) catalog.Position { return catalog.Position{Era: 2, Revision: revision} }
+	entry := func(position catalog.Position, id string, created int64) catalog.Change {
+		c := hostChange(position.Revision, id, 1, start)
+		c.Value.Position, c.Value.Created = position, created
+		c.Host.Position, c.Host.Created = position, catalog.Position{Era: position.Era, Revision: created}
+		return c
+	}
+	for name, test := range map[string]struct {
+		copied int64
+		held   []catalog.Change
+		later  []catalog.Change
+	}{
+		"the host's entry is in the restored store": {15, []catalog.Change{entry(restored(15), "own", 10)}, []catalog.Change{entry(restored(16), "own", 10)}},
+		"the host writes first":                     {6, nil, []catalog.Change{entry(restored(7), "own", 7), entry(restored(8), "copy", 8)}},
+		"the other writer writes first":             {6, nil, []catalog.Change{entry(restored(7), "copy", 7), entry(restored(8), "own", 8)}},
+	} {
+		config := configChange(5, 1, "s")
+		tracker := catalog.NewTracker()
+		tracker.SettleTime = 10 * time.Second
+		requireOwn := func() { must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID, must.Sprint(name)) }
+		tracker.Replace(at(15), []catalog.Change{config, entry(at(15), "own", 10)}, time.Second)
+		tracker.Apply(at(20), []catalog.Change{entry(at(20), "copy", 20)}, 2*time.Second)
+		config.Value.Era = 2
+		tracker.Replace(restored(test.copied), append(test.held, config), 3*time.Second)
+		requireOwn()
+		for _, c := range test.later {
+			tracker.Apply(c.Value.Position, []catalog.Change{c}, 3500*time.Millisecond)
+			requireOwn()
+		}
+	}
+}
+
+// Guards against processes that differ in the holder of an address, because one read the
+// claim of a later start and the host's next description at once: the description changes
+// nothing but its position, and was ignored since the claim was not published yet.
+func TestHostThatWritesAgainInTheReadOfAClaimHoldsItsAddress(t *testing.T) {
+	const start = 1_769_703_757_010
+	entry := func(id string, created, written, start int64) catalog.Change {
+		c := hostChange(written, id, 1, start)
+		c.Value.Created, c.Host.Created = created, at(created)
+		return c
+	}
+	tracker := catalog.NewTracker()
+	tracker.Replace(at(15), []catalog.Change{configChange(5, 1, "s"), entry("own", 10, 15, start)}, time.Second)
+	tracker.Apply(at(25), []catalog.Change{entry("claim", 20, 20, start+5000), entry("own", 10, 25, start)}, 2*time.Second)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+}
+
+// Guards against a copy of a host's entry taking the address when a process reads everything
+// from a peer of an earlier build, which does not say when entries were created.
+func TestAnswerOfAnEarlierBuildKeepsTheCreationOfEntries(t *testing.T) {
+	const start = 1_769_703_757_010
+	entry := func(id string, created, written int64) catalog.Change {
+		c := hostChange(written, id, 1, start)
+		c.Value.Created, c.Host.Created = created, catalog.Position{}
+		if created > 0 {
+			c.Host.Created = at(created)
+		}
+		return c
+	}
+	tracker := catalog.NewTracker()
+	tracker.Replace(at(20), []catalog.Change{configChange(5, 1, "s"), entry("own", 10, 15), entry("copy", 20, 20)}, time.Second)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+	tracker.Merge(at(21), []catalog.Change{configChange(5, 1, "s"), entry("own", 0, 15), entry("copy", 0, 20)}, 2*time.Second, false, 0)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+	tracker.Apply(at(22), []catalog.Change{entry("copy", 0, 22)}, 3*time.Second)
+	must.Eq(t, "own", tracker.Current().Hosts[[4]byte{10, 0, 0, 1}].ID)
+}
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -125,6 +125,9 @@
 	t.evacuated = make(map[string]bool)
 	t.applied = make(map[string]Change)
 	for i := range changes {
+		if h := changes[i].Host; h != nil {
+			h.keepCreation(previousHosts[h.ID])
+		}
 		t.apply(&changes[i], confirmedAt)
 		t.setApplied(&changes[i])
 	}
@@ -308,6 +311,9 @@
 	delete(t.settling.withheld, c.Value.Key)
 	delete(t.settling.evacuated, c.Value.Key)
 	last, known := t.applied[c.Value.Key]
+	if c.Host != nil {
+		c.Host.keepCreation(t.hosts[c.Host.ID])
+	}
 	if !t.apply(c, now) {
 		if known && last.Value.Era < c.Value.Era {
 			t.confirmKept(c)
@@ -372,11 +378,15 @@
 	return true
 }
 
-// isContested reports whether another entry gives the host's address. That the host writes
-// its entry again then shows that it runs.
+// isContested reports whether another entry gives the host's address, also one of the same
+// read that is not published yet. That the host writes its entry again then shows that it runs.
 func (t *Tracker) isContested(h *Host) bool {
-	c := t.current.Load()
-	return c != nil && len(c.contenders[h.Addr.Addr]) > 0
+	for id, other := range t.hosts {
+		if id != h.ID && other.Addr.Addr == h.Addr.Addr {
+			return true
+		}
+	}
+	return false
 }
 
 // sameHost reports whether two descriptions of a host lead to the same
