Tell peers of hosts whose entries were removed and created again

Cause: when the store returned, one reader learned of all removals and of three returned hosts at once. Peers that asked it got the last value of each key only, saw hosts as they had known them, and took that for no change, so that they did not keep it for peers of their own. A process that had learned of the removals alone and asked one of them got the later position and no hosts: 8 of 17 processes lacked two running hosts from then on, and searches did not ask their agents.

An entry with another creation than the known one now counts as a change. A store that does not tell creations is not covered.

--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -351,7 +351,7 @@
 		t.config = c.Config
 	case c.Host != nil:
 		old := t.hosts[c.Host.ID]
-		if old != nil && sameHost(old, c.Host) && !t.isContested(c.Host) {
+		if old != nil && sameHost(old, c.Host) && !old.wasRecreated(c.Host) && !t.isContested(c.Host) {
 			return false
 		}
 		t.hosts[c.Host.ID] = c.Host
@@ -389,6 +389,13 @@
 	return false
 }
 
+// wasRecreated reports whether a host's entry was removed and created again since it was
+// described. That changes no decision here, but peers may know of the removal alone.
+func (h *Host) wasRecreated(later *Host) bool {
+	unknown := Position{}
+	return h.Created != unknown && later.Created != unknown && h.Created != later.Created
+}
+
 // sameHost reports whether two descriptions of a host lead to the same
 // decisions.
 func sameHost(a, b *Host) bool {
