--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -364,7 +364,7 @@
 		t.addLapsedHost(old, now)
 		delete(t.hosts, c.HostID)
 	case c.Zone != "":
-		if t.evacuated[c.Zone] != c.Value.Removed {
+		if t.evacuated[c.Zone] != c.Value.Removed && !t.wasRecreated(c) {
 			return false
 		}
 		if c.Value.Removed {
@@ -389,6 +389,12 @@
 	return false
 }
 
+// wasRecreated reports whether a value was removed and created again since it was applied.
+func (t *Tracker) wasRecreated(c *Change) bool {
+	last := t.applied[c.Value.Key].Value
+	return !c.Value.Removed && last.Created > 0 && c.Value.Created > 0 && last.Era == c.Value.Era && last.Created != c.Value.Created
+}
+
 // wasRecreated reports whether a host's entry was removed and created again since it was
 // described. That changes no decision here, but peers may know of the removal alone.
 func (h *Host) wasRecreated(later *Host) bool {
