--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 
 var cases = map[string]play{
 	"two-versions": playTwoVersions,
+	"release":      playRelease,
 	"new-hosts":    playNewHosts,
 	"moved-flows":  playMovedFlows,
 }
--- a/review/standin-2/two_versions.go
+++ b/review/standin-2/two_versions.go
@@ -15,11 +15,11 @@
 // through an entry; a request sent to the same entry more than 250 ms later is run by the
 // old service, at a machine that was not cut off either.
 func playTwoVersions(l *lab, trouble bool) (bool, error) {
-	t := &twoVersions{lab: l, sent: make(map[string]*sentRequest)}
+	t := &twoVersions{lab: l, routes: movedRoutes, sent: make(map[string]*sentRequest)}
 	if err := t.start(); err != nil {
 		return false, err
 	}
-	for n := range movedRoutes {
+	for n := range t.routes {
 		if err := t.move(n, trouble); err != nil {
 			return false, err
 		}
@@ -45,8 +45,11 @@
 type twoVersions struct {
 	lab        *lab
 	requesters []*requester
+	routes     int // The number of routes that are moved one after the other.
 	version    int
 	changes    []change
+	// sameLoad reports that both zones have the same load.
+	sameLoad bool
 
 	mu   sync.Mutex
 	sent map[string]*sentRequest
@@ -74,6 +77,11 @@
 }
 
 func (t *twoVersions) start() error {
+	return t.startWith(func() error { return nil })
+}
+
+// startWith starts the deployment with the further machines that add adds.
+func (t *twoVersions) startWith(add func() error) error {
 	l := t.lab
 	for _, zone := range []string{"a", "b"} {
 		if _, err := l.addMachine(kindEdge, zone, ""); err != nil {
@@ -98,6 +106,9 @@
 		}
 		l.put("servers/"+m.host.id, m.host.entry("ready", 0))
 	}
+	if err := add(); err != nil {
+		return err
+	}
 	if err := l.startAll(); err != nil {
 		return err
 	}
@@ -119,14 +130,14 @@
 func (t *twoVersions) publish(moved int) {
 	t.version += 2
 	var routes []map[string]any
-	for n := range movedRoutes {
+	for n := range t.routes {
 		service := "desk"
 		if n <= moved {
 			service = "gallery"
 		}
 		routes = append(routes, routeTo(n, service))
 	}
-	t.lab.putConfig(t.version, routes, "desk", "gallery")
+	t.lab.putConfig(t.version, routes, "desk", "gallery", "archive")
 }
 
 func (t *twoVersions) move(n int, trouble bool) error {
@@ -134,7 +145,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		t.press(n)
+		t.press(n, pressBefore+pressAfter)
 	}()
 	time.Sleep(pressBefore)
 	c := change{route: n}
@@ -160,15 +171,15 @@
 }
 
 // press sends requests on a route from both zones, each on a new flow.
-func (t *twoVersions) press(n int) {
+func (t *twoVersions) press(n int, lasts time.Duration) {
 	var group sync.WaitGroup
 	ticker := time.NewTicker(requestInterval)
 	defer ticker.Stop()
-	for begin := time.Now(); time.Since(begin) < pressBefore+pressAfter; <-ticker.C {
+	for begin := time.Now(); time.Since(begin) < lasts; <-ticker.C {
 		for _, half := range [2]int{0, 4} {
 			r := t.requesters[half+len(t.sent)/2%4]
-			if half == 4 && len(t.sent)%4 != 1 {
-				continue // Zone b has less load.
+			if half == 4 && !t.sameLoad && len(t.sent)%4 != 1 {
+				continue // Otherwise zone b has less load.
 			}
 			s := &sentRequest{id: fmt.Sprintf("q-%d-%06d", n, len(t.sent)), route: n, entry: t.entryOf(r), sentAt: t.lab.record.now()}
 			t.mu.Lock()
