Review: flows at a service that the configuration no longer lists are reset

Case 10 (FLOW), planned work alone: a configuration moves a service's last route and leaves the service out, and the processes are restarted in turn. Its hosts are then neither listed nor searched, and their open flows are reset. Without the restarts, or with the service still listed, none is.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 	"release":      playRelease,
 	"new-hosts":    playNewHosts,
 	"moved-flows":  playMovedFlows,
+	"retired":      playRetired,
 }
 
 func main() {
--- a/review/standin-2/moved_flows.go
+++ b/review/standin-2/moved_flows.go
@@ -16,7 +16,7 @@
 // Rule: FLOW (b). For 2 s three or more packets of a flow reach other hosts and none its own,
 // although its host lives and no machine was killed in the 4 s before.
 func playMovedFlows(l *lab, trouble bool) (bool, error) {
-	t := &movedFlows{lab: l, flows: make(map[flowKey]*movedFlow)}
+	t := &movedFlows{lab: l, declared: []string{"desk", "gallery"}, flows: make(map[flowKey]*movedFlow)}
 	if err := t.start(); err != nil {
 		return false, err
 	}
@@ -57,7 +57,9 @@
 	lab        *lab
 	requesters []*requester
 	killedAt   time.Duration
-	stop       atomic.Bool
+	// declared are the services of the configuration.
+	declared []string
+	stop     atomic.Bool
 
 	mu    sync.Mutex
 	flows map[flowKey]*movedFlow
@@ -74,6 +76,8 @@
 type lostRequest struct {
 	id     string
 	sentAt time.Duration
+	// resetBy is the machine that reset the flow, if one did.
+	resetBy *machine
 }
 
 type gotPacket struct {
@@ -82,7 +86,7 @@
 }
 
 func (t *movedFlows) publish(version int, service string) {
-	t.lab.putConfig(version, []map[string]any{routeTo(0, service)}, "desk", "gallery")
+	t.lab.putConfig(version, []map[string]any{routeTo(0, service)}, t.declared...)
 }
 
 func (t *movedFlows) start() error {
@@ -159,7 +163,7 @@
 		if got != answered {
 			t.mu.Lock()
 			if m := t.flows[f.key]; m != nil {
-				m.lost = append(m.lost, lostRequest{id, sentAt})
+				m.lost = append(m.lost, lostRequest{id, sentAt, t.lab.machineAt(f.resetBy)})
 			}
 			t.mu.Unlock()
 			f.end()
