--- a/review/standin-2/config.go
+++ b/review/standin-2/config.go
@@ -5,9 +5,10 @@
 	"net/netip"
 )
 
-// routeOf returns the address and port of a route.
+// routeOf returns the address and port of a route. They stand in packets only; nothing is
+// sent to them.
 func routeOf(n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(8100+n))
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 198, 18, 1}), uint16(8100+n))
 }
 
 // routeTo returns a route of the configuration.
--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -252,16 +252,17 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.current = exec.Command(command[0], command[1:]...)
-	m.current.Dir = m.lab.root
-	m.current.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.lab.dir, "TURMERICROCK_CONFIG=" + file}
-	m.current.Stdout, m.current.Stderr = log, log
-	if err := m.current.Start(); err != nil {
+	c := exec.Command(command[0], command[1:]...)
+	c.Dir = m.lab.root
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.lab.dir, "TURMERICROCK_CONFIG=" + file}
+	c.Stdout, c.Stderr = log, log
+	if started, err := m.lab.startUnlessStopped(c); !started {
 		return err
 	}
+	m.current = c
 	ended := make(chan struct{})
 	m.ended = ended
-	go func(c *exec.Cmd) {
+	go func() {
 		_ = c.Wait()
 		close(ended)
 		_ = log.Close()
@@ -277,10 +278,22 @@
 				m.lab.record.say("%s does not start again: %v", m.name, err)
 			}
 		}
-	}(m.current)
+	}()
 	return nil
 }
 
+// startUnlessStopped starts a process, unless the lab ends its processes. It reports whether
+// it did.
+func (l *lab) startUnlessStopped(c *exec.Cmd) (started bool, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped {
+		return false, nil
+	}
+	err = c.Start()
+	return err == nil, err
+}
+
 // deployCommand returns the command of a role in the deploy file.
 func (l *lab) deployCommand(role string) ([]string, error) {
 	data, err := os.ReadFile(filepath.Join(l.root, "deploy", "system.toml"))
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Results of a script.
@@ -43,6 +45,13 @@
 		return resultNotRun
 	}
 	defer l.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		l.stop()
+		os.Exit(resultNotRun)
+	}()
 	broken, err := chosen(l, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
