Limit the trials of a flow while former services of its route are unknown

Cause: nobody is left who knows the former service. A search took the services that it knew for all that could hold the flow, and tried the packet at each of their hosts. The record of the case shows four packets of each flow at four hosts of the new service within 2 s.

Change: a process knows since when it, or a peer that has told it, knows all configurations. While that is less than a flow lifetime, packets of a flow are tried at two hosts in a stray window. Agents report trials, so that both keepers share them; an agent that owns the flow, or whose host keeps a packet, gets further ones. In the first contact_ms less flow_stray_ms after a restart of all processes packets are tried everywhere, as before. It works whatever the history of the route, since the third packet is what breaks a flow, and it sends no packet to a host of a service that is not known to have served the route.

Tests that asked for a flow to be found at any of many hosts, or reset, 3 s after all processes had forgotten the configurations contradict the rule, as the flow may be at a former service. They now say that the configurations are known (TestFlowOfUnlistedRunningHostIsFound, TestFlowIsNotTriedAtANewHostOfAnotherService, TestLostFlowIsNotTriedAtAnUnlistedHostThatWasDown), run in the recovery time (TestAgentsOfOtherZonesAreNotAskedForEachFlowOfAMovedRoute), or run both in it and later, there with copies for longer and with the check that the flow is not broken (TestFlowsOfAFormerServiceAreFoundAfterARestartOfAllProcesses, the sequences of events).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -161,6 +161,10 @@
 	// FirstPublishedAt is the ConfirmedAt of the first snapshot that the
 	// process published.
 	FirstPublishedAt time.Duration
+	// ConfigsKnownSince is the time since which the process, or a peer that has told it,
+	// knows all configurations, so that no route has had other targets than its present and
+	// former services since then.
+	ConfigsKnownSince time.Duration
 	// HealthySince is the time since which no read has failed. Reading a
 	// complete history at startup moves it back (see Tracker.ApplyHistory).
 	HealthySince time.Duration
--- a/catalog/former_services_test.go
+++ b/catalog/former_services_test.go
@@ -127,3 +127,36 @@
 	tracker.Apply(at(11), []catalog.Change{configChange(11, 2, "s")}, time.Second)
 	must.True(t, tracker.Current().Config.Routes[flow.Endpoint{Port: 1}].MayHoldFlows("u"))
 }
+
+// knowsConfigsFor returns for how long the process has known all configurations.
+func (m *member) knowsConfigsFor() time.Duration {
+	return m.fleet.now() - m.tracker.Current().ConfigsKnownSince
+}
+
+// Guards against a process that has restarted taking former services that it was told for
+// all there are, after the processes that knew the others have restarted at the same time,
+// and against one that a running process has told limiting its searches all the same.
+func TestTimeOfKnownConfigurationsIsHandedOverToProcessesThatRestart(t *testing.T) {
+	runFleet(t, 1, 6, 8, func(f *fleet) {
+		f.seeds, f.entries = []int{7, 8}, []int{7, 8}
+		putRoute(f.clients, 2, "s")
+		f.sleep(10 * time.Second)
+		for n := 1; n <= 8; n++ {
+			m := f.restart(n)
+			f.sleep(2 * time.Second)
+			must.GreaterEq(f.t, 8*time.Second, m.knowsConfigsFor(), must.Sprint("process ", n))
+		}
+		for _, m := range f.members {
+			m.stop()
+		}
+		for n := 1; n <= 8; n++ {
+			f.start(n)
+		}
+		f.sleep(2 * time.Second)
+		for n := 1; n <= 8; n++ {
+			m := f.restart(n)
+			f.sleep(time.Second)
+			must.LessEq(f.t, time.Duration(2+n)*time.Second, m.knowsConfigsFor(), must.Sprint("process ", n))
+		}
+	})
+}
--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -325,6 +325,7 @@
 	}
 	if h := r.History; h != nil {
 		c.time("history", h.HealthyForMS)
+		c.time("known configurations", h.ConfigsKnownMS)
 		for i := range h.Removed {
 			c.time("age of a removed host", h.Removed[i].AgeMS)
 		}
--- a/catalog/start.go
+++ b/catalog/start.go
@@ -135,7 +135,7 @@
 	s.Tracker.gone.addAll(result.gone, s.Now())
 	s.apply(from, result)
 	s.peerStateEra = result.Era
-	s.adoptFormerServices(result)
+	s.adoptFormerServices(Position{}, result)
 	s.adoptHistory(Position{}, result)
 	s.historyDeadline = s.Now() + pacing.HistoryPatience
 	return true
@@ -177,10 +177,15 @@
 }
 
 // adoptFormerServices takes over which services a peer knows to have been targets of
-// routes. It is no matter how long the peer has run: what it does not know is searched for.
-func (s *Syncer) adoptFormerServices(r *ReadResult) {
-	if r.history != nil {
-		s.Tracker.AdoptFormerServices(r.history.former)
+// routes. It takes over since when the peer knows all of them, too, if the peer's state is
+// not behind that of this process, so that no configuration lies between the two.
+func (s *Syncer) adoptFormerServices(before Position, r *ReadResult) {
+	if r.history == nil {
+		return
+	}
+	s.Tracker.AdoptFormerServices(r.history.former)
+	if !r.Position.Before(before) {
+		s.Tracker.AdoptConfigHistory(s.Now() - r.history.configsKnownFor)
 	}
 }
 
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -79,6 +79,7 @@
 	s.readers = newReaderStates()
 	s.changes.log = s.Log
 	s.peerStateEra = noEra
+	s.Tracker.FirstStart = s.FirstStart
 	s.historyPending = s.ReadHistory
 	s.readableSince = s.Now()
 	s.watchStartedAt = s.readableSince - pacing.MinWatchInterval
--- a/catalog/sync_peers.go
+++ b/catalog/sync_peers.go
@@ -173,7 +173,7 @@
 		}
 	}
 	s.apply(fromPeer, &result)
-	s.adoptFormerServices(&result)
+	s.adoptFormerServices(before, &result)
 	if err := checkAge(&result); err != nil {
 		return err
 	}
--- a/catalog/tracker.go
+++ b/catalog/tracker.go
@@ -36,6 +36,9 @@
 	// keeps what it knows to be newer (see the function SettleTime). It may be set before
 	// the first read.
 	SettleTime time.Duration
+	// FirstStart reports whether the whole system is starting for the first time, so that
+	// there were no flows before. It may be set before the first read.
+	FirstStart bool
 
 	settling    settling
 	position    Position
@@ -53,10 +56,12 @@
 	lapsedAt         time.Duration
 	healthySince     time.Duration
 	firstPublishedAt time.Duration
-	lastReadFailed   bool
-	lastFailureAt    time.Duration
-	journal          *journal
-	current          atomic.Pointer[Catalog]
+	// configsKnownSince is that of the snapshots (see Catalog).
+	configsKnownSince time.Duration
+	lastReadFailed    bool
+	lastFailureAt     time.Duration
+	journal           *journal
+	current           atomic.Pointer[Catalog]
 }
 
 const (
@@ -420,11 +425,14 @@
 		return
 	}
 	if t.current.Load() == nil {
-		t.firstPublishedAt = confirmedAt
+		t.firstPublishedAt, t.configsKnownSince = confirmedAt, confirmedAt
+		if t.FirstStart {
+			t.configsKnownSince = confirmedAt - removedHostRetention
+		}
 	}
 	c := buildCatalog(t.config, t.hosts, t.lapsed, t.evacuated)
 	c.LapsedAt = t.lapsedAt
-	c.FirstPublishedAt = t.firstPublishedAt
+	c.FirstPublishedAt, c.ConfigsKnownSince = t.firstPublishedAt, t.configsKnownSince
 	c.Position, c.ConfirmedAt, c.HealthySince, c.Removed = position, confirmedAt, t.healthySince, t.removed
 	t.current.Store(c)
 }
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -21,6 +21,10 @@
 	// records are retained. The state of an idle flow is removed after
 	// catalog.Config.IdleTimeout instead.
 	FlowLifetime time.Duration
+	// StrayWindow is the time in which a flow is broken if several of its packets reach
+	// other hosts and none its own. RecoveryTime is how long after a restart of all
+	// processes they do not yet break it (see steering.RouteKnowledge).
+	StrayWindow, RecoveryTime time.Duration
 	// ColdOverage is the factor, and ColdSlack the number of further new flows per
 	// second, by which a cold host may exceed its warm-up rate (see
 	// steering.ColdLimit).
@@ -110,7 +114,8 @@
 type trialDelivery struct {
 	frame flow.Frame
 	// firstSentAt is when the first packet of the current attempt was sent, and
-	// count the number of packets in it. An attempt ends after trialReturnTimeout.
+	// count the number of packets in it. An attempt ends after
+	// steering.TrialReturnTimeout.
 	firstSentAt time.Duration
 	count       int
 	// returned reports that the host sent the packet back.
@@ -118,9 +123,6 @@
 }
 
 const (
-	// trialReturnTimeout is the time within which a host returns a packet of a
-	// flow that it does not hold.
-	trialReturnTimeout = 100 * time.Millisecond
 	// maxStartSkew is how much earlier than its agent a host may start when
 	// both start with the machine. A process that was killed takes longer to
 	// restart.
@@ -266,11 +268,11 @@
 			delete(a.records, f.Key)
 		}
 	case flow.NotHeld:
-		a.handleNotHeld(now, f.Key, f.Sender, out)
+		a.handleNotHeld(now, f.Key, f.Sender, trialAge(f), out)
 	case flow.NotHeldMany:
 		a.handleNotHeldMany(now, f.Sender, packet, out)
 	case flow.MayHold:
-		a.handleMayHold(now, f.Key, f.Sender, out)
+		a.handleMayHold(now, f, out)
 	case flow.AgentStarted:
 		a.resendOwned(f.Sender, out)
 	case flow.Load:
--- a/datagram/flows_test.go
+++ b/datagram/flows_test.go
@@ -183,6 +183,7 @@
 	c.publish(2, func(values *[]catalog.Value) {
 		*values = slices.DeleteFunc(*values, func(v catalog.Value) bool { return v.Key == fmt.Sprintf("servers/h%d", owner[3]) })
 	}, "s")
+	c.knowConfigs()
 	c.restartAll()
 	c.agents[owner].Expire(c.now)
 	c.now += 2 * time.Second
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -22,6 +22,8 @@
 	peerPort    = 7720
 	servicePort = 8443
 	lifetime    = time.Minute
+	// strayWindow and recoveryTime are those of the platform's settings.
+	strayWindow, recoveryTime = 2 * time.Second, 2 * time.Second
 )
 
 // cluster simulates entries, agents and hosts with a shared catalog and a
@@ -66,10 +68,19 @@
 	dropKind flow.Kind
 	// onHostPacket is called for each packet that is sent to a host. It may be nil.
 	onHostPacket func(at [4]byte)
+	// arrivals holds the packets, but openings, that reached hosts.
+	arrivals map[flow.Key][]arrival
 	// onFrame is called for each frame that a process sends. It may be nil.
 	onFrame func(from, to [4]byte, kind flow.Kind)
 }
 
+// arrival is a packet of a flow that reached a host.
+type arrival struct {
+	at time.Duration
+	// held reports that the host holds the flow.
+	held bool
+}
+
 // host simulates a backend server, which returns packets of flows that it does
 // not hold.
 type host struct {
@@ -106,6 +117,7 @@
 	return &cluster{
 		t: t, now: time.Second, entries: make(map[[4]byte]*datagram.Entry), agents: make(map[[4]byte]*datagram.Agent),
 		hosts: make(map[[4]byte]*host), isolated: make(map[[4]byte]bool), restarted: make(map[[4]byte]bool), flushAt: make(map[[4]byte]time.Duration), frames: make(map[flow.Kind]int),
+		arrivals: make(map[flow.Key][]arrival),
 	}
 }
 
@@ -170,6 +182,7 @@
 	return datagram.NewAgent(datagram.AgentConfig{
 		WakeAt: wakeAt,
 		Self:   flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
+		StrayWindow: strayWindow, RecoveryTime: recoveryTime,
 		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started, ClockStart: c.now,
 		HostWasDown: func() bool { return c.hosts[addr(n)].wasDown },
 		Codec:       platform.Codec{}, Catalog: current, Events: newDiscardEvents(),
@@ -211,6 +224,7 @@
 	before := c.current
 	if c.tracker == nil {
 		c.tracker = catalog.NewTracker()
+		c.tracker.FirstStart = c.current == nil
 	}
 	c.tracker.Replace(catalog.Position{Revision: version}, changes, c.now)
 	c.current = c.tracker.Current()
@@ -364,6 +378,9 @@
 		held = p.AckSeq == seq+1
 		h.established[key] = held
 	}
+	if !p.Opening() {
+		c.arrivals[key] = append(c.arrivals[key], arrival{c.now, held})
+	}
 	switch {
 	case p.Opening() && !h.refusing:
 		if !held {
--- /dev/null
+++ b/datagram/limited_search.go
@@ -0,0 +1,145 @@
+package datagram
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
+	"github.com/turmericrock/turmericrock/steering"
+)
+
+// trialReportPatience is how long a search with limited trials waits for agents to say
+// whether others have tried packets of the flow at their hosts.
+const trialReportPatience = 50 * time.Millisecond
+
+// noTrial is the age of a trial that has not taken place.
+const noTrial = -1
+
+// trialAge returns the age of the trial that an agent reports, or noTrial.
+func trialAge(f *flow.Frame) time.Duration {
+	if f.TrialAgeMS == 0 {
+		return noTrial
+	}
+	return time.Duration(f.TrialAgeMS) * time.Millisecond
+}
+
+// trialAgeMS returns the time in milliseconds since a packet of the flow was tried at the
+// host, at least 1, or 0 if none was.
+func (a *Agent) trialAgeMS(now time.Duration, key flow.Key) uint32 {
+	t := a.trials[key]
+	if t == nil {
+		return 0
+	}
+	return uint32(max(1, (now - t.firstSentAt).Milliseconds()))
+}
+
+// recordTrial records a trial at the host of an agent that the agent has reported.
+func (s *ownerSearch) recordTrial(agent [4]byte, age, now time.Duration) {
+	if age != noTrial {
+		s.trials.Record(agent, now-age)
+	}
+}
+
+// limitsTrials reports whether packets of a flow may be tried at a few hosts only, since the
+// flow may be at a host of a service that nobody knows to hold flows of the route.
+func (a *Agent) limitsTrials(now time.Duration, c *catalog.Catalog) bool {
+	return steering.RouteKnowledge{
+		KnownFor: now - c.ConfigsKnownSince, RunningFor: now - a.config.ClockStart,
+		FlowLifetime: a.config.FlowLifetime, RecoveryTime: a.config.RecoveryTime,
+	}.LimitsTrials()
+}
+
+// probeLimited sends a packet of the flow to as many of the agents that may hold it as the
+// trials allow. Both keepers of a flow may search for it, so it first waits for the agents
+// that can tell of trials.
+func (a *Agent) probeLimited(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
+	window := a.config.StrayWindow
+	if s.trials.Left(window, now) == 0 {
+		a.logLimit(now, c, key, s)
+		return
+	}
+	if now-s.startedAt < trialReportPatience && a.awaitsTrialReport(now, c, key, s) {
+		return
+	}
+	data := a.packetForTrial(s)
+	if data == nil {
+		return
+	}
+	for _, agent := range a.trialOrder(now, c, key, s) {
+		// A probe of this agent itself may have led to others.
+		if s.trials.Left(window, now) > 0 && !s.trials.Tried(agent, window, now) {
+			a.probe(now, c, key, s, agent, data, out)
+		}
+	}
+}
+
+// probeLikelyOwners sends a further packet of the flow to the agents that own it or whose
+// hosts have not returned the last one. A host that does not hold the flow returns it soon.
+func (a *Agent) probeLikelyOwners(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
+	for _, agent := range slices.Collect(maps.Keys(s.mayHold)) {
+		if s.owners[agent] || s.trials.IsUnreturned(agent, a.config.StrayWindow, now) {
+			a.probe(now, c, key, s, agent, data, out)
+		}
+	}
+}
+
+// logLimit logs once that the hosts that were tried do not hold the flow and no further ones
+// may be tried yet.
+func (a *Agent) logLimit(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch) {
+	for agent := range s.mayHold {
+		if s.trials.Tried(agent, a.config.StrayWindow, now) {
+			return
+		}
+	}
+	if !s.limitLogged {
+		s.limitLogged = true
+		a.config.Events.Log(EventOwnerUndecided, key, "reason", "trials_limited", "left", len(s.pending),
+			"known_ms", (now - c.ConfigsKnownSince).Milliseconds())
+	}
+}
+
+// awaitsTrialReport reports whether an agent that can tell of a trial has yet to answer.
+func (a *Agent) awaitsTrialReport(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch) bool {
+	scope := a.searchScope(now, c, key, 0)
+	for agent := range s.pending {
+		if !s.mayHold[agent] && a.isNamed(c, scope, agent) && !a.liveness.hasEnded(c, agent, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// packetForTrial returns the latest packet of the search that a host which holds the flow
+// answers, or nil if there is none.
+func (a *Agent) packetForTrial(s *ownerSearch) []byte {
+	var p flow.Packet
+	for _, data := range slices.Backward(s.packets) {
+		if a.config.Codec.Decode(data, &p) && callsForAnswer(&p) {
+			return data
+		}
+	}
+	return nil
+}
+
+// trialOrder returns the agents that may hold the flow: first those that know so although
+// this agent does not, then those of the requester's zone. Both keepers of a flow have the
+// same order, and flows have different ones.
+func (a *Agent) trialOrder(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch) [][4]byte {
+	scope, hash := a.searchScope(now, c, key, s.frame.OriginZone), key.Hash()
+	group := func(agent [4]byte) int {
+		switch {
+		case !a.isNamed(c, scope, agent):
+			return 0
+		case scope.IsLikely(c.Hosts[agent]):
+			return 1
+		default:
+			return 2
+		}
+	}
+	return slices.SortedFunc(maps.Keys(s.mayHold), func(x, y [4]byte) int {
+		return cmp.Or(cmp.Compare(group(x), group(y)), cmp.Compare(steering.TrialRank(hash, x), steering.TrialRank(hash, y)))
+	})
+}
--- /dev/null
+++ b/datagram/limited_search_test.go
@@ -0,0 +1,179 @@
+package datagram_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// newForgottenRoute returns a cluster of two entries and four hosts each of services s and
+// u, in which hosts of s hold open flows of a route that has moved to u. All processes have
+// just restarted, and none knows the earlier configuration.
+func newForgottenRoute(t *testing.T) (*cluster, []*requester) {
+	c := newCluster(t)
+	c.addEntry(1)
+	c.addEntry(2)
+	for n := byte(11); n <= 14; n++ {
+		c.addHost(n, "s")
+		c.addHost(n+10, "u")
+	}
+	c.publish(1, nil, "s")
+	flows := c.openFlows(1000, 30)
+	c.publish(2, nil, "u")
+	c.advance(8 * time.Second)
+	c.tracker = nil
+	c.publish(3, nil, "u")
+	c.restartAllAtOnce()
+	return c, flows
+}
+
+// sendAll sends a request on each flow, and its retransmissions after the given pauses in
+// milliseconds, through both entries in turn, until it is answered. It returns the number of
+// answered requests after each round.
+func (c *cluster) sendAll(flows []*requester, pauses ...time.Duration) []int {
+	var answered []int
+	count, isAnswered := 0, make(map[*requester]bool)
+	for i, pause := range append([]time.Duration{0}, pauses...) {
+		c.advance(pause * time.Millisecond)
+		for _, r := range flows {
+			if isAnswered[r] {
+				continue
+			}
+			r.entry = byte(1 + i%2)
+			for _, p := range r.send(ack, 777, 50) {
+				must.False(c.t, p.Rst, must.Sprint(r.key()))
+				isAnswered[r] = true
+				count++
+			}
+		}
+		answered = append(answered, count)
+	}
+	return answered
+}
+
+// Guards against packets of an open flow reaching the hosts of the route's new service, and
+// none its own host, after all processes have restarted: nobody knows the former service, and
+// a search tried the packet at every host of the new one.
+func TestPacketsOfAForgottenRouteDoNotStray(t *testing.T) {
+	for name, disturb := range map[string]func(c *cluster){
+		"callers pause":      func(c *cluster) { c.advance(hostListSettleTime) },
+		"callers pause long": func(c *cluster) { c.advance(12 * time.Second) },
+		"all restart again": func(c *cluster) {
+			c.advance(time.Second)
+			c.restartAllAtOnce()
+			c.advance(hostListSettleTime)
+		},
+		"an agent of each service restarts later": func(c *cluster) {
+			c.advance(5 * time.Second)
+			c.startAgent(11, true)
+			c.startAgent(21, true)
+		},
+		"all agents restart later": func(c *cluster) {
+			c.advance(5 * time.Second)
+			c.restartAgentsAtOnce()
+		},
+		"the route moves on": func(c *cluster) {
+			c.advance(hostListSettleTime)
+			c.publish(4, nil, "u", "s")
+			c.publish(5, nil, "u")
+		},
+		"an agent of the new service is silent": func(c *cluster) {
+			c.advance(hostListSettleTime)
+			c.isolated[addr(21)] = true
+		},
+		"a host of the new service is silent": func(c *cluster) {
+			c.advance(hostListSettleTime)
+			c.hosts[addr(21)].down = true
+		},
+		"frames are lost": func(c *cluster) {
+			c.advance(hostListSettleTime)
+			c.dropNext = 20
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, flows := newForgottenRoute(t)
+			disturb(c)
+			since := c.now
+			c.sendAll(flows, 200, 400, 800, 1600, 1600)
+			for _, r := range flows {
+				c.requireUnbroken(r.key(), since)
+			}
+			c.requireFewTrials("s", "u")
+		})
+	}
+}
+
+// Guards against a request that a keeper has begun to search for being tried at two further
+// hosts by the other keeper, which does not know of the first trials.
+func TestKeepersShareTheTrialsOfAFlow(t *testing.T) {
+	c, flows := newForgottenRoute(t)
+	c.advance(hostListSettleTime)
+	since := c.now
+	c.sendAll(flows, 200, 400, 800)
+	for _, r := range flows {
+		strays := 0
+		for _, p := range c.arrivals[r.key()] {
+			if p.at >= since {
+				strays++
+			}
+		}
+		must.Eq(t, 2, strays)
+	}
+}
+
+// Guards against the limit applying where the route has had no other service, as far as a
+// process knows that has seen all configurations: flows are found at each of the hosts.
+func TestFlowsAreFoundAtAnyHostIfAllConfigurationsAreKnown(t *testing.T) {
+	c, flows := newForgottenRoute(t)
+	c.publish(4, nil, "s")
+	c.tracker = nil
+	c.publish(5, nil, "s")
+	c.knowConfigs()
+	c.advance(hostListSettleTime)
+	must.Eq(t, []int{len(flows)}, c.sendAll(flows))
+}
+
+// Guards against flows of a route that has not moved being lost after a restart of all
+// processes: in the recovery time they are tried at all hosts, and later at two in each
+// window, those of the requester's zone first.
+func TestFlowsAreFoundAfterAllProcessesForgot(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"in the recovery time": recoveryTime / 2, "later": hostListSettleTime} {
+		t.Run(name, func(t *testing.T) {
+			c, flows := newForgottenRoute(t)
+			c.publish(4, nil, "s")
+			c.tracker = nil
+			c.publish(5, nil, "s")
+			c.restartAllAtOnce()
+			c.advance(wait)
+			since := c.now
+			answered := c.sendAll(flows, 200, 400, 800, 1600)
+			if wait < recoveryTime {
+				must.Eq(t, len(flows), answered[0])
+				return
+			}
+			must.Positive(t, answered[0])
+			must.Eq(t, len(flows), answered[4])
+			for _, r := range flows {
+				c.requireUnbroken(r.key(), since)
+			}
+		})
+	}
+}
+
+// Guards against a flow not being found at its host, which an agent knows to hold it, since
+// the searching agent has used up its trials.
+func TestKnownOwnerIsFoundDespiteTheLimit(t *testing.T) {
+	c, flows := newForgottenRoute(t)
+	c.advance(hostListSettleTime)
+	must.Eq(t, 0, c.sendAll(flows, 200)[1])
+	for _, r := range flows {
+		owner := c.holder(r.key())
+		// The host sends a packet by itself, but the keepers do not get word of it.
+		c.dropNext = 3
+		c.agents[owner].HandleHost(c.now, packet(ack, destination(), r.endpoint, c.hosts[owner].initialSeqs[r.key()], 1, 100), &clusterOutput{c, owner})
+		c.dropNext = 0
+		c.deliverAll()
+	}
+	must.Eq(t, len(flows), c.sendAll(flows, 400, 400)[2])
+}
--- a/datagram/moved_route_test.go
+++ b/datagram/moved_route_test.go
@@ -39,9 +39,35 @@
 // that has seen the earlier configuration.
 func (c *cluster) handOver() {
 	c.tracker.AdoptFormerServices(map[flow.Endpoint][]catalog.FormerService{destination(): {{Service: "s", LeftAt: c.now}}})
+	c.knowConfigs()
+}
+
+// knowConfigs makes all processes know all configurations since the opening of any flow, as
+// a peer does that has run for as long.
+func (c *cluster) knowConfigs() {
+	c.tracker.AdoptConfigHistory(c.now - lifetime)
 	c.current = c.tracker.Current()
 }
 
+// requireUnbroken requires that no three packets of the flow have reached other hosts
+// within a stray window since a time without one reaching its own host.
+func (c *cluster) requireUnbroken(key flow.Key, since time.Duration, about ...string) {
+	c.t.Helper()
+	var strays []time.Duration
+	for _, p := range c.arrivals[key] {
+		switch {
+		case p.at < since:
+		case p.held:
+			strays = nil
+		default:
+			strays = append(strays, p.at)
+		}
+		if n := len(strays); n > 2 {
+			must.Greater(c.t, strayWindow, strays[n-1]-strays[n-3], must.Sprintf("packets of %v strayed at %v %v", key, strays[n-3:], about))
+		}
+	}
+}
+
 // requireFewTrials requires that hosts which do not hold a flow got at most two packets
 // of it if they are of one of the services, and otherwise none.
 func (c *cluster) requireFewTrials(services ...string) {
@@ -138,7 +164,7 @@
 	c.publishWithZones(2, inZone, "s")
 	c.restartAgentsAtOnce()
 	c.addEntry(2)
-	c.advance(hostListSettleTime)
+	c.advance(recoveryTime / 2)
 	clear(c.frames)
 	for i, r := range flows {
 		must.True(t, inZone(c.holder(r.key())))
@@ -314,6 +340,7 @@
 			}
 		}
 	}, "u")
+	c.knowConfigs()
 	c.restartAllAtOnce()
 	c.advance(hostListSettleTime)
 	flows[0].requireReset()
@@ -414,6 +441,7 @@
 	c.hosts[addr(11)].wasDown = true
 	clear(c.hosts[addr(11)].initialSeqs)
 	c.unlistFirst()
+	c.knowConfigs()
 	for _, r := range flows {
 		r.requireReset()
 	}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -67,7 +67,7 @@
 		a.trials[key] = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
 	case t.returned:
 		return false
-	case now-t.firstSentAt > trialReturnTimeout:
+	case now-t.firstSentAt > steering.TrialReturnTimeout:
 		// The host did not return the last packets: it holds the flow or is
 		// down.
 		t.frame, t.firstSentAt, t.count = *f, now, 1
--- a/datagram/questions.go
+++ b/datagram/questions.go
@@ -134,7 +134,7 @@
 }
 
 // answerQueries answers a QueryMany. The flows that the host does not hold are reported
-// together.
+// together, but for those whose packets were tried at the host.
 func (a *Agent) answerQueries(now time.Duration, f *flow.Frame, list []byte, out Output) {
 	keys, ok := flow.ParseKeys(list)
 	if !ok {
@@ -145,6 +145,10 @@
 	for _, key := range keys {
 		switch a.answerTo(now, f, key) {
 		case flow.NotHeld:
+			if a.trials[key] != nil {
+				a.sendNotHeld(now, f.Sender, key, out)
+				continue
+			}
 			notHeld = append(notHeld, key)
 		case flow.MayHold:
 			a.sendMayHold(now, f.Sender, key, out)
@@ -161,6 +165,6 @@
 		return
 	}
 	for _, key := range keys {
-		a.handleNotHeld(now, key, agent, out)
+		a.handleNotHeld(now, key, agent, noTrial, out)
 	}
 }
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -41,6 +41,12 @@
 	// notHeld holds the agents whose hosts do not hold the flow. A host cannot come
 	// to hold an open flow later.
 	pending, mayHold, notHeld map[[4]byte]bool
+	// owners holds the agents that have answered that they own the flow.
+	owners map[[4]byte]bool
+	// trials records at which hosts packets of the flow were tried.
+	trials steering.TrialBudget
+	// limitLogged reports that the end of the trials was logged (see Agent.logLimit).
+	limitLogged bool
 	// widened reports that the agents of all zones were asked, and those of services that
 	// are not known to hold flows of the route, not only the likely ones of the zone that
 	// the requester's packets arrive in.
@@ -100,9 +106,10 @@
 func newOwnerSearch(now time.Duration, previous *ownerSearch) *ownerSearch {
 	s := &ownerSearch{
 		startedAt: now, pending: make(map[[4]byte]bool), mayHold: make(map[[4]byte]bool), notHeld: make(map[[4]byte]bool),
+		owners: make(map[[4]byte]bool),
 	}
 	if previous != nil {
-		s.notHeld, s.widened = previous.notHeld, previous.widened
+		s.notHeld, s.widened, s.trials, s.limitLogged = previous.notHeld, previous.widened, previous.trials, previous.limitLogged
 	}
 	return s
 }
@@ -193,22 +200,30 @@
 
 // sendMayHold tells the searching agent that the host may hold the flow.
 func (a *Agent) sendMayHold(now time.Duration, searcher [4]byte, key flow.Key, out Output) {
+	answer := a.newReport(flow.MayHold, key)
+	fl := a.flows[key]
+	answer.TrialAgeMS, answer.Established = a.trialAgeMS(now, key), fl != nil && fl.state != flowOpening
 	if searcher == a.config.Self.Addr {
-		a.handleMayHold(now, key, searcher, out)
+		a.handleMayHold(now, &answer, out)
 		return
 	}
-	answer := a.newReport(flow.MayHold, key)
 	out.ToNode(a.endpoint(searcher), &answer, nil)
 }
 
 // handleMayHold sends the packets of a flow to an agent that needs them to find out
-// whether its host holds the flow.
-func (a *Agent) handleMayHold(now time.Duration, key flow.Key, agent [4]byte, out Output) {
+// whether its host holds the flow, unless the trials are limited.
+func (a *Agent) handleMayHold(now time.Duration, f *flow.Frame, out Output) {
+	key, agent := f.Key, f.Sender
 	s, c := a.searches[key], a.config.Catalog()
 	if s == nil || c == nil || !s.pending[agent] || s.mayHold[agent] {
 		return
 	}
-	s.mayHold[agent] = true
+	s.recordTrial(agent, trialAge(f), now)
+	s.mayHold[agent], s.owners[agent] = true, f.Established
+	if a.limitsTrials(now, c) && !f.Established && !s.trials.IsUnreturned(agent, a.config.StrayWindow, now) {
+		a.probeLimited(now, c, key, s, out)
+		return
+	}
 	for _, data := range s.packets {
 		a.probe(now, c, key, s, agent, data, out)
 	}
@@ -218,6 +233,11 @@
 // packets, and to those that have left the query unanswered and whose services are known
 // to hold flows of the route.
 func (a *Agent) probeAgain(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
+	if a.limitsTrials(now, c) {
+		a.probeLikelyOwners(now, c, key, s, data, out)
+		a.probeLimited(now, c, key, s, out)
+		return
+	}
 	overdue := now-s.startedAt >= lookupTimeout
 	scope := a.searchScope(now, c, key, 0)
 	for _, agent := range slices.Collect(maps.Keys(s.pending)) {
@@ -229,6 +249,7 @@
 
 // probe sends a packet of the flow to an agent, so that it is tried at its host.
 func (a *Agent) probe(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agent [4]byte, data []byte, out Output) {
+	s.trials.Record(agent, now)
 	f := s.frame
 	f.ServiceTag = a.probeServiceTag(c, a.searchScope(now, c, key, 0), agent, f.ServiceTag)
 	if agent != a.config.Self.Addr {
@@ -306,16 +327,17 @@
 // sendNotHeld reports to the searching agent that the host does not hold a
 // flow.
 func (a *Agent) sendNotHeld(now time.Duration, replyTo [4]byte, key flow.Key, out Output) {
+	f := a.newReport(flow.NotHeld, key)
+	f.TrialAgeMS = a.trialAgeMS(now, key)
 	if replyTo == a.config.Self.Addr {
-		a.handleNotHeld(now, key, replyTo, out)
+		a.handleNotHeld(now, key, replyTo, trialAge(&f), out)
 		return
 	}
-	f := a.newReport(flow.NotHeld, key)
 	out.ToNode(a.endpoint(replyTo), &f, nil)
 }
 
 // handleNotHeld records that an agent's host does not hold a flow.
-func (a *Agent) handleNotHeld(now time.Duration, key flow.Key, agent [4]byte, out Output) {
+func (a *Agent) handleNotHeld(now time.Duration, key flow.Key, agent [4]byte, trialAge time.Duration, out Output) {
 	if r := a.records[key]; r != nil && r.owner == agent {
 		delete(a.records, key)
 	}
@@ -323,9 +345,13 @@
 	if s == nil || !s.pending[agent] {
 		return
 	}
+	s.recordTrial(agent, trialAge, now)
 	delete(s.pending, agent)
 	delete(s.mayHold, agent)
 	s.notHeld[agent] = true
+	if c := a.config.Catalog(); c != nil && a.limitsTrials(now, c) {
+		a.probeLimited(now, c, key, s, out)
+	}
 	a.resetIfNotHeld(now, key, s, out)
 }
 
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -107,7 +107,7 @@
 	// Key is the flow that Owned, Closed and NotHeld refer to.
 	Key Key
 	// Established reports in Owned that the requester has confirmed the flow at
-	// this owner. Several hosts may accept duplicates of an opening, the packet
+	// this owner, and in MayHold that the sender owns the flow. Several hosts may accept duplicates of an opening, the packet
 	// that requests a new flow, but the requester confirms only one of them.
 	Established bool
 	// Sender is the sender of a report: an agent, which need not own a flow, or,
@@ -127,6 +127,10 @@
 	// ListeningMS is, in an UnlistedReport, how long its sender has been listening for
 	// announcements, in milliseconds.
 	ListeningMS uint32
+	// TrialAgeMS is, in a NotHeld or MayHold, the time in milliseconds since a packet of the
+	// flow was tried at the sender's host, or 0 if none was or the sender runs an earlier
+	// build.
+	TrialAgeMS uint32
 	// AdmitPriority is the lowest priority that the sender's host admits, plus one, or
 	// AdmitsAll. It is 0 if nothing is said of it, as in frames of earlier builds.
 	AdmitPriority uint8
@@ -166,6 +170,9 @@
 		binary.LittleEndian.PutUint32(b[24:], f.ServiceTag)
 		binary.LittleEndian.PutUint32(b[28:], f.StartedAt)
 		binary.LittleEndian.PutUint32(b[32:], f.ListeningMS)
+		if f.Kind == NotHeld || f.Kind == MayHold {
+			binary.LittleEndian.PutUint32(b[32:], f.TrialAgeMS)
+		}
 		b[36] = f.AdmitPriority
 		if f.AcceptsBatches {
 			b[37] = 1
@@ -203,7 +210,11 @@
 		f.Busy = binary.LittleEndian.Uint16(data[22:])
 		f.ServiceTag = binary.LittleEndian.Uint32(data[24:])
 		f.StartedAt = binary.LittleEndian.Uint32(data[28:])
-		f.ListeningMS = binary.LittleEndian.Uint32(data[32:])
+		if f.Kind == NotHeld || f.Kind == MayHold {
+			f.TrialAgeMS = binary.LittleEndian.Uint32(data[32:])
+		} else {
+			f.ListeningMS = binary.LittleEndian.Uint32(data[32:])
+		}
 		f.AdmitPriority = data[36]
 		f.AcceptsBatches = data[37]&1 != 0
 		f.ServiceMillis = binary.LittleEndian.Uint16(data[38:])
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -376,6 +376,7 @@
 	a := datagram.NewAgent(datagram.AgentConfig{
 		WakeAt: alarm.WakeAt,
 		Self:   flow.EndpointOf(n.peerAddr()), Service: n.settings.Service, FlowLifetime: n.settings.FlowLifetime,
+		StrayWindow: n.settings.StrayWindow, RecoveryTime: n.settings.RecoveryTime,
 		ColdOverage: n.settings.ColdOverage, ColdSlack: n.settings.ColdSlack,
 		Restarted: !n.settings.FirstStart, StartedAt: n.started,
 		HostRunning: n.hostRunning.Load, HostWasDown: n.hostWasDown.Load,
--- /dev/null
+++ b/steering/trial_budget_test.go
@@ -0,0 +1,67 @@
+package steering_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/steering"
+)
+
+const strayWindow = 2 * time.Second
+
+// Guards against flows being broken that a service holds which nobody knows any more: all
+// processes have restarted after a route moved, and packets are tried at every host.
+func TestTrialsAreLimitedWhileFormerServicesAreUnknown(t *testing.T) {
+	for name, tc := range map[string]struct {
+		knownFor, runningFor time.Duration
+		limited              bool
+	}{
+		"all processes have just started":       {time.Second, time.Second, false},
+		"the configuration came late":           {100 * time.Millisecond, 3 * time.Second, true},
+		"all processes started a while ago":     {3 * time.Second, 3 * time.Second, true},
+		"restarted beside processes like that":  {20 * time.Second, time.Second, true},
+		"restarted beside one that knows all":   {time.Minute, time.Second, false},
+		"running for longer than flows are old": {time.Hour, time.Hour, false},
+	} {
+		k := steering.RouteKnowledge{
+			KnownFor: tc.knownFor, RunningFor: tc.runningFor, FlowLifetime: time.Minute, RecoveryTime: 2 * time.Second,
+		}
+		must.Eq(t, tc.limited, k.LimitsTrials(), must.Sprint(name))
+	}
+}
+
+// Guards against a third packet of a flow at hosts that do not hold it within a stray window,
+// while the requester sends copies and both keepers search.
+func TestTwoHostsAreTriedInAStrayWindow(t *testing.T) {
+	var b steering.TrialBudget
+	agent := func(n byte) [4]byte { return [4]byte{10, 0, 0, n} }
+	var trials []time.Duration
+	next := byte(1)
+	for now := time.Second; now < 20*time.Second; now += 100 * time.Millisecond {
+		for b.Left(strayWindow, now) > 0 {
+			b.Record(agent(next), now)
+			trials = append(trials, now)
+			next++
+		}
+	}
+	must.GreaterEq(t, 14, len(trials))
+	for i := 2; i < len(trials); i++ {
+		must.Greater(t, strayWindow, trials[i]-trials[i-2])
+	}
+}
+
+// Guards against a flow that a slow host holds being tried elsewhere in place of its host: a
+// host that has not returned the packet for long holds the flow.
+func TestHostThatDoesNotReturnAPacketIsTriedAgain(t *testing.T) {
+	var b steering.TrialBudget
+	agent := [4]byte{10, 0, 0, 1}
+	must.False(t, b.IsUnreturned(agent, strayWindow, time.Second))
+	b.Record(agent, time.Second)
+	must.False(t, b.IsUnreturned(agent, strayWindow, time.Second+50*time.Millisecond))
+	must.True(t, b.IsUnreturned(agent, strayWindow, time.Second+100*time.Millisecond))
+	must.False(t, b.IsUnreturned(agent, strayWindow, 4*time.Second))
+	b.Record(agent, 500*time.Millisecond)
+	must.True(t, b.IsUnreturned(agent, strayWindow, time.Second+100*time.Millisecond), must.Sprint("an older report changes nothing"))
+}
