Tell peers the services of superseded configurations

Callers would see: flows that were opened while a route was at a service for a moment are reset, or their packets stray, once the agents that know them have restarted.

Cause: peers send the last value of each key. After a flow lifetime it resets a flow at the service in between.

Change: an answer to a peer with another version of the configuration holds the former services of the routes and since when the peer knows all configurations. A process that may have missed one counts what it knows from then: trials are limited, all services are asked, and no flow is reset that an agent cannot tell of.

Evidence: TestServicesOfSupersededConfigurationsAreKnown, TestTimeOfKnownConfigurationsEndsWithTheHistoryOfTheStore and TestFlowOfAMissedConfigurationIsNotReset fail without the parts that they guard.

--- a/catalog/former_services.go
+++ b/catalog/former_services.go
@@ -98,17 +98,6 @@
 	}
 }
 
-// AdoptConfigHistory records that a peer, whose former services were adopted, has known all
-// configurations since a time on the local clock.
-func (t *Tracker) AdoptConfigHistory(since time.Duration) {
-	if t.current.Load() == nil || since >= t.configsKnownSince {
-		return
-	}
-	republished := *t.current.Load()
-	t.configsKnownSince, republished.ConfigsKnownSince = since, since
-	t.current.Store(&republished)
-}
-
 // wireFormerServices is the encoding of the former services of a route, with the time
 // since each left.
 type wireFormerServices struct {
--- a/catalog/former_services_test.go
+++ b/catalog/former_services_test.go
@@ -128,6 +128,27 @@
 	must.True(t, tracker.Current().Config.Routes[flow.Endpoint{Port: 1}].MayHoldFlows("u"))
 }
 
+// Guards against running processes missing a service that was a target of a route for less
+// than they take to read: the store and peers leave out configurations that were superseded,
+// and flows that were opened meanwhile stay at the service.
+func TestServicesOfSupersededConfigurationsAreKnown(t *testing.T) {
+	for _, gap := range []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			runFleet(t, 1, 6, 8, func(f *fleet) {
+				f.seeds, f.entries = []int{7, 8}, []int{7, 8}
+				putRoute(f.clients, 2, "s")
+				f.sleep(configPropagationLimit)
+				putRoute(f.clients, 3, "u")
+				f.sleep(gap)
+				putRoute(f.clients, 4, "s")
+				f.sleep(configPropagationLimit)
+				f.requireVersion(4)
+				f.requireThroughout(time.Second, "knows the service in between", func(m *member) bool { return m.knowsFormerService("u") })
+			})
+		})
+	}
+}
+
 // knowsConfigsFor returns for how long the process has known all configurations.
 func (m *member) knowsConfigsFor() time.Duration {
 	return m.fleet.now() - m.tracker.Current().ConfigsKnownSince
@@ -160,3 +181,37 @@
 		}
 	})
 }
+
+// Guards against a process taking the services that it knows for all that a route had, after
+// it could not read the store for a while and the store has discarded its history: there may
+// have been configurations in between that nobody has seen.
+func TestTimeOfKnownConfigurationsEndsWithTheHistoryOfTheStore(t *testing.T) {
+	runFleet(t, 1, 6, 8, func(f *fleet) {
+		f.seeds, f.entries = []int{7, 8}, []int{7, 8}
+		putRoute(f.clients, 2, "s")
+		f.sleep(10 * time.Second)
+		for _, m := range f.members {
+			m.setCut(true)
+		}
+		f.sleep(time.Second)
+		putRoute(f.clients, 3, "u")
+		putRoute(f.clients, 4, "s")
+		f.store.Compact()
+		f.sleep(time.Second)
+		for _, m := range f.members {
+			m.setCut(false)
+		}
+		f.sleep(3 * time.Second)
+		f.requireVersion(4)
+		for _, m := range f.members {
+			must.False(f.t, m.knowsFormerService("u"))
+			must.Less(f.t, 5*time.Second, m.knowsConfigsFor(), must.Sprint(m.ip))
+		}
+		f.sleep(time.Second)
+		putRoute(f.clients, 5, "u")
+		f.sleep(10 * time.Second)
+		for _, m := range f.members {
+			must.GreaterEq(f.t, 10*time.Second, m.knowsConfigsFor(), must.Sprint(m.ip))
+		}
+	})
+}
--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -58,6 +58,9 @@
 	History *wireHistory `cbor:"10,keyasint,omitempty"`
 	// Late holds the peer's late changes. Peers of earlier versions send and read none.
 	Late []peerValue `cbor:"11,keyasint,omitempty"`
+	// Configs holds what the peer knows of earlier configurations, if the request asked for
+	// the time before or named another version. Peers of earlier versions do not tell.
+	Configs *wireConfigHistory `cbor:"12,keyasint,omitempty"`
 }
 
 // peerValue is the encoding of a Value. Since the clocks of processes differ,
@@ -92,7 +95,9 @@
 // The query parameter after is the revision that the peer already has, era the era of
 // that revision, which peers of earlier versions leave out, wait_ms the time in
 // milliseconds to wait for a change, gzip is 1 if the peer accepts compressed values,
-// gone is 1 if it asks for removals, and history is 1 if it asks for the time before.
+// gone is 1 if it asks for removals, history is 1 if it asks for the time before, and config
+// is the version of the configuration that the peer already has, or 0, which peers of earlier
+// versions leave out.
 func PeerHandler(t *Tracker, now func() time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		after, err := decodePeerPosition(r.URL.Query())
@@ -121,6 +126,9 @@
 		if c := t.Current(); c != nil && withHistory {
 			response.History = encodeHistory(c, now())
 		}
+		if c := t.Current(); c != nil && (withHistory || namesOtherConfig(r.URL.Query(), c)) {
+			response.Configs = encodeConfigHistory(c, now())
+		}
 		body, err := cbor.Marshal(response)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -130,6 +138,12 @@
 	})
 }
 
+// namesOtherConfig reports whether a peer has another version of the configuration.
+func namesOtherConfig(query url.Values, c *Catalog) bool {
+	version, err := strconv.ParseUint(query.Get("config"), 10, 64)
+	return err == nil && version != c.Config.Version
+}
+
 // decodePeerPosition decodes the position that a peer names in its query.
 func decodePeerPosition(query url.Values) (peerPosition, error) {
 	revision, err := strconv.ParseInt(query.Get("after"), 10, 64)
@@ -242,6 +256,8 @@
 	// gone asks for the removals that the peer remembers, and history for what it knows
 	// of hosts that left and of former services of routes.
 	gone, history bool
+	// config is the version of the configuration that the process has, or 0.
+	config uint64
 }
 
 // request is like Changes and asks for more.
@@ -253,6 +269,7 @@
 		"era":     {strconv.FormatInt(after.Era, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 		"gzip":    {"1"},
+		"config":  {strconv.FormatUint(options.config, 10)},
 	}
 	if options.gone {
 		query.Set("gone", "1")
@@ -325,14 +342,17 @@
 	}
 	if h := r.History; h != nil {
 		c.time("history", h.HealthyForMS)
-		c.time("known configurations", h.ConfigsKnownMS)
 		for i := range h.Removed {
 			c.time("age of a removed host", h.Removed[i].AgeMS)
 		}
 		for i := range h.Former {
-			for _, f := range h.Former[i].Services {
-				c.time("age of a former service", f.AgeMS)
-			}
+			c.formerServices(&h.Former[i])
+		}
+	}
+	if h := r.Configs; h != nil {
+		c.time("known configurations", h.KnownMS)
+		for i := range h.Former {
+			c.formerServices(&h.Former[i])
 		}
 	}
 	return c.err
@@ -362,6 +382,12 @@
 	}
 }
 
+func (c *peerFieldChecker) formerServices(w *wireFormerServices) {
+	for _, f := range w.Services {
+		c.time("age of a former service", f.AgeMS)
+	}
+}
+
 func fromMilliseconds(ms int64) time.Duration {
 	return time.Duration(ms) * time.Millisecond
 }
@@ -385,7 +411,7 @@
 	now := p.Now()
 	result := ReadResult{Position: Position{Era: response.Era, Revision: response.Revision}, Full: response.Full, Age: fromMilliseconds(response.AgeMS)}
 	result.gone = decodeGone(response.Gone, now)
-	result.history = response.History.decode(now)
+	result.history, result.configs = response.History.decode(now), response.Configs.decode(now)
 	result.SettlingFor, result.Deviates = fromMilliseconds(response.SettlingMS), response.Deviates
 	values := peerValueDecoder{client: p, era: response.Era, now: now}
 	if result.Changes, err = values.decode(response.Values); err != nil {
--- a/catalog/peer_history.go
+++ b/catalog/peer_history.go
@@ -8,13 +8,12 @@
 )
 
 // peerHistory is what a process knows of the time before: how long its reads of the store
-// had succeeded when it last confirmed its state, which hosts left within that time, which
-// services were targets of routes, and for how long it has known all configurations.
+// had succeeded when it last confirmed its state, which hosts left within that time, and
+// which services were targets of routes.
 type peerHistory struct {
-	healthyFor      time.Duration
-	removed         []RemovedHost
-	former          map[flow.Endpoint][]FormerService
-	configsKnownFor time.Duration
+	healthyFor time.Duration
+	removed    []RemovedHost
+	former     map[flow.Endpoint][]FormerService
 }
 
 // wireHistory is the encoding of a peerHistory.
@@ -23,9 +22,6 @@
 	Removed      []wireRemovedHost `cbor:"2,keyasint,omitempty"`
 	// Former holds former services of routes. Peers of earlier versions do not tell.
 	Former []wireFormerServices `cbor:"3,keyasint,omitempty"`
-	// ConfigsKnownMS is for how long, in milliseconds, the peer has known all
-	// configurations. Peers of earlier versions do not tell.
-	ConfigsKnownMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // wireRemovedHost is the encoding of a RemovedHost, with the age of the removal.
@@ -42,7 +38,6 @@
 		h.Removed = append(h.Removed, wireRemovedHost{Agent: r.Agent, Service: r.Service, AgeMS: max(0, now-r.RemovedAt).Milliseconds()})
 	}
 	h.Former = encodeFormerServices(c.Config, now)
-	h.ConfigsKnownMS = max(0, min(maxPeerTime, now-c.ConfigsKnownSince)).Milliseconds()
 	return h
 }
 
@@ -51,10 +46,7 @@
 	if w == nil {
 		return nil
 	}
-	h := &peerHistory{
-		healthyFor: fromMilliseconds(w.HealthyForMS), former: decodeFormerServices(w.Former, now),
-		configsKnownFor: fromMilliseconds(w.ConfigsKnownMS),
-	}
+	h := &peerHistory{healthyFor: fromMilliseconds(w.HealthyForMS), former: decodeFormerServices(w.Former, now)}
 	for _, r := range w.Removed {
 		h.removed = append(h.removed, RemovedHost{Agent: r.Agent, Service: r.Service, RemovedAt: now - fromMilliseconds(r.AgeMS)})
 	}
--- a/catalog/source.go
+++ b/catalog/source.go
@@ -35,8 +35,10 @@
 	late []Change
 	// gone holds what the peer remembers of removals, if it was asked.
 	gone map[goneKey]time.Duration
-	// history holds what the peer knows of hosts that left, if it was asked.
+	// history holds what the peer knows of hosts that left, if it was asked, and configs what
+	// it knows of earlier configurations.
 	history *peerHistory
+	configs *configHistory
 }
 
 // Source reads the declared values.
--- a/catalog/start.go
+++ b/catalog/start.go
@@ -135,7 +135,7 @@
 	s.Tracker.gone.addAll(result.gone, s.Now())
 	s.apply(from, result)
 	s.peerStateEra = result.Era
-	s.adoptFormerServices(Position{}, result)
+	s.adoptConfigHistory(appliedState{}, result)
 	s.adoptHistory(Position{}, result)
 	s.historyDeadline = s.Now() + pacing.HistoryPatience
 	return true
@@ -176,30 +176,19 @@
 	return s.historyPending || needsPeerState
 }
 
-// adoptFormerServices takes over which services a peer knows to have been targets of
-// routes. It takes over since when the peer knows all of them, too, if the peer's state is
-// not behind that of this process, so that no configuration lies between the two.
-func (s *Syncer) adoptFormerServices(before Position, r *ReadResult) {
-	if r.history == nil {
-		return
-	}
-	s.Tracker.AdoptFormerServices(r.history.former)
-	if !r.Position.Before(before) {
-		s.Tracker.AdoptConfigHistory(s.Now() - r.history.configsKnownFor)
-	}
-}
-
 // syncFromSeeds applies the responses of all seeds that answer, whatever their age:
 // old data is better than none while the store is unreachable. A seed that is cut off
 // from the store may still list hosts that have left, so the newest response counts.
 func (s *Syncer) syncFromSeeds(ctx context.Context) {
 	for _, seed := range s.Seeds {
-		result, err := s.Peers.request(ctx, seed, s.Tracker.Position(), 0, peerOptions{gone: true})
+		before := s.appliedState()
+		result, err := s.Peers.request(ctx, seed, before.position, 0, peerOptions{gone: true, config: before.version})
 		if err != nil {
 			s.Log.WithError(err).WithField("seed", seed).Debug("seed_failed")
 			continue
 		}
 		s.Tracker.gone.addAll(result.gone, s.Now())
 		s.apply(fromSeed, &result)
+		s.adoptConfigHistory(before, &result)
 	}
 }
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -206,8 +206,12 @@
 	if err := s.checkOrder(fromSnapshot, &result); err != nil {
 		return err
 	}
-	first := s.Tracker.Current() == nil
+	first, before := s.Tracker.Current() == nil, s.appliedState()
 	s.applySnapshot(ctx, &result)
+	if s.hasNewConfig(before) {
+		// The store may have held others since the last read.
+		s.Tracker.setConfigsKnownSince(s.Tracker.ConfirmedAt())
+	}
 	if c := s.Tracker.Current(); first && c != nil && !slices.Contains(Readers(c), s.Self) {
 		s.historyDeadline = s.Now() + pacing.HistoryPatience
 		return nil
--- a/catalog/sync_peers.go
+++ b/catalog/sync_peers.go
@@ -151,11 +151,11 @@
 	if settles {
 		after, wait = Position{}, 0
 	}
-	needsState, before := s.needsPeerState(), s.Tracker.Position()
+	needsState, before := s.needsPeerState(), s.appliedState()
 	asksHistory := s.asksHistory(needsState)
-	result, err := s.Peers.request(ctx, address, after, wait, peerOptions{gone: needsState, history: asksHistory})
+	result, err := s.Peers.request(ctx, address, after, wait, peerOptions{gone: needsState, history: asksHistory, config: before.version})
 	if err == nil && s.needsFullRead(&result, needsState) {
-		result, err = s.Peers.request(ctx, address, Position{}, 0, peerOptions{gone: true, history: asksHistory})
+		result, err = s.Peers.request(ctx, address, Position{}, 0, peerOptions{gone: true, history: asksHistory, config: before.version})
 	}
 	if err != nil {
 		return err
@@ -173,14 +173,14 @@
 		}
 	}
 	s.apply(fromPeer, &result)
-	s.adoptFormerServices(before, &result)
+	s.adoptConfigHistory(before, &result)
 	if err := checkAge(&result); err != nil {
 		return err
 	}
-	if !result.Before(before) {
+	if !result.Before(before.position) {
 		s.peerStateEra = result.Era
 	}
-	s.adoptHistory(before, &result)
+	s.adoptHistory(before.position, &result)
 	return nil
 }
 
--- a/datagram/limited_search_test.go
+++ b/datagram/limited_search_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/turmericrock/turmericrock/catalog"
 )
 
 // newForgottenRoute returns a cluster of two entries and four hosts each of services s and
@@ -104,6 +106,29 @@
 	}
 }
 
+// Guards against an open flow being reset by a process that has run for longer than a flow
+// lifetime but has missed the configuration that named the service of its host: it took the
+// services that it knew for all that could hold the flow.
+func TestFlowOfAMissedConfigurationIsNotReset(t *testing.T) {
+	c, flows := newMovedRoute(t)
+	c.addEntry(1)
+	for n := byte(12); n <= 15; n++ {
+		c.startAgent(n, false)
+	}
+	c.startAgent(11, true)
+	missed := *c.current
+	missed.FirstPublishedAt, missed.HealthySince, missed.ConfirmedAt = c.now-2*lifetime, c.now-lifetime, c.now+lifetime
+	c.catalogs = make(map[[4]byte]*catalog.Catalog)
+	for a := range c.agents {
+		c.catalogs[a] = &missed
+	}
+	for _, r := range flows {
+		must.SliceEmpty(t, r.sendWithRetries(200, 400, 800))
+	}
+	must.SliceEmpty(t, c.hosts[addr(11)].received)
+	c.requireFewTrials("u")
+}
+
 // Guards against a request that a keeper has begun to search for being tried at two further
 // hosts by the other keeper, which does not know of the first trials.
 func TestKeepersShareTheTrialsOfAFlow(t *testing.T) {
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -304,9 +304,9 @@
 func (a *Agent) searchScope(now time.Duration, c *catalog.Catalog, key flow.Key, zoneTag uint16) steering.SearchScope {
 	return steering.SearchScope{
 		Destination: key.Destination, Route: c.Config.Routes[key.Destination], ZoneTag: zoneTag,
-		// Configurations before the process's first snapshot may have routed the flow
-		// to any service.
-		AnyService: now-c.FirstPublishedAt < a.config.FlowLifetime, History: a.serviceHistory,
+		// Configurations before the process's first snapshot, or that it has missed, may
+		// have routed the flow to any service.
+		AnyService: now-max(c.FirstPublishedAt, c.ConfigsKnownSince) < a.config.FlowLifetime, History: a.serviceHistory,
 	}
 }
 
