Lift the limit on trials of a route once its flows are found

Callers saw: after all processes were killed, requests on flows that had sent nothing for 2 s failed although their route had not moved, since packets are tried at two hosts only.

Cause: the limit holds for a flow lifetime whatever searches have shown meanwhile.

A search misses a flow if the hosts of all known services have returned its packet and others cannot tell; the first agent that misses one tells all.

Ruled out: a longer recovery time (3 s in place of 2 s).

TestFlowsAreFoundAtOnceAfterOthersOfTheRouteWereFound fails without the change, and TestOneMissingFlowLimitsTheTrialsOfItsRoute if agents are not told of a missing flow.

--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -45,13 +45,54 @@
 
 // limitsTrials reports whether packets of a flow may be tried at a few hosts only, since the
 // flow may be at a host of a service that nobody knows to hold flows of the route.
-func (a *Agent) limitsTrials(now time.Duration, c *catalog.Catalog) bool {
+func (a *Agent) limitsTrials(now time.Duration, c *catalog.Catalog, key flow.Key) bool {
+	if a.routeEvidence.AllServicesKnown(key.Destination) {
+		return false
+	}
 	return steering.RouteKnowledge{
 		KnownFor: now - c.ConfigsKnownSince, RunningFor: now - a.config.ClockStart,
 		FlowLifetime: a.config.FlowLifetime, RecoveryTime: a.config.RecoveryTime,
 	}.LimitsTrials()
 }
 
+// endSearch ends the search for a flow, if there is one, whose owner is known now.
+func (a *Agent) endSearch(now time.Duration, key flow.Key) {
+	if a.searches[key] != nil {
+		delete(a.searches, key)
+		a.routeEvidence.RecordFound(key.Destination, now)
+	}
+}
+
+// reportMissing tells all agents of the first flow of a route that no host holds of a service
+// which is known to hold flows of the route, while agents of others cannot tell.
+func (a *Agent) reportMissing(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
+	if !s.widened {
+		return
+	}
+	scope := a.searchScope(now, c, key, 0)
+	undecided := false
+	for agent := range s.pending {
+		switch {
+		case a.liveness.hasEnded(c, agent, now):
+		case a.isNamed(c, scope, agent):
+			return
+		default:
+			undecided = true
+		}
+	}
+	if !undecided || !a.routeEvidence.RecordMissing(key.Destination, now) {
+		return
+	}
+	a.config.Events.Log(EventOwnerUndecided, key, "reason", "missing", "left", len(s.pending),
+		"known_ms", (now - c.ConfigsKnownSince).Milliseconds())
+	f := a.newReport(flow.Missing, key)
+	for _, agent := range c.Agents {
+		if agent != a.config.Self.Addr {
+			out.ToNode(a.endpoint(agent), &f, nil)
+		}
+	}
+}
+
 // probeLimited sends a packet of the flow to as many of the agents that may hold it as the
 // trials allow. Both keepers of a flow may search for it, so it first waits for the agents
 // that can tell of trials.
--- a/datagram/limited_search_test.go
+++ b/datagram/limited_search_test.go
@@ -202,3 +202,53 @@
 	}
 	must.Eq(t, len(flows), c.sendAll(flows, 400, 400)[2])
 }
+
+// Guards against flows of a route that has not moved being lost after a restart of all
+// processes because the trials are limited: those that were found in the recovery time show
+// that the known services are all.
+func TestFlowsAreFoundAtOnceAfterOthersOfTheRouteWereFound(t *testing.T) {
+	c := newCluster(t)
+	c.addEntry(1)
+	c.addEntry(2)
+	for n := byte(11); n <= 14; n++ {
+		c.addHost(n, "s")
+		c.addHost(n+10, "u")
+	}
+	c.publish(1, nil, "s")
+	flows := c.openFlows(1000, 200)
+	c.tracker = nil
+	c.publish(2, nil, "s")
+	c.restartAllAtOnce()
+	busy, quiet := flows[:150], flows[150:]
+	must.Eq(t, len(busy), c.sendAll(busy)[0])
+	c.advance(hostListSettleTime)
+	must.Eq(t, len(quiet), c.sendAll(quiet)[0])
+}
+
+// Guards against packets straying because flows of the route were found at its new service:
+// one flow that was not found shows that others may be at a former one, and all agents are
+// told.
+func TestOneMissingFlowLimitsTheTrialsOfItsRoute(t *testing.T) {
+	c := newCluster(t)
+	c.addEntry(1)
+	c.addEntry(2)
+	for n := byte(11); n <= 14; n++ {
+		c.addHost(n, "s")
+		c.addHost(n+10, "u")
+	}
+	c.publish(1, nil, "s")
+	former := c.openFlows(1000, 30)
+	c.publish(2, nil, "u")
+	busy := c.openFlows(2000, 150)
+	c.tracker = nil
+	c.publish(3, nil, "u")
+	c.restartAllAtOnce()
+	must.Eq(t, len(busy), c.sendAll(busy)[0])
+	must.Eq(t, 0, c.sendAll(former[:1])[0])
+	c.advance(hostListSettleTime)
+	since := c.now
+	c.sendAll(former[1:], 200, 400, 800, 1600)
+	for _, r := range former[1:] {
+		c.requireUnbroken(r.key(), since)
+	}
+}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -119,7 +119,7 @@
 	}
 	a.flows[key] = fl
 	a.openFlows++
-	delete(a.searches, key)
+	a.endSearch(now, key)
 	a.config.Events.Log(EventAdopted, key, "entry", origin.AddrPort().Addr())
 	a.observeService(key.Destination, a.tag, now)
 	a.announce(key, origin, true, out)
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -220,7 +220,7 @@
 	}
 	s.recordTrial(agent, trialAge(f), now)
 	s.mayHold[agent], s.owners[agent] = true, f.Established
-	if a.limitsTrials(now, c) && !f.Established && !s.trials.IsUnreturned(agent, a.config.StrayWindow, now) {
+	if a.limitsTrials(now, c, key) && !f.Established && !s.trials.IsUnreturned(agent, a.config.StrayWindow, now) {
 		a.probeLimited(now, c, key, s, out)
 		return
 	}
@@ -233,7 +233,7 @@
 // packets, and to those that have left the query unanswered and whose services are known
 // to hold flows of the route.
 func (a *Agent) probeAgain(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
-	if a.limitsTrials(now, c) {
+	if a.limitsTrials(now, c, key) {
 		a.probeLikelyOwners(now, c, key, s, data, out)
 		a.probeLimited(now, c, key, s, out)
 		return
@@ -349,10 +349,14 @@
 	delete(s.pending, agent)
 	delete(s.mayHold, agent)
 	s.notHeld[agent] = true
-	if c := a.config.Catalog(); c != nil && a.limitsTrials(now, c) {
+	c := a.config.Catalog()
+	if c != nil && a.limitsTrials(now, c, key) {
 		a.probeLimited(now, c, key, s, out)
 	}
 	a.resetIfNotHeld(now, key, s, out)
+	if c != nil {
+		a.reportMissing(now, c, key, s, out)
+	}
 }
 
 // askMissing asks the agents that have become known since the search asked, such as those
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -80,6 +80,9 @@
 	// NotHeldMany is a NotHeld for several flows, whose keys follow the header. It
 	// answers a QueryMany.
 	NotHeldMany
+	// Missing reports a flow that no host holds of the services that are known to hold flows
+	// of its route, so that another service may.
+	Missing
 )
 
 // Frame is the header of a datagram between processes. Which fields are sent
@@ -158,7 +161,7 @@
 			copy(b[avoidOffset+4*i:], f.Avoided[i][:])
 		}
 	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold, UnlistedQuery, UnlistedReport,
-		QueryMany, NotHeldMany:
+		QueryMany, NotHeldMany, Missing:
 		if f.Established {
 			b[2] = 1
 		}
@@ -201,7 +204,7 @@
 			f.Avoided[i] = [4]byte(data[avoidOffset+4*i:])
 		}
 	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold, UnlistedQuery, UnlistedReport,
-		QueryMany, NotHeldMany:
+		QueryMany, NotHeldMany, Missing:
 		f.Established = data[2] == 1
 		f.FailureShare = data[3]
 		f.Key = decodeKey(data[4:])
