Tell all agents of a former service that is found to hold flows

Cause: one flow that was missed limits the trials of its route for a flow lifetime. It may be at a former service that becomes known a moment later, when a host of it sends a packet, but only the keepers of that packet's flow learned of the service. Or its host was drained and is no longer listed, but lives: the log shows such a flow found 9 ms after it was missed.

Change: the agent that finds the first flow at a service that the route does not name tells all agents, and what was missed before is forgotten. No flow counts as missed while the host list may be incomplete.

TestAllAgentsLearnOfAFormerServiceFromOneOfItsFlows fails without the change.

--- a/datagram/keepers.go
+++ b/datagram/keepers.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// announceToAll reports to all other agents that this agent owns the flow.
+func (a *Agent) announceToAll(key flow.Key, out Output) {
+	c := a.config.Catalog()
+	if c == nil {
+		return
+	}
+	for _, agent := range c.Agents {
+		if agent != a.config.Self.Addr {
+			a.sendOwned(a.endpoint(agent), key, true, out)
+		}
+	}
+}
+
 // Start tells all other agents that this one has started, so that they resend
 // the records it is to keep.
 func (a *Agent) Start(c *catalog.Catalog, out Output) {
--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -64,16 +64,17 @@
 }
 
 // reportMissing tells all agents of the first flow of a route that no host holds of a service
-// which is known to hold flows of the route, while agents of others cannot tell.
+// which is known to hold flows of the route, while agents of others cannot tell. Nothing is told
+// while the host list may be incomplete.
 func (a *Agent) reportMissing(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
-	if !s.widened {
+	if !s.widened || !a.hostListEvidence(now, c).Complete() {
 		return
 	}
 	scope := a.searchScope(now, c, key, 0)
 	undecided := false
-	for agent := range s.pending {
+	for _, agent := range a.candidateAgents(now, c, key) {
 		switch {
-		case a.liveness.hasEnded(c, agent, now):
+		case s.notHeld[agent] || a.liveness.hasEnded(c, agent, now):
 		case a.isNamed(c, scope, agent):
 			return
 		default:
--- a/datagram/limited_search_test.go
+++ b/datagram/limited_search_test.go
@@ -225,11 +225,11 @@
 	must.Eq(t, len(quiet), c.sendAll(quiet)[0])
 }
 
-// Guards against packets straying because flows of the route were found at its new service:
-// one flow that was not found shows that others may be at a former one, and all agents are
-// told.
-func TestOneMissingFlowLimitsTheTrialsOfItsRoute(t *testing.T) {
-	c := newCluster(t)
+// newHalfForgottenRoute returns a cluster in which hosts of service s hold flows of a route that
+// has moved to service u, and hosts of u others that were opened later. All processes have just
+// restarted, and none knows the earlier configuration.
+func newHalfForgottenRoute(t *testing.T) (c *cluster, former, later []*requester) {
+	c = newCluster(t)
 	c.addEntry(1)
 	c.addEntry(2)
 	for n := byte(11); n <= 14; n++ {
@@ -237,13 +237,21 @@
 		c.addHost(n+10, "u")
 	}
 	c.publish(1, nil, "s")
-	former := c.openFlows(1000, 30)
+	former = c.openFlows(1000, 30)
 	c.publish(2, nil, "u")
-	busy := c.openFlows(2000, 150)
+	later = c.openFlows(2000, 150)
 	c.tracker = nil
 	c.publish(3, nil, "u")
 	c.restartAllAtOnce()
-	must.Eq(t, len(busy), c.sendAll(busy)[0])
+	return c, former, later
+}
+
+// Guards against packets straying because flows of the route were found at its new service:
+// one flow that was not found shows that others may be at a former one, and all agents are
+// told.
+func TestOneMissingFlowLimitsTheTrialsOfItsRoute(t *testing.T) {
+	c, former, later := newHalfForgottenRoute(t)
+	must.Eq(t, len(later), c.sendAll(later)[0])
 	must.Eq(t, 0, c.sendAll(former[:1])[0])
 	c.advance(hostListSettleTime)
 	since := c.now
@@ -252,3 +260,19 @@
 		c.requireUnbroken(r.key(), since)
 	}
 }
+
+// Guards against the flows of a former service being lost although one host of it has sent a
+// packet of the route: only the keepers of that packet's flow learned of the service, and a flow
+// that had been missed before limited the trials for good.
+func TestAllAgentsLearnOfAFormerServiceFromOneOfItsFlows(t *testing.T) {
+	c, former, later := newHalfForgottenRoute(t)
+	must.Eq(t, 0, c.sendAll(former[:1])[0])
+	first := former[1]
+	owner := c.holder(first.key())
+	c.agents[owner].HandleHost(c.now, packet(ack, destination(), first.endpoint, c.hosts[owner].initialSeqs[first.key()], 1, 100), &clusterOutput{c, owner})
+	c.deliverAll()
+	must.Eq(t, len(later), c.sendAll(later)[0])
+	c.advance(hostListSettleTime)
+	must.Eq(t, len(former), c.sendAll(former)[0])
+	c.requireFewTrials("s", "u")
+}
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -121,23 +121,33 @@
 	a.openFlows++
 	a.endSearch(now, key)
 	a.config.Events.Log(EventAdopted, key, "entry", origin.AddrPort().Addr())
-	a.observeService(key.Destination, a.tag, now)
+	isNew := a.observeService(key.Destination, a.tag, now)
 	a.announce(key, origin, true, out)
+	if isNew {
+		// All agents search for flows of the route and have yet to learn of the service.
+		a.announceToAll(key, out)
+	}
 	return fl
 }
 
 // observeService records that hosts of a service hold flows of a route that is not
-// configured for the service.
-func (a *Agent) observeService(destination flow.Endpoint, serviceTag uint32, now time.Duration) {
+// configured for the service, and reports whether that was not known.
+func (a *Agent) observeService(destination flow.Endpoint, serviceTag uint32, now time.Duration) bool {
 	c := a.config.Catalog()
 	if c == nil {
-		return
+		return false
 	}
 	route, service := c.Config.Routes[destination], c.ByTag[serviceTag]
 	if route == nil || service == nil || route.MayHoldFlows(service.Name) {
-		return
+		return false
 	}
+	isNew := !a.serviceHistory.MayHoldFlows(destination, serviceTag)
 	a.serviceHistory.Observe(destination, serviceTag, now)
+	if isNew {
+		// Flows that were missed may be at this service.
+		a.routeEvidence.Forget(destination)
+	}
+	return isNew
 }
 
 // forwardToOwner forwards a packet to the owner of its flow, another agent. If
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -75,6 +75,7 @@
 		if !complete {
 			continue
 		}
+		a.reportMissing(now, c, key, s, out)
 		if _, waiting := a.pendingAgent(now, c, s); !waiting && !s.reset {
 			a.resetIfNotHeld(now, key, s, out)
 		}
--- a/steering/route_evidence.go
+++ b/steering/route_evidence.go
@@ -65,6 +65,11 @@
 	return r != nil && r.found >= minFoundFlows && !r.missing
 }
 
+// Forget removes what is recorded of a route, once a further service is known to hold its flows.
+func (e *RouteEvidence) Forget(destination flow.Endpoint) {
+	delete(e.routes, destination)
+}
+
 // Expire removes the routes without a search in the lifetime of a flow.
 func (e *RouteEvidence) Expire(lifetime, now time.Duration) {
 	for destination, r := range e.routes {
--- a/steering/route_evidence_test.go
+++ b/steering/route_evidence_test.go
@@ -28,7 +28,9 @@
 		e.RecordFound(route, 4*time.Second)
 	}
 	must.False(t, e.AllServicesKnown(route))
-	e.Expire(time.Minute, 65*time.Second)
+	e.Forget(route)
+	must.True(t, e.RecordMissing(route, 5*time.Second), must.Sprint("nothing is known any more"))
+	e.Expire(time.Minute, 66*time.Second)
 	must.False(t, e.AllServicesKnown(route))
-	must.True(t, e.RecordMissing(route, 66*time.Second), must.Sprint("all has expired"))
+	must.True(t, e.RecordMissing(route, 67*time.Second), must.Sprint("all has expired"))
 }
