Read a newer configuration from a process that acts on it

Cause: the readers of two zones learn of a change at different times. An entry that is behind sends an opening to an agent of the other zone, which passes it on to the new service, and the next one to an agent of its own zone, which is behind as well and accepts it. Reports of agents did not say by which configuration they act.

Change: reports carry the version. A process that gets a frame of a newer version waits 30 ms for its reader, and then reads the configuration from the process that sent the frame. The same holds for agents, which learn from entries.

TestNewerConfigurationIsReadFromAnAgentThatActsOnIt, TestEntryLearnsOfANewerConfigurationFromTheAgentThatActsOnIt and TestAgentLearnsOfANewerConfigurationFromTheEntryThatActsOnIt fail without it.

--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -70,6 +70,7 @@
 	// ignoring reports whether the last read was ignored, so that a series of such
 	// reads is logged once.
 	ignoring bool
+	notices  configNotices
 	reads    readCounters
 	changes  changeLog
 }
@@ -113,8 +114,14 @@
 	}
 	isReader := false
 	if c != nil {
+		s.syncFromNotified(ctx)
 		var err error
-		if isReader, err = s.syncFromReaders(ctx, c); !isReader && err == nil {
+		var noticed *ConfigNoticeError
+		isReader, err = s.syncFromReaders(ctx, c)
+		if errors.As(err, &noticed) {
+			return 0
+		}
+		if !isReader && err == nil {
 			s.recordSuccess()
 			if s.historyPending && !s.awaitsHistory() {
 				s.loadHistory(ctx)
--- a/catalog/sync_peers.go
+++ b/catalog/sync_peers.go
@@ -76,6 +76,10 @@
 				s.readers.delayStale(s.Now())
 				return false, nil
 			}
+			var noticed *ConfigNoticeError
+			if errors.As(err, &noticed) {
+				return false, err
+			}
 			// The time spent waiting for a failed reader is not spent again on the next.
 			wait = max(0, wait-(s.Now()-before))
 		}
@@ -117,7 +121,8 @@
 		delete(s.readers.lost, address)
 		return nil
 	}
-	if s.awaitsHistory() {
+	var noticed *ConfigNoticeError
+	if s.awaitsHistory() || errors.As(err, &noticed) {
 		// After a loss of power, the readers start at about the same time.
 		return err
 	}
@@ -153,7 +158,8 @@
 	}
 	needsState, before := s.needsPeerState(), s.appliedState()
 	asksHistory := s.asksHistory(needsState)
-	result, err := s.Peers.request(ctx, address, after, wait, peerOptions{gone: needsState, history: asksHistory, config: before.version})
+	options := peerOptions{gone: needsState, history: asksHistory, config: before.version}
+	result, err := s.requestUntilNotice(ctx, address, after, wait, options)
 	if err == nil && s.needsFullRead(&result, needsState) {
 		result, err = s.Peers.request(ctx, address, Position{}, 0, peerOptions{gone: true, history: asksHistory, config: before.version})
 	}
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -49,7 +49,10 @@
 	WakeAt  func(at time.Duration)
 	Codec   flow.Codec
 	Catalog CatalogFunc
-	Events  *Events
+	// NewerConfig is called if another process acts on a newer configuration than the agent.
+	// It must not block. It may be nil.
+	NewerConfig func(process [4]byte, version uint64)
+	Events      *Events
 }
 
 // flowState is the state of a flow at its owner.
@@ -235,6 +238,7 @@
 		a.config.Events.Drop(DropForged)
 		return
 	}
+	noticeConfig(f, a.config.Catalog(), a.config.NewerConfig)
 	switch f.Kind {
 	case flow.Deliver, flow.Lookup, flow.Probe:
 		a.handlePacket(now, f, packet, out)
--- a/datagram/entry.go
+++ b/datagram/entry.go
@@ -18,7 +18,10 @@
 	PeerPort uint16
 	Codec    flow.Codec
 	Catalog  CatalogFunc
-	Events   *Events
+	// NewerConfig is called if an agent acts on a newer configuration than the entry. It must
+	// not block. It may be nil.
+	NewerConfig func(process [4]byte, version uint64)
+	Events      *Events
 }
 
 // Entry forwards packets of requesters to the agents of their flows. Its only
@@ -209,6 +212,7 @@
 		e.config.Events.Drop(DropForged)
 		return
 	}
+	noticeConfig(&f, e.config.Catalog(), e.config.NewerConfig)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.liveness.recordFrame(&f, now)
@@ -262,3 +266,17 @@
 	var b [64]byte
 	out.ToRequester(p.Src.Addr, codec.AppendReset(b[:0], p.Dst, p.Src, p.AckSeq))
 }
+
+// noticeConfig calls a function, which may be nil, if a frame shows that the process that sent it
+// or, for a packet of a requester, the entry that received the packet has a newer configuration.
+func noticeConfig(f *flow.Frame, c *catalog.Catalog, newerConfig func(process [4]byte, version uint64)) {
+	if c == nil || newerConfig == nil || f.ConfigVersion <= c.Config.Version {
+		return
+	}
+	switch f.Kind {
+	case flow.Deliver, flow.Lookup, flow.Probe:
+		newerConfig(f.Origin.Addr, f.ConfigVersion)
+	default:
+		newerConfig(f.Sender, f.ConfigVersion)
+	}
+}
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -70,6 +70,9 @@
 	onHostPacket func(at [4]byte)
 	// arrivals holds the packets, but openings, that reached hosts.
 	arrivals map[flow.Key][]arrival
+	// onNewerConfig is called if a process learns of a newer configuration of another one. It
+	// may be nil.
+	onNewerConfig func(at, process [4]byte, version uint64)
 	// onFrame is called for each frame that a process sends. It may be nil.
 	onFrame func(from, to [4]byte, kind flow.Kind)
 }
@@ -142,9 +145,20 @@
 	c.entries[addr(n)] = datagram.NewEntry(datagram.EntryConfig{
 		Zone: "a", Self: flow.Endpoint{Addr: addr(n), Port: peerPort}, PeerPort: peerPort,
 		Codec: platform.Codec{}, Catalog: source, Events: newDiscardEvents(),
+		NewerConfig: c.newerConfigAt(n),
 	})
 }
 
+// newerConfigAt returns the function that the n-th machine calls if it learns of a newer
+// configuration.
+func (c *cluster) newerConfigAt(n byte) func(process [4]byte, version uint64) {
+	return func(process [4]byte, version uint64) {
+		if c.onNewerConfig != nil {
+			c.onNewerConfig(addr(n), process, version)
+		}
+	}
+}
+
 func (c *cluster) addHost(n byte, service string) *host {
 	h := &host{service: service, initialSeqs: make(map[flow.Key]uint32), established: make(map[flow.Key]bool), unheldPackets: make(map[flow.Key]int), lastSeq: uint32(n) << 24}
 	c.hosts[addr(n)] = h
@@ -186,6 +200,7 @@
 		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started, ClockStart: c.now,
 		HostWasDown: func() bool { return c.hosts[addr(n)].wasDown },
 		Codec:       platform.Codec{}, Catalog: current, Events: newDiscardEvents(),
+		NewerConfig: c.newerConfigAt(n),
 	})
 }
 
--- a/datagram/keepers.go
+++ b/datagram/keepers.go
@@ -121,8 +121,12 @@
 // ownership of the flow with the given key, or on the agent as a whole, for
 // which the key is zero. Every report carries the load of the host.
 func (a *Agent) newReport(kind flow.Kind, key flow.Key) flow.Frame {
+	version := uint64(0)
+	if c := a.config.Catalog(); c != nil {
+		version = c.Config.Version
+	}
 	return flow.Frame{
-		Kind: kind, Key: key, Sender: a.config.Self.Addr, ServiceTag: a.tag, StartedAt: uint32(a.config.StartedAt.Unix()),
+		Kind: kind, Key: key, Sender: a.config.Self.Addr, ServiceTag: a.tag, StartedAt: uint32(a.config.StartedAt.Unix()), ConfigVersion: version,
 		FailureShare: a.failureShare, ServiceMillis: serviceMillis(a.serviceTime.Comparable()),
 		AdmitPriority: a.level.encoded(), AcceptsBatches: true,
 		Flows: uint16(min(a.openFlows, 1<<16-1)), Busy: uint16(min(a.unansweredRequests, 1<<16-1)),
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -94,7 +94,9 @@
 	// ServiceTag is the tag (see catalog.Tag) of the service that the packet is
 	// for or, in reports, of the sender's service.
 	ServiceTag uint32
-	// ConfigVersion is the configuration version by which the service was chosen.
+	// ConfigVersion is the configuration version by which the service was chosen or, in
+	// reports of agents, that of the sender. It is 0 if nothing is said of it, as in reports of
+	// earlier builds.
 	ConfigVersion uint64
 	// Origin is the entry that received the packet from the requester. Answers
 	// are sent to it.
@@ -181,6 +183,7 @@
 			b[37] = 1
 		}
 		binary.LittleEndian.PutUint16(b[38:], f.ServiceMillis)
+		binary.LittleEndian.PutUint64(b[40:], f.ConfigVersion)
 	}
 	return append(to, b[:]...)
 }
@@ -221,6 +224,7 @@
 		f.AdmitPriority = data[36]
 		f.AcceptsBatches = data[37]&1 != 0
 		f.ServiceMillis = binary.LittleEndian.Uint16(data[38:])
+		f.ConfigVersion = binary.LittleEndian.Uint64(data[40:])
 	default:
 		return nil, false
 	}
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -265,6 +265,11 @@
 	}
 }
 
+// notifyConfig tells the syncer, which is made after the node, of a newer configuration.
+func (n *datagramNode) notifyConfig(process [4]byte, version uint64) {
+	n.syncer.NotifyConfig(process, version)
+}
+
 // watchReload logs SIGHUP and otherwise ignores it. No setting of a running process
 // can change, since the settings are its socket addresses and the service of its
 // host.
@@ -319,6 +324,7 @@
 	e := datagram.NewEntry(datagram.EntryConfig{
 		Zone: n.settings.Zone, Self: flow.EndpointOf(n.peerAddr()), PeerPort: n.settings.PeerPort,
 		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
+		NewerConfig: n.notifyConfig,
 	})
 	n.metricSources, n.explain = []metrics.Source{n.events, e}, e.Explain
 	node := n.newNode()
@@ -381,6 +387,7 @@
 		Restarted: !n.settings.FirstStart, StartedAt: n.started,
 		HostRunning: n.hostRunning.Load, HostWasDown: n.hostWasDown.Load,
 		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
+		NewerConfig: n.notifyConfig,
 	})
 	n.metricSources, n.explain = []metrics.Source{n.events, a}, a.Explain
 	n.background = n.watchUnlistedHost
