--- a/flow/frame.go
+++ b/flow/frame.go
@@ -109,11 +109,12 @@
 	Avoided [maxAvoided][4]byte
 	// ReplyTo is the agent that receives the answers to a Probe.
 	ReplyTo [4]byte
-	// Key is the flow that Owned, Closed and NotHeld refer to.
+	// Key is the flow that Owned, Closed, NotHeld, MayHold and Missing refer to.
 	Key Key
 	// Established reports in Owned that the requester has confirmed the flow at
-	// this owner, and in MayHold that the sender owns the flow. Several hosts may accept duplicates of an opening, the packet
+	// this owner. Several hosts may accept duplicates of an opening, the packet
 	// that requests a new flow, but the requester confirms only one of them.
+	// In MayHold it reports that the sender owns the flow.
 	Established bool
 	// Sender is the sender of a report: an agent, which need not own a flow, or,
 	// for a Ping, possibly an entry.
