Keep hosts of services that the configuration no longer declares for a flow lifetime

Cause: the catalog leaves out hosts of services that are not declared, as their entries may be another writer's. Their agents were neither told that an agent has started nor asked by a search, so that a flow counted as lost once all others had answered.

Change: a service that is no longer declared stays in the configuration as retired for a flow lifetime, and peers tell it to processes that start. No route names it, so it gets no new flows. An agent that may lack records tells agents that are listed later that it has started.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -91,6 +91,11 @@
 	// WarmupPerSecond is the maximum rate of new flows per second at a cold
 	// host; 0 means no limit.
 	WarmupPerSecond float64
+	// Retired reports that the configuration no longer declares the service. Its hosts get
+	// no new flows, but may hold open ones. RetiredAt is when the process applied the first
+	// configuration without it, on the local clock.
+	Retired   bool
+	RetiredAt time.Duration
 }
 
 // Host is a backend server, as described by its own entry in the store.
--- a/catalog/config_history.go
+++ b/catalog/config_history.go
@@ -9,6 +9,9 @@
 // configHistory is what a process knows of earlier configurations.
 type configHistory struct {
 	former map[flow.Endpoint][]FormerService
+	// retired holds the services that are no longer declared, with the time at which each was
+	// retired, on the local clock of the process that asked.
+	retired map[string]time.Duration
 	// knownSince is the time since which the process knows all configurations, on the
 	// local clock of the process that asked.
 	knownSince time.Duration
@@ -19,11 +22,20 @@
 	Former []wireFormerServices `cbor:"1,keyasint,omitempty"`
 	// KnownMS is for how long, in milliseconds, the process has known all configurations.
 	KnownMS int64 `cbor:"2,keyasint"`
+	// Retired holds the services that are no longer declared, with the time since each was
+	// retired.
+	Retired []wireFormerService `cbor:"3,keyasint,omitempty"`
 }
 
 func encodeConfigHistory(c *Catalog, now time.Duration) *wireConfigHistory {
 	known := min(maxPeerTime, max(0, now-c.ConfigsKnownSince))
-	return &wireConfigHistory{Former: encodeFormerServices(c.Config, now), KnownMS: known.Milliseconds()}
+	w := &wireConfigHistory{Former: encodeFormerServices(c.Config, now), KnownMS: known.Milliseconds()}
+	for name, s := range c.Config.Services {
+		if age := max(0, now-s.RetiredAt); s.Retired && age < removedHostRetention {
+			w.Retired = append(w.Retired, wireFormerService{Service: name, AgeMS: age.Milliseconds()})
+		}
+	}
+	return w
 }
 
 // decode returns what a peer told, or nil if it told nothing.
@@ -31,7 +43,14 @@
 	if w == nil {
 		return nil
 	}
-	return &configHistory{former: decodeFormerServices(w.Former, now), knownSince: now - fromMilliseconds(w.KnownMS)}
+	h := &configHistory{
+		former: decodeFormerServices(w.Former, now), retired: make(map[string]time.Duration, len(w.Retired)),
+		knownSince: now - fromMilliseconds(w.KnownMS),
+	}
+	for _, s := range w.Retired {
+		h.retired[s.Service] = now - fromMilliseconds(s.AgeMS)
+	}
+	return h
 }
 
 // appliedState identifies the state that a process has applied.
@@ -63,6 +82,9 @@
 	case h == nil && r.history != nil:
 		s.Tracker.AdoptFormerServices(r.history.former)
 	case h != nil:
+		if s.Tracker.adoptRetiredServices(h.retired, s.Now()) {
+			s.OnChange(s.Tracker.Current())
+		}
 		s.Tracker.AdoptFormerServices(h.former)
 		if s.hasNewConfig(before) && h.knownSince > before.confirmedAt {
 			s.Tracker.setConfigsKnownSince(h.knownSince)
--- a/catalog/former_services.go
+++ b/catalog/former_services.go
@@ -24,8 +24,14 @@
 }
 
 // addFormerServices records in each route the services that were targets in the
-// previous configuration and no longer are.
+// previous configuration and no longer are, and keeps the services that are no longer declared.
 func (c *Config) addFormerServices(previous *Config, now time.Duration) {
+	for name, s := range previous.Services {
+		if !s.Retired {
+			s.Retired, s.RetiredAt = true, now
+		}
+		c.addRetired(name, s, now)
+	}
 	for destination, route := range c.Routes {
 		previousRoute := previous.Routes[destination]
 		if previousRoute == nil {
@@ -40,6 +46,16 @@
 	}
 }
 
+// addRetired keeps a service that was declared, unless it is declared, or no flow is old enough
+// to be open at its hosts. It reports whether the service was added.
+func (c *Config) addRetired(name string, s ServiceConfig, now time.Duration) bool {
+	if _, known := c.Services[name]; known || now-s.RetiredAt >= removedHostRetention {
+		return false
+	}
+	c.Services[name] = s
+	return true
+}
+
 // addFormer records a service that was a target, and reports whether it is new.
 func (r *Route) addFormer(former FormerService) bool {
 	if r.MayHoldFlows(former.Service) {
@@ -98,6 +114,26 @@
 	}
 }
 
+// adoptRetiredServices records services that a peer knows to have been declared, with the time
+// at which each was retired, and reports whether that changes the snapshot. Their hosts, which
+// are listed still, belong to the catalog again.
+func (t *Tracker) adoptRetiredServices(retired map[string]time.Duration, now time.Duration) bool {
+	if t.config == nil {
+		return false
+	}
+	next := *t.config
+	next.Services = maps.Clone(t.config.Services)
+	changed := false
+	for name, at := range retired {
+		changed = next.addRetired(name, ServiceConfig{Retired: true, RetiredAt: at}, now) || changed
+	}
+	if changed {
+		t.config = &next
+		t.publish(t.position, t.confirmedAt)
+	}
+	return changed
+}
+
 // wireFormerServices is the encoding of the former services of a route, with the time
 // since each left.
 type wireFormerServices struct {
--- a/catalog/former_services_test.go
+++ b/catalog/former_services_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -215,3 +216,40 @@
 		}
 	})
 }
+
+// Guards against flows being reset at living hosts of a service that the configuration no longer
+// declares, because a process that has restarted since leaves these hosts out: they are neither
+// told that it has started, nor asked for the flows.
+func TestHostsOfARetiredServiceAreKnownAfterARestart(t *testing.T) {
+	for name, seeds := range map[string][]int{"from seeds": {7, 8}, "from readers": nil} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 1, 6, 8, func(f *fleet) {
+				f.seeds, f.entries = seeds, []int{7, 8}
+				putRoute(f.clients, 2, "s")
+				for n := 4; n <= 6; n++ {
+					key := fmt.Sprintf("servers/h%d", n)
+					entry, _ := f.store.Get(key)
+					f.clients.Put(key, bytes.Replace(entry, []byte(`"backend":"s"`), []byte(`"backend":"u"`), 1))
+				}
+				f.sleep(configPropagationLimit)
+				putRouteAlone := func(version int) {
+					f.clients.Put("op/config", []byte(fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","vhost":"198.18.0.1","prefix":"/443/",
+						"route_type":"idempotent","timeout_ms":1000,"target_latency_ms":100,"priority":2,"backend":"u"}],
+						"services":[{"name":"u"}],"limits":{"idle_timeout_ms":15000}}`, version)))
+				}
+				putRouteAlone(3)
+				f.sleep(configPropagationLimit)
+				for n := 1; n <= 8; n++ {
+					m := f.restart(n)
+					f.sleep(2 * time.Second)
+					must.MapLen(f.t, 6, m.tracker.Current().Hosts, must.Sprint("process ", n))
+					must.True(f.t, m.knowsFormerService("s"), must.Sprint("process ", n))
+				}
+				f.sleep(time.Minute)
+				putRouteAlone(4)
+				f.sleep(configPropagationLimit)
+				f.requireThroughout(time.Second, "no flow is as old as that", func(m *member) bool { return len(m.tracker.Current().Hosts) == 3 })
+			})
+		})
+	}
+}
--- a/catalog/peer.go
+++ b/catalog/peer.go
@@ -354,6 +354,7 @@
 		for i := range h.Former {
 			c.formerServices(&h.Former[i])
 		}
+		c.formerServices(&wireFormerServices{Services: h.Retired})
 	}
 	return c.err
 }
--- a/datagram/keepers.go
+++ b/datagram/keepers.go
@@ -1,6 +1,8 @@
 package datagram
 
 import (
+	"time"
+
 	"github.com/turmericrock/turmericrock/catalog"
 	"github.com/turmericrock/turmericrock/flow"
 	"github.com/turmericrock/turmericrock/steering"
@@ -55,6 +57,23 @@
 	a.broadcast(c, flow.AgentStarted, out)
 }
 
+// AgentsListed tells the agents that are listed in a catalog and were not in the previous one
+// that this agent has started, if it may lack records of their flows: their hosts may have been
+// unknown when it started.
+func (a *Agent) AgentsListed(now time.Duration, old, c *catalog.Catalog, out Output) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.mayHaveUnknownFlows(now) {
+		return
+	}
+	f := a.newReport(flow.AgentStarted, flow.Key{})
+	for _, agent := range c.Agents {
+		if old.Hosts[agent] == nil && agent != a.config.Self.Addr {
+			out.ToNode(a.endpoint(agent), &f, nil)
+		}
+	}
+}
+
 // broadcast sends a report of the given kind to all other agents.
 func (a *Agent) broadcast(c *catalog.Catalog, kind flow.Kind, out Output) {
 	f := a.newReport(kind, flow.Key{})
