--- a/catalog/sync_peers.go
+++ b/catalog/sync_peers.go
@@ -122,7 +122,10 @@
 		return nil
 	}
 	var noticed *ConfigNoticeError
-	if s.awaitsHistory() || errors.As(err, &noticed) {
+	if errors.As(err, &noticed) {
+		return err // The request was ended here, which says nothing of the reader.
+	}
+	if s.awaitsHistory() {
 		// After a loss of power, the readers start at about the same time.
 		return err
 	}
