Tell others of missed flows of a route only after a second one

Cause: the host of a flow that was missed had ended a moment before the restart. The log shows two such flows, of one drained host, one on each of two routes, and 2,024 limited searches after them.

Change: an agent tells others, and limits the trials of the route itself, once it has missed two flows of the route.

A single missed flow is what the change lets pass.

--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// reportMissing tells all agents of the first flow of a route that no host holds of a service
-// which is known to hold flows of the route, while agents of others cannot tell. Nothing is told
-// while the host list may be incomplete.
+// reportMissing tells all agents that no hosts of services which are known to hold flows of the
+// route hold this one, after others before it, while agents of other services cannot tell.
+// Nothing is told while the host list may be incomplete.
 func (a *Agent) reportMissing(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
 	if !s.widened || !a.hostListEvidence(now, c).Complete() {
 		return
@@ -81,7 +81,7 @@
 			undecided = true
 		}
 	}
-	if !undecided || !a.routeEvidence.RecordMissing(key.Destination, now) {
+	if !undecided || !a.routeEvidence.RecordMissed(key, now) {
 		return
 	}
 	a.config.Events.Log(EventOwnerUndecided, key, "reason", "missing", "left", len(s.pending),
--- a/steering/route_evidence.go
+++ b/steering/route_evidence.go
@@ -6,11 +6,14 @@
 	"github.com/turmericrock/turmericrock/flow"
 )
 
-// minFoundFlows is the number of flows of a route that an agent must have found, and none
-// missed, to take the services that it knows for all that hold flows of the route. Each agent
+// minFoundFlows is the number of flows of a route that an agent must have found to take the services that it knows for all that hold flows of the route. Each agent
 // of a fleet searches for others, so that together they have found several times as many.
 const minFoundFlows = 6
 
+// minMissedFlows is the number of flows of a route that an agent must have missed for others to
+// be told. The host of a single one may have ended just before the restart.
+const minMissedFlows = 2
+
 // RouteEvidence records, by the destination of a route, what searches for its flows have
 // shown since the process started.
 //
@@ -24,8 +27,11 @@
 
 // routeSearches holds the results of the searches for flows of one route.
 type routeSearches struct {
-	found     int
-	missing   bool
+	found int
+	// missed holds the flows that were missed, at most minMissedFlows. isMissing reports that
+	// so many were, here or at another agent.
+	missed    map[flow.Key]bool
+	isMissing bool
 	updatedAt time.Duration
 }
 
@@ -37,7 +43,7 @@
 func (e *RouteEvidence) update(destination flow.Endpoint, now time.Duration) *routeSearches {
 	r := e.routes[destination]
 	if r == nil {
-		r = &routeSearches{}
+		r = &routeSearches{missed: make(map[flow.Key]bool)}
 		e.routes[destination] = r
 	}
 	r.updatedAt = now
@@ -49,20 +55,28 @@
 	e.update(destination, now).found++
 }
 
-// RecordMissing records that no host of a service that is known to hold flows of the route
-// holds one of them, and reports whether that is news.
-func (e *RouteEvidence) RecordMissing(destination flow.Endpoint, now time.Duration) bool {
-	r := e.update(destination, now)
-	isNew := !r.missing
-	r.missing = true
-	return isNew
+// RecordMissed records that no host of a service that is known to hold flows of the route holds
+// this one, and reports whether other agents are to be told.
+func (e *RouteEvidence) RecordMissed(key flow.Key, now time.Duration) bool {
+	r := e.update(key.Destination, now)
+	if r.isMissing {
+		return false
+	}
+	r.missed[key] = true
+	r.isMissing = len(r.missed) >= minMissedFlows
+	return r.isMissing
+}
+
+// RecordMissing records that another agent has missed flows of the route.
+func (e *RouteEvidence) RecordMissing(destination flow.Endpoint, now time.Duration) {
+	e.update(destination, now).isMissing = true
 }
 
 // AllServicesKnown reports whether the searches show that no other services hold flows of the
 // route than those that are known to.
 func (e *RouteEvidence) AllServicesKnown(destination flow.Endpoint) bool {
 	r := e.routes[destination]
-	return r != nil && r.found >= minFoundFlows && !r.missing
+	return r != nil && r.found >= minFoundFlows && !r.isMissing
 }
 
 // Forget removes what is recorded of a route, once a further service is known to hold its flows.
