--- a/datagram/limited_search_test.go
+++ b/datagram/limited_search_test.go
@@ -7,19 +7,53 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/turmericrock/turmericrock/catalog"
+	"github.com/turmericrock/turmericrock/flow"
 )
 
-// newForgottenRoute returns a cluster of two entries and four hosts each of services s and
-// u, in which hosts of s hold open flows of a route that has moved to u. All processes have
-// just restarted, and none knows the earlier configuration.
-func newForgottenRoute(t *testing.T) (*cluster, []*requester) {
+// knowConfigs makes all processes know all configurations since the opening of any flow, as
+// a peer does that has run for as long.
+func (c *cluster) knowConfigs() {
+	c.tracker.AdoptConfigHistory(c.now - lifetime)
+	c.current = c.tracker.Current()
+}
+
+// requireUnbroken requires that in no stray window since a time three packets of the flow have
+// reached other hosts and none its own.
+func (c *cluster) requireUnbroken(key flow.Key, since time.Duration, about ...string) {
+	c.t.Helper()
+	for _, first := range c.arrivals[key] {
+		strays, reachedOwn := 0, false
+		for _, p := range c.arrivals[key] {
+			if p.at < since || p.at < first.at || p.at > first.at+strayWindow {
+				continue
+			}
+			reachedOwn = reachedOwn || p.held
+			if !p.held {
+				strays++
+			}
+		}
+		must.False(c.t, strays > 2 && !reachedOwn, must.Sprintf("%d packets of %v strayed from %v on %v", strays, key, first.at, about))
+	}
+}
+
+// newTwoServices returns a cluster of two entries and the given number of hosts, at most ten,
+// of each of the services s and u.
+func newTwoServices(t *testing.T, hosts byte) *cluster {
 	c := newCluster(t)
 	c.addEntry(1)
 	c.addEntry(2)
-	for n := byte(11); n <= 14; n++ {
+	for n := byte(11); n < 11+hosts; n++ {
 		c.addHost(n, "s")
 		c.addHost(n+10, "u")
 	}
+	return c
+}
+
+// newForgottenRoute returns a cluster in which hosts of service s hold open flows of a route
+// that has moved to service u. All processes have just restarted, and none knows the earlier
+// configuration.
+func newForgottenRoute(t *testing.T) (*cluster, []*requester) {
+	c := newTwoServices(t, 4)
 	c.publish(1, nil, "s")
 	flows := c.openFlows(1000, 30)
 	c.publish(2, nil, "u")
@@ -207,13 +241,7 @@
 // processes because the trials are limited: those that were found in the recovery time show
 // that the known services are all.
 func TestFlowsAreFoundAtOnceAfterOthersOfTheRouteWereFound(t *testing.T) {
-	c := newCluster(t)
-	c.addEntry(1)
-	c.addEntry(2)
-	for n := byte(11); n <= 14; n++ {
-		c.addHost(n, "s")
-		c.addHost(n+10, "u")
-	}
+	c := newTwoServices(t, 4)
 	c.publish(1, nil, "s")
 	flows := c.openFlows(1000, 200)
 	c.tracker = nil
@@ -229,13 +257,7 @@
 // has moved to service u, and hosts of u others that were opened later. All processes have just
 // restarted, and none knows the earlier configuration.
 func newHalfForgottenRoute(t *testing.T) (c *cluster, former, later []*requester) {
-	c = newCluster(t)
-	c.addEntry(1)
-	c.addEntry(2)
-	for n := byte(11); n <= 14; n++ {
-		c.addHost(n, "s")
-		c.addHost(n+10, "u")
-	}
+	c = newTwoServices(t, 4)
 	c.publish(1, nil, "s")
 	former = c.openFlows(1000, 30)
 	c.publish(2, nil, "u")
--- a/datagram/moved_route_test.go
+++ b/datagram/moved_route_test.go
@@ -42,32 +42,6 @@
 	c.knowConfigs()
 }
 
-// knowConfigs makes all processes know all configurations since the opening of any flow, as
-// a peer does that has run for as long.
-func (c *cluster) knowConfigs() {
-	c.tracker.AdoptConfigHistory(c.now - lifetime)
-	c.current = c.tracker.Current()
-}
-
-// requireUnbroken requires that in no stray window since a time three packets of the flow have
-// reached other hosts and none its own.
-func (c *cluster) requireUnbroken(key flow.Key, since time.Duration, about ...string) {
-	c.t.Helper()
-	for _, first := range c.arrivals[key] {
-		strays, reachedOwn := 0, false
-		for _, p := range c.arrivals[key] {
-			if p.at < since || p.at < first.at || p.at > first.at+strayWindow {
-				continue
-			}
-			reachedOwn = reachedOwn || p.held
-			if !p.held {
-				strays++
-			}
-		}
-		must.False(c.t, strays > 2 && !reachedOwn, must.Sprintf("%d packets of %v strayed from %v on %v", strays, key, first.at, about))
-	}
-}
-
 // requireFewTrials requires that hosts which do not hold a flow got at most two packets
 // of it if they are of one of the services, and otherwise none.
 func (c *cluster) requireFewTrials(services ...string) {
--- a/datagram/retired_service_test.go
+++ b/datagram/retired_service_test.go
@@ -13,21 +13,14 @@
 // longer declares: after the agents had restarted, none of them counted these hosts among those
 // that may hold the flows.
 func TestFlowOfARetiredServiceIsFoundAfterAgentsRestart(t *testing.T) {
-	c := newCluster(t)
-	c.addEntry(1)
-	c.addEntry(2)
-	for n := byte(11); n <= 12; n++ {
-		c.addHost(n, "s")
-		c.addHost(n+10, "u")
-	}
+	c := newTwoServices(t, 2)
 	c.publish(1, nil, "s")
 	flows := c.openFlows(1000, 30)
 	c.publish(2, func(values *[]catalog.Value) {
 		config := &(*values)[0]
-		_, rest, _ := strings.Cut(string(config.Data), `{"name":"s",`)
-		_, rest, _ = strings.Cut(rest, "},")
-		before, _, _ := strings.Cut(string(config.Data), `{"name":"s",`)
-		config.Data = []byte(before + strings.TrimSpace(rest))
+		before, service, _ := strings.Cut(string(config.Data), `{"name":"s",`)
+		_, after, _ := strings.Cut(service, "},")
+		config.Data = []byte(before + strings.TrimSpace(after))
 	}, "u")
 	c.advance(hostListSettleTime)
 	c.restartAllAtOnce()
