Count the packets of trials, not the hosts

Cause: a host that has not returned a packet for 0.1 s was taken for the likely owner of the flow, and got further packets without limit. On a busy machine hosts return packets later than that, and each of two hosts got two.

Change: the limit of two in a stray window holds for packets. They are tried one after the other, so that the second one goes to another host if the first was returned, and to the same one otherwise. Agents report the number of packets, and hold to the limit as well.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -121,6 +121,10 @@
 	// steering.TrialReturnTimeout.
 	firstSentAt time.Duration
 	count       int
+	// lastSentAt is when the last packet was sent, and packets the number of packets that
+	// were sent within a stray window of one another.
+	lastSentAt time.Duration
+	packets    int
 	// returned reports that the host sent the packet back.
 	returned bool
 }
@@ -275,7 +279,7 @@
 			delete(a.records, f.Key)
 		}
 	case flow.NotHeld:
-		a.handleNotHeld(now, f.Key, f.Sender, trialAge(f), out)
+		a.handleNotHeld(now, f, out)
 	case flow.NotHeldMany:
 		a.handleNotHeldMany(now, f.Sender, packet, out)
 	case flow.MayHold:
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -98,6 +98,8 @@
 	accepted      int
 	// A down host ignores packets; a refusing one returns openings.
 	down, refusing bool
+	// A host that returns late never returns a packet of a flow that it does not hold.
+	returnsLate bool
 	// wasDown reports that the host's agent has seen that the host did not run.
 	wasDown bool
 	// A failing host resets flows instead of answering requests.
@@ -417,6 +419,9 @@
 	default:
 		if !p.Opening() {
 			h.unheldPackets[key]++
+			if h.returnsLate {
+				return
+			}
 		}
 		data[0] |= returned
 		c.agents[at].HandleHost(c.now, data, &clusterOutput{c, at})
--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -15,31 +16,18 @@
 // whether others have tried packets of the flow at their hosts.
 const trialReportPatience = 50 * time.Millisecond
 
-// noTrial is the age of a trial that has not taken place.
-const noTrial = -1
-
-// trialAge returns the age of the trial that an agent reports, or noTrial.
-func trialAge(f *flow.Frame) time.Duration {
-	if f.TrialAgeMS == 0 {
-		return noTrial
+// reportTrial sets in an answer what was tried of the flow at the host.
+func (a *Agent) reportTrial(now time.Duration, answer *flow.Frame) {
+	if t := a.trials[answer.Key]; t != nil {
+		answer.TrialAgeMS = uint16(min(math.MaxUint16, (now - t.lastSentAt).Milliseconds()))
+		answer.TrialPackets = uint8(min(math.MaxUint8, t.packets))
 	}
-	return time.Duration(f.TrialAgeMS) * time.Millisecond
-}
-
-// trialAgeMS returns the time in milliseconds since a packet of the flow was tried at the
-// host, at least 1, or 0 if none was.
-func (a *Agent) trialAgeMS(now time.Duration, key flow.Key) uint32 {
-	t := a.trials[key]
-	if t == nil {
-		return 0
-	}
-	return uint32(max(1, (now - t.firstSentAt).Milliseconds()))
 }
 
-// recordTrial records a trial at the host of an agent that the agent has reported.
-func (s *ownerSearch) recordTrial(agent [4]byte, age, now time.Duration) {
-	if age != noTrial {
-		s.trials.Record(agent, now-age)
+// recordTrial records the trials at the host of an agent that the agent reports in its answer.
+func (s *ownerSearch) recordTrial(answer *flow.Frame, now time.Duration) {
+	if answer.TrialPackets > 0 {
+		s.trials.Report(answer.Sender, int(answer.TrialPackets), now-time.Duration(answer.TrialAgeMS)*time.Millisecond)
 	}
 }
 
@@ -94,8 +82,8 @@
 	}
 }
 
-// probeLimited sends a packet of the flow to as many of the agents that may hold it as the
-// trials allow. Both keepers of a flow may search for it, so it first waits for the agents
+// probeLimited sends a packet of the flow to the next of the agents that may hold it, if the
+// trials allow and the host of the last one has returned its packet. Both keepers of a flow may search for it, so it first waits for the agents
 // that can tell of trials.
 func (a *Agent) probeLimited(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
 	window := a.config.StrayWindow
@@ -111,18 +99,24 @@
 		return
 	}
 	for _, agent := range a.trialOrder(now, c, key, s) {
-		// A probe of this agent itself may have led to others.
-		if s.trials.Left(window, now) > 0 && !s.trials.Tried(agent, window, now) {
-			a.probe(now, c, key, s, agent, data, out)
+		if s.trials.Tried(agent, window, now) {
+			if s.mayHold[agent] {
+				return // Its host has yet to return the packet or to answer it.
+			}
+			continue
 		}
+		a.probe(now, c, key, s, agent, data, out)
+		return
 	}
 }
 
-// probeLikelyOwners sends a further packet of the flow to the agents that own it or whose
-// hosts have not returned the last one. A host that does not hold the flow returns it soon.
+// probeLikelyOwners sends a further packet of the flow to the agents that own it and, as far as
+// the trials allow, to one whose host has not returned the last one. A host that does not hold
+// the flow returns it soon, unless it is slow.
 func (a *Agent) probeLikelyOwners(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
+	window := a.config.StrayWindow
 	for _, agent := range slices.Collect(maps.Keys(s.mayHold)) {
-		if s.owners[agent] || s.trials.IsUnreturned(agent, a.config.StrayWindow, now) {
+		if s.owners[agent] || s.trials.IsUnreturned(agent, window, now) && s.trials.Left(window, now) > 0 {
 			a.probe(now, c, key, s, agent, data, out)
 		}
 	}
--- a/datagram/limited_search_test.go
+++ b/datagram/limited_search_test.go
@@ -79,8 +79,10 @@
 			r.entry = byte(1 + i%2)
 			for _, p := range r.send(ack, 777, 50) {
 				must.False(c.t, p.Rst, must.Sprint(r.key()))
+				if !isAnswered[r] {
+					count++
+				}
 				isAnswered[r] = true
-				count++
 			}
 		}
 		answered = append(answered, count)
@@ -122,6 +124,12 @@
 			c.advance(hostListSettleTime)
 			c.hosts[addr(21)].down = true
 		},
+		"all hosts of the new service are slow to return packets": func(c *cluster) {
+			c.advance(hostListSettleTime)
+			for n := byte(21); n <= 24; n++ {
+				c.hosts[addr(n)].returnsLate = true
+			}
+		},
 		"frames are lost": func(c *cluster) {
 			c.advance(hostListSettleTime)
 			c.dropNext = 20
@@ -135,7 +143,10 @@
 			for _, r := range flows {
 				c.requireUnbroken(r.key(), since)
 			}
-			c.requireFewTrials("s", "u")
+			if !c.hosts[addr(21)].returnsLate {
+				// A host that returns nothing gets packets in each stray window.
+				c.requireFewTrials("s", "u")
+			}
 		})
 	}
 }
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -59,12 +59,17 @@
 		return false
 	}
 	t := a.trials[key]
+	if t != nil && t.packets >= steering.MaxStrayTrials && now-t.lastSentAt < a.config.StrayWindow && a.limitsTrials(now, a.config.Catalog(), key) {
+		// Its host is slow to return the packets, or answers them soon.
+		return !t.returned
+	}
 	if !a.isOwnService(f, key) {
 		return a.tryOtherService(now, key, t, f, data, out)
 	}
 	switch {
 	case t == nil:
-		a.trials[key] = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
+		t = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
+		a.trials[key] = t
 	case t.returned:
 		return false
 	case now-t.firstSentAt > steering.TrialReturnTimeout:
@@ -77,10 +82,20 @@
 		t.frame = *f
 		t.count++
 	}
+	t.recordPacket(now, a.config.StrayWindow)
 	a.sendToHost(now, data, out)
 	return true
 }
 
+// recordPacket records that a packet was sent to the host.
+func (t *trialDelivery) recordPacket(now, window time.Duration) {
+	if now-t.lastSentAt >= window {
+		t.packets = 0
+	}
+	t.lastSentAt = now
+	t.packets++
+}
+
 // tryOtherService is tryHost for a route that this agent does not know to have flows at
 // hosts of this service, for a packet whose sender took this agent for the flow's owner or
 // knows more of the route. The host gets one packet of the flow. Packets that it would
@@ -97,7 +112,9 @@
 		a.config.Events.Drop(DropNoOwner)
 		return true
 	}
-	a.trials[key] = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
+	t = &trialDelivery{frame: *f, firstSentAt: now, count: 1}
+	t.recordPacket(now, a.config.StrayWindow)
+	a.trials[key] = t
 	a.sendToHost(now, data, out)
 	return true
 }
--- a/datagram/questions.go
+++ b/datagram/questions.go
@@ -165,6 +165,6 @@
 		return
 	}
 	for _, key := range keys {
-		a.handleNotHeld(now, key, agent, noTrial, out)
+		a.handleNotHeld(now, &flow.Frame{Key: key, Sender: agent}, out)
 	}
 }
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -202,7 +202,8 @@
 func (a *Agent) sendMayHold(now time.Duration, searcher [4]byte, key flow.Key, out Output) {
 	answer := a.newReport(flow.MayHold, key)
 	fl := a.flows[key]
-	answer.TrialAgeMS, answer.Established = a.trialAgeMS(now, key), fl != nil && fl.state != flowOpening
+	answer.Established = fl != nil && fl.state != flowOpening
+	a.reportTrial(now, &answer)
 	if searcher == a.config.Self.Addr {
 		a.handleMayHold(now, &answer, out)
 		return
@@ -218,9 +219,12 @@
 	if s == nil || c == nil || !s.pending[agent] || s.mayHold[agent] {
 		return
 	}
-	s.recordTrial(agent, trialAge(f), now)
+	s.recordTrial(f, now)
 	s.mayHold[agent], s.owners[agent] = true, f.Established
-	if a.limitsTrials(now, c, key) && !f.Established && !s.trials.IsUnreturned(agent, a.config.StrayWindow, now) {
+	if a.limitsTrials(now, c, key) && !f.Established {
+		if data := a.packetForTrial(s); data != nil {
+			a.probeLikelyOwners(now, c, key, s, data, out)
+		}
 		a.probeLimited(now, c, key, s, out)
 		return
 	}
@@ -249,7 +253,7 @@
 
 // probe sends a packet of the flow to an agent, so that it is tried at its host.
 func (a *Agent) probe(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agent [4]byte, data []byte, out Output) {
-	s.trials.Record(agent, now)
+	s.trials.Record(agent, a.config.StrayWindow, now)
 	f := s.frame
 	f.ServiceTag = a.probeServiceTag(c, a.searchScope(now, c, key, 0), agent, f.ServiceTag)
 	if agent != a.config.Self.Addr {
@@ -328,16 +332,17 @@
 // flow.
 func (a *Agent) sendNotHeld(now time.Duration, replyTo [4]byte, key flow.Key, out Output) {
 	f := a.newReport(flow.NotHeld, key)
-	f.TrialAgeMS = a.trialAgeMS(now, key)
+	a.reportTrial(now, &f)
 	if replyTo == a.config.Self.Addr {
-		a.handleNotHeld(now, key, replyTo, trialAge(&f), out)
+		a.handleNotHeld(now, &f, out)
 		return
 	}
 	out.ToNode(a.endpoint(replyTo), &f, nil)
 }
 
 // handleNotHeld records that an agent's host does not hold a flow.
-func (a *Agent) handleNotHeld(now time.Duration, key flow.Key, agent [4]byte, trialAge time.Duration, out Output) {
+func (a *Agent) handleNotHeld(now time.Duration, f *flow.Frame, out Output) {
+	key, agent := f.Key, f.Sender
 	if r := a.records[key]; r != nil && r.owner == agent {
 		delete(a.records, key)
 	}
@@ -345,7 +350,7 @@
 	if s == nil || !s.pending[agent] {
 		return
 	}
-	s.recordTrial(agent, trialAge, now)
+	s.recordTrial(f, now)
 	delete(s.pending, agent)
 	delete(s.mayHold, agent)
 	s.notHeld[agent] = true
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -134,9 +134,10 @@
 	// announcements, in milliseconds.
 	ListeningMS uint32
 	// TrialAgeMS is, in a NotHeld or MayHold, the time in milliseconds since a packet of the
-	// flow was tried at the sender's host, or 0 if none was or the sender runs an earlier
-	// build.
-	TrialAgeMS uint32
+	// flow was last tried at the sender's host, and TrialPackets the number of packets that
+	// were. They are 0 if none was or the sender runs an earlier build.
+	TrialAgeMS   uint16
+	TrialPackets uint8
 	// AdmitPriority is the lowest priority that the sender's host admits, plus one, or
 	// AdmitsAll. It is 0 if nothing is said of it, as in frames of earlier builds.
 	AdmitPriority uint8
@@ -177,7 +178,8 @@
 		binary.LittleEndian.PutUint32(b[28:], f.StartedAt)
 		binary.LittleEndian.PutUint32(b[32:], f.ListeningMS)
 		if f.Kind == NotHeld || f.Kind == MayHold {
-			binary.LittleEndian.PutUint32(b[32:], f.TrialAgeMS)
+			binary.LittleEndian.PutUint16(b[32:], f.TrialAgeMS)
+			b[34], b[35] = f.TrialPackets, 0
 		}
 		b[36] = f.AdmitPriority
 		if f.AcceptsBatches {
@@ -218,7 +220,7 @@
 		f.ServiceTag = binary.LittleEndian.Uint32(data[24:])
 		f.StartedAt = binary.LittleEndian.Uint32(data[28:])
 		if f.Kind == NotHeld || f.Kind == MayHold {
-			f.TrialAgeMS = binary.LittleEndian.Uint32(data[32:])
+			f.TrialAgeMS, f.TrialPackets = binary.LittleEndian.Uint16(data[32:]), data[34]
 		} else {
 			f.ListeningMS = binary.LittleEndian.Uint32(data[32:])
 		}
--- a/flow/frame_test.go
+++ b/flow/frame_test.go
@@ -20,7 +20,7 @@
 	}
 	agentFrame := flow.Frame{Established: true, Key: exampleKey, Sender: [4]byte{10, 0, 0, 5}, Flows: 9, Busy: 4, ServiceTag: 77, StartedAt: 123456, AdmitPriority: 3, ServiceMillis: 513}
 	withTrial := agentFrame
-	withTrial.TrialAgeMS = 1<<32 - 1
+	withTrial.TrialAgeMS, withTrial.TrialPackets = 1<<16-1, 3
 	for kind, frame := range map[flow.Kind]flow.Frame{
 		flow.MayHold: withTrial,
 		flow.Deliver: packetFrame, flow.Lookup: packetFrame, flow.Probe: packetFrame,
--- a/steering/trial_budget.go
+++ b/steering/trial_budget.go
@@ -6,9 +6,9 @@
 	"github.com/turmericrock/turmericrock/placement"
 )
 
-// maxStrayTrials is the number of packets of a flow that may reach hosts which do not hold
+// MaxStrayTrials is the number of packets of a flow that may reach hosts which do not hold
 // the flow, within a stray window. The platform counts a flow as broken at the third one.
-const maxStrayTrials = 2
+const MaxStrayTrials = 2
 
 // strayMargin is added to the stray window, since packets that are sent some time apart may
 // arrive closer together.
@@ -45,35 +45,59 @@
 // TrialBudget records at which hosts packets of one flow were tried, by the addresses of
 // their agents. It is not safe for concurrent use.
 type TrialBudget struct {
-	triedAt map[[4]byte]time.Duration
+	trials map[[4]byte]hostTrial
 }
 
-// Record records a trial at the host of an agent.
-func (b *TrialBudget) Record(agent [4]byte, at time.Duration) {
-	if b.triedAt == nil {
-		b.triedAt = make(map[[4]byte]time.Duration)
+// hostTrial holds when the last packet was tried at a host, and how many were.
+type hostTrial struct {
+	at      time.Duration
+	packets int
+}
+
+// Record records the trial of a packet at the host of an agent.
+func (b *TrialBudget) Record(agent [4]byte, window, now time.Duration) {
+	packets := 1
+	if b.Tried(agent, window, now) {
+		packets += b.trials[agent].packets
+	}
+	b.set(agent, hostTrial{at: now, packets: packets})
+}
+
+// Report records what an agent reports: the number of packets that were tried at its host, and
+// when the last one was.
+func (b *TrialBudget) Report(agent [4]byte, packets int, at time.Duration) {
+	known, ok := b.trials[agent]
+	if !ok {
+		known.at = at
+	}
+	b.set(agent, hostTrial{at: max(at, known.at), packets: max(packets, known.packets)})
+}
+
+func (b *TrialBudget) set(agent [4]byte, t hostTrial) {
+	if b.trials == nil {
+		b.trials = make(map[[4]byte]hostTrial)
 	}
-	b.triedAt[agent] = max(b.triedAt[agent], at)
+	b.trials[agent] = t
 }
 
 // Tried reports whether a packet was tried at the host of the agent within the stray window.
 func (b *TrialBudget) Tried(agent [4]byte, window, now time.Duration) bool {
-	at, tried := b.triedAt[agent]
-	return tried && now-at < window+strayMargin
+	t, tried := b.trials[agent]
+	return tried && now-t.at < window+strayMargin
 }
 
 // IsUnreturned reports whether a packet was tried at the host of the agent within the stray
 // window, but so long ago that a host which does not hold the flow has returned it.
 func (b *TrialBudget) IsUnreturned(agent [4]byte, window, now time.Duration) bool {
-	return b.Tried(agent, window, now) && now-b.triedAt[agent] >= TrialReturnTimeout
+	return b.Tried(agent, window, now) && now-b.trials[agent].at >= TrialReturnTimeout
 }
 
-// Left returns at how many further hosts a packet may be tried.
+// Left returns how many further packets may be tried.
 func (b *TrialBudget) Left(window, now time.Duration) int {
-	left := maxStrayTrials
-	for agent := range b.triedAt {
+	left := MaxStrayTrials
+	for agent, t := range b.trials {
 		if b.Tried(agent, window, now) {
-			left--
+			left -= t.packets
 		}
 	}
 	return max(0, left)
--- a/steering/trial_budget_test.go
+++ b/steering/trial_budget_test.go
@@ -41,7 +41,7 @@
 	next := byte(1)
 	for now := time.Second; now < 20*time.Second; now += 100 * time.Millisecond {
 		for b.Left(strayWindow, now) > 0 {
-			b.Record(agent(next), now)
+			b.Record(agent(next), strayWindow, now)
 			trials = append(trials, now)
 			next++
 		}
@@ -58,10 +58,23 @@
 	var b steering.TrialBudget
 	agent := [4]byte{10, 0, 0, 1}
 	must.False(t, b.IsUnreturned(agent, strayWindow, time.Second))
-	b.Record(agent, time.Second)
+	b.Record(agent, strayWindow, time.Second)
 	must.False(t, b.IsUnreturned(agent, strayWindow, time.Second+50*time.Millisecond))
 	must.True(t, b.IsUnreturned(agent, strayWindow, time.Second+100*time.Millisecond))
 	must.False(t, b.IsUnreturned(agent, strayWindow, 4*time.Second))
-	b.Record(agent, 500*time.Millisecond)
+	b.Report(agent, 1, 500*time.Millisecond)
 	must.True(t, b.IsUnreturned(agent, strayWindow, time.Second+100*time.Millisecond), must.Sprint("an older report changes nothing"))
+	must.Eq(t, 1, b.Left(strayWindow, time.Second+100*time.Millisecond))
+	b.Record(agent, strayWindow, time.Second+100*time.Millisecond)
+	must.Eq(t, 0, b.Left(strayWindow, time.Second+200*time.Millisecond), must.Sprint("both packets count"))
+	b.Record(agent, strayWindow, 5*time.Second)
+	must.Eq(t, 1, b.Left(strayWindow, 5*time.Second), must.Sprint("earlier ones no longer count"))
+}
+
+// Guards against both keepers trying packets at a slow host: what its agent reports counts.
+func TestReportedTrialsCount(t *testing.T) {
+	var b steering.TrialBudget
+	b.Report([4]byte{10, 0, 0, 1}, 2, time.Second)
+	must.Eq(t, 0, b.Left(strayWindow, 2*time.Second))
+	must.Eq(t, 2, b.Left(strayWindow, 4*time.Second))
 }
