Try packets of unknown flows without a catalog

Callers would see: an agent that starts while the store is away drops packets, with an unexpected_error counted for each, and runs on.

Cause: the limit on trials read the catalog, which a process that has just started lacks. Entries that know the agent as the owner of a flow send it packets all the same, and the third one within a stray window met the limit.

Change: without a catalog the process knows no configuration, and the limit holds.

TestPacketsAreTriedWithoutACatalog ended with a nil pointer dereference before.

--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -37,8 +37,12 @@
 	if a.routeEvidence.AllServicesKnown(key.Destination) {
 		return false
 	}
+	known := time.Duration(0)
+	if c != nil {
+		known = now - c.ConfigsKnownSince
+	}
 	return steering.RouteKnowledge{
-		KnownFor: now - c.ConfigsKnownSince, RunningFor: now - a.config.ClockStart,
+		KnownFor: known, RunningFor: now - a.config.ClockStart,
 		FlowLifetime: a.config.FlowLifetime, RecoveryTime: a.config.RecoveryTime,
 	}.LimitsTrials()
 }
--- a/datagram/limited_search_test.go
+++ b/datagram/limited_search_test.go
@@ -310,3 +310,23 @@
 	must.Eq(t, len(former), c.sendAll(former)[0])
 	c.requireFewTrials("s", "u")
 }
+
+// Guards against a crash while a process that has started has no catalog yet: entries send it
+// packets of flows that it owned.
+func TestPacketsAreTriedWithoutACatalog(t *testing.T) {
+	c := newCluster(t)
+	host := c.addHost(11, "s")
+	host.returnsLate = true
+	a := c.newAgent(11, true, time.UnixMilli(1_000_000))
+	c.agents[addr(11)] = a
+	c.now += hostListSettleTime
+	r := c.requester(1000, 1)
+	deliver := flow.Frame{Kind: flow.Deliver, ServiceTag: catalog.Tag("s"), Origin: flow.Endpoint{Addr: addr(1), Port: peerPort}}
+	for range 4 {
+		data := append(deliver.Append(nil), packet(ack, r.endpoint, destination(), 1, 777, 50)...)
+		a.HandleFrame(c.now, addr(1), data, &clusterOutput{c, addr(11)})
+		c.now += 200 * time.Millisecond
+	}
+	c.deliverQueue()
+	must.Positive(t, host.unheldPackets[r.key()])
+}
