Wait for a host that has yet to return a packet before another is tried

The loop had a branch that was never taken, and tried a host that came earlier in the order than one whose packet was still out. The packets were counted all the same.

--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -102,15 +102,10 @@
 	if data == nil {
 		return
 	}
-	for _, agent := range a.trialOrder(now, c, key, s) {
-		if s.trials.Tried(agent, window, now) {
-			if s.mayHold[agent] {
-				return // Its host has yet to return the packet or to answer it.
-			}
-			continue
-		}
-		a.probe(now, c, key, s, agent, data, out)
-		return
+	agents := a.trialOrder(now, c, key, s)
+	awaited := slices.ContainsFunc(agents, func(agent [4]byte) bool { return s.trials.Tried(agent, window, now) })
+	if len(agents) > 0 && !awaited {
+		a.probe(now, c, key, s, agents[0], data, out)
 	}
 }
 
