--- a/review/standin-3/host.go
+++ b/review/standin-3/host.go
@@ -137,12 +137,6 @@
 	h.fleet.record.add("host-%d %s has left", h.n, h.id)
 }
 
-func (h *host) hasExited() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.exited
-}
-
 func (h *host) read() {
 	buffer := make([]byte, 2048)
 	for {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 // cases holds the cases by name. A case returns what breaks the rule, one line each.
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"odd-entry": oddEntry,
+	"new-host":  newHost,
 }
 
 func main() { os.Exit(play()) }
