review: case 15, busy callers hide the flows of a former service

An entry of docs/incidents/route-forgotten.md: after a restart of all processes, six flows that were found at the new service of a route count as proof that no other service holds flows of it. Packets of flows that are open at the former service then reach all hosts of the new one and never their own.

--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/turmericrock/turmericrock/flow"
 	"github.com/turmericrock/turmericrock/internal/standin/store"
 )
 
@@ -48,6 +49,7 @@
 	// restartDelay is the short delay after which the platform starts an ended process again.
 	restartDelay = 500 * time.Millisecond
 	service      = "order-desk"
+	otherService = "proof-gallery"
 	zone         = "zone-a"
 )
 
@@ -65,6 +67,30 @@
 	hosts     []*host
 	// bootstrap is set while the whole system starts for the first time.
 	bootstrap bool
+	// serviceOf returns the service of the host of a number.
+	serviceOf func(n int) string
+	arrivals  []arrival
+}
+
+// arrival is a packet of a flow, other than its opening, that reached a host.
+type arrival struct {
+	key flow.Key
+	at  time.Duration
+	// returned reports that the host did not hold the flow.
+	returned bool
+}
+
+// arrivalsOf returns the packets of a flow that reached hosts after a time.
+func (f *fleet) arrivalsOf(key flow.Key, after time.Duration) []arrival {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(f.arrivals), func(a arrival) bool { return a.key != key || a.at < after })
+}
+
+func (f *fleet) addArrival(key flow.Key, returned bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals = append(f.arrivals, arrival{key: key, at: f.record.now(), returned: returned})
 }
 
 func newFleet(r *record) (*fleet, error) {
@@ -72,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, record: r, store: store.New(), bootstrap: true}
+	f := &fleet{dir: dir, record: r, store: store.New(), bootstrap: true, serviceOf: func(int) string { return service }}
 	first := 20 + rand.IntN(200)
 	for n := range 30 {
 		f.octet = byte(20 + (first+n)%200)
@@ -133,17 +159,22 @@
 	return netip.AddrPortFrom(f.ip(kind, n), port)
 }
 
-// writeConfig writes a version of the configuration with one route.
-func (f *fleet) writeConfig(version int) {
+// writeConfig writes a version of the configuration with one route, to the given service.
+func (f *fleet) writeConfig(version int, target string) {
+	var services []map[string]any
+	for _, name := range []string{service, otherService} {
+		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": 2000, "warmup_s": 2.0, "warmup_per_s": 0.0})
+	}
 	f.put("op/config", map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
 			"name": "r-1", "vhost": f.ip(kindVirtual, 1).String(), "prefix": "/8080/", "route_type": "non_idempotent",
-			"timeout_ms": 2000, "target_latency_ms": 200, "priority": 1, "backend": service, "max_attempts": 2,
+			"timeout_ms": 2000, "target_latency_ms": 200, "priority": 1, "backend": target, "max_attempts": 2,
 		}},
-		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 2000, "warmup_s": 2.0, "warmup_per_s": 0.0}},
+		"services": services,
 		"limits":   map[string]any{"idle_timeout_ms": 15000},
 	})
+	f.record.add("the store holds version %d, with the route to %s", version, target)
 }
 
 func (f *fleet) put(key string, value any) {
@@ -163,7 +194,7 @@
 		listen["control"] = f.addr(kind, n, portControl).String()
 	} else {
 		listen["outbound"] = f.addr(kind, n, portOutbound).String()
-		settings["app"], settings["backend"] = f.addr(kind, n, portHost).String(), service
+		settings["app"], settings["backend"] = f.addr(kind, n, portHost).String(), f.serviceOf(n)
 	}
 	f.mu.Lock()
 	bootstrap := f.bootstrap
@@ -309,7 +340,7 @@
 
 // startAll starts the entries, and the given number of hosts with their agents.
 func (f *fleet) startAll(entries, hosts int) error {
-	f.writeConfig(7)
+	f.writeConfig(7, service)
 	for n := 1; n <= entries; n++ {
 		if _, err := f.start(kindEntry, n); err != nil {
 			return err
@@ -362,3 +393,18 @@
 	}
 	return nil
 }
+
+// killAll kills all processes of the system at once and waits until they serve again.
+func (f *fleet) killAll(entries int) error {
+	f.mu.Lock()
+	processes := slices.Clone(f.processes)
+	f.mu.Unlock()
+	for _, p := range processes {
+		p.signal(syscall.SIGKILL)
+	}
+	time.Sleep(restartDelay)
+	if !f.awaitReady(entries) {
+		return fmt.Errorf("the entries do not become ready again")
+	}
+	return nil
+}
--- a/review/standin-3/host.go
+++ b/review/standin-3/host.go
@@ -118,7 +118,7 @@
 	h.sequence++
 	sequence, state := h.sequence, h.state
 	h.fleet.put("servers/"+h.id, map[string]any{
-		"backend": service, "address": h.fleet.addr(kindHost, h.n, portHost).String(), "zone": zone, "version": "v1",
+		"backend": h.fleet.serviceOf(h.n), "address": h.fleet.addr(kindHost, h.n, portHost).String(), "zone": zone, "version": "v1",
 		"concurrency": slots, "state": state, "warmup_left_ms": 0, "sequence": sequence, "born": h.born.UnixMilli(),
 	})
 }
@@ -174,9 +174,11 @@
 	if fl == nil || !fl.open && p.AckSeq != fl.seq+1 {
 		data[0], data[1] = data[0]|flagBounced, 0
 		h.fleet.record.add("host-%d returns a packet of %v", h.n, key)
+		h.fleet.addArrival(key, true)
 		h.send(data)
 		return
 	}
+	h.fleet.addArrival(key, false)
 	if !fl.open {
 		fl.open = true
 		h.fleet.record.add("host-%d has the end of the handshake of %v", h.n, key)
--- a/review/standin-3/new_host.go
+++ b/review/standin-3/new_host.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -46,40 +45,19 @@
 		return nil, err
 	}
 	time.Sleep(300 * time.Millisecond)
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	var clients []*requester
-	var flows []*clientFlow
-	for n := 1; n <= newHostFlows; n++ {
-		q, err := f.newRequester(r, n)
-		if err != nil {
-			return nil, err
-		}
-		group.Go(func() {
-			fl, got := q.open()
-			if got != outcomeDone || q.request(fl) != outcomeDone {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			clients, flows = append(clients, q), append(flows, fl)
-		})
+	clients, flows, err := f.openFlows(r, 1, newHostFlows)
+	if err != nil {
+		return nil, err
 	}
-	group.Wait()
 	if trouble {
 		f.record.add("the time of day of machine 3 jumps back; all processes are killed")
-		f.mu.Lock()
-		processes := append([]*process(nil), f.processes...)
-		f.mu.Unlock()
-		for _, p := range processes {
-			p.signal(syscall.SIGKILL)
+		if err := f.killAll(newHostEntries); err != nil {
+			return nil, err
 		}
-		time.Sleep(restartDelay)
-	}
-	if !f.awaitReady(newHostEntries) {
-		return nil, errors.New("the entries do not become ready again")
 	}
 	time.Sleep(contactTime + time.Second)
+	var mu sync.Mutex
+	var group sync.WaitGroup
 	var broken []string
 	atNew := 0
 	for i, fl := range flows {
