--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -70,6 +71,8 @@
 	// serviceOf returns the service of the host of a number.
 	serviceOf func(n int) string
 	arrivals  []arrival
+	// watches is set while watches of the store hear nothing, and closed at the end of that.
+	watches atomic.Pointer[chan struct{}]
 }
 
 // arrival is a packet of a flow, other than its opening, that reached a host.
@@ -106,7 +109,7 @@
 		if err != nil || !f.isFree() {
 			continue
 		}
-		f.server = &http.Server{Handler: withoutEra(f.store), ReadHeaderTimeout: time.Second}
+		f.server = &http.Server{Handler: f.withSilence(withoutEra(f.store)), ReadHeaderTimeout: time.Second}
 		go func() { _ = f.server.Serve(listener) }()
 		return f, nil
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 // cases holds the cases by name. A case returns what breaks the rule, one line each.
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"settling-seeds": settlingSeeds,
+	"lost-history":   lostHistory,
 	"odd-entry":      oddEntry,
 	"new-host":       newHost,
 	"moved-route":    movedRoute,
