--- a/review/standin-3/odd_entry.go
+++ b/review/standin-3/odd_entry.go
@@ -13,7 +13,7 @@
 const (
 	oddEntries   = 2 // Entries of the system.
 	oddHosts     = 3
-	oddRequester = 12
+	oddRequester = 24
 	// oddInterval is the time between two writes of the other writer.
 	oddInterval = time.Second
 	// lingerTime is how long a host serves after its report that it drains, drain_ms and
