--- a/review/standin-3/lost_history.go
+++ b/review/standin-3/lost_history.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -24,7 +25,8 @@
 )
 
 // lostHistory: the store drops its history. Seconds later, all agents and then the entries are
-// stopped and started in turn, while requesters pause.
+// stopped and started in turn, while requesters pause. With KILL=1 all processes are killed once
+// in place of the loss of the history.
 func lostHistory(f *fleet, trouble bool) ([]string, error) {
 	if err := f.startAll(historyEntries, historyHosts); err != nil {
 		return nil, err
@@ -38,7 +40,12 @@
 	}
 	defer close(r.ended)
 	time.Sleep(contactTime)
-	if trouble {
+	switch {
+	case trouble && os.Getenv("KILL") == "1":
+		if err := f.killAll(historyEntries); err != nil {
+			return nil, err
+		}
+	case trouble:
 		f.dropHistory()
 	}
 	time.Sleep(2 * contactTime)
