Log whether the trials of a search are limited

After a kill of all processes the packets of flows at a route's former service reach the hosts of the new one only.

No decision changes.

--- a/datagram/search.go
+++ b/datagram/search.go
@@ -93,7 +93,7 @@
 	agents := a.candidateAgents(now, c, key)
 	a.pingUnlisted(now, c, agents, out)
 	if started {
-		a.config.Events.Log(EventSearchStarted, key, "agents", len(agents), "not_held", len(s.notHeld))
+		a.config.Events.Log(EventSearchStarted, key, "agents", len(agents), "not_held", len(s.notHeld), "limited", a.limitsTrials(now, c, key))
 		a.query(now, c, key, s, agents, out)
 		return
 	}
