Share the trials of a flow between its keepers

Callers would see: after a restart of all processes, packets of flows at a service that nobody knows reach hosts of other services only, three or more in a stray window, if an agent restarts while they are searched for. Found by a test of random histories.

Cause: each search counts its own trials, and agents report those at their hosts. An agent that restarts forgets both, so that the other keeper of the flow, which goes on with the search, tries too many. An agent that has restarted searches as if no packets had been tried before.

Change: a keeper tells the other one of its trials (frame Tried), and new keepers when they change. An agent that has restarted beside others waits for a stray window before it tries packets under the limit. The second keeper counts trials 0.25 s longer. No trial is forgotten as long as one keeper runs.

--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -155,6 +155,8 @@
 	flows   map[flow.Key]*ownedFlow
 	records map[flow.Key]*ownerRecord
 	trials  map[flow.Key]*trialDelivery
+	// budgets holds the trials of flows that this agent or other keepers search for.
+	budgets map[flow.Key]*steering.TrialBudget
 	// searches holds the flows whose owner this agent is asking all other
 	// agents for.
 	searches     map[flow.Key]*ownerSearch
@@ -206,6 +208,7 @@
 		flows:          make(map[flow.Key]*ownedFlow),
 		records:        make(map[flow.Key]*ownerRecord),
 		trials:         make(map[flow.Key]*trialDelivery),
+		budgets:        make(map[flow.Key]*steering.TrialBudget),
 		searches:       make(map[flow.Key]*ownerSearch),
 		questions:      newQuestions(),
 		liveness:       make(livenessTable),
@@ -281,6 +284,8 @@
 		a.handleNotHeldMany(now, f.Sender, packet, out)
 	case flow.MayHold:
 		a.handleMayHold(now, f, out)
+	case flow.Tried:
+		a.handleTried(f, packet, now)
 	case flow.Missing: // From an earlier build.
 	case flow.AgentStarted:
 		a.resendOwned(f.Sender, out)
--- a/datagram/expiry.go
+++ b/datagram/expiry.go
@@ -50,6 +50,11 @@
 			delete(a.trials, key)
 		}
 	}
+	for key, b := range a.budgets {
+		if len(b.Recent(a.config.StrayWindow, now)) == 0 {
+			delete(a.budgets, key)
+		}
+	}
 	for key, s := range a.searches {
 		if now-s.startedAt > searchRetention {
 			delete(a.searches, key)
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -79,7 +79,8 @@
 
 // arrival is a packet of a flow that reached a host.
 type arrival struct {
-	at time.Duration
+	at   time.Duration
+	host [4]byte
 	// held reports that the host holds the flow.
 	held bool
 }
@@ -247,7 +248,7 @@
 	c.current = c.tracker.Current()
 	if before != nil {
 		for _, a := range c.sortedAgents() {
-			c.agents[a].KeepersChanged(before, c.current, &clusterOutput{c, a})
+			c.agents[a].KeepersChanged(c.now, before, c.current, &clusterOutput{c, a})
 			c.agents[a].HostsRemoved(c.now, before, c.current, &clusterOutput{c, a})
 		}
 	}
@@ -396,7 +397,7 @@
 		h.established[key] = held
 	}
 	if !p.Opening() {
-		c.arrivals[key] = append(c.arrivals[key], arrival{c.now, held})
+		c.arrivals[key] = append(c.arrivals[key], arrival{c.now, at, held})
 	}
 	switch {
 	case p.Opening() && !h.refusing:
--- a/datagram/keepers.go
+++ b/datagram/keepers.go
@@ -1,6 +1,7 @@
 package datagram
 
 import (
+	"slices"
 	"time"
 
 	"github.com/turmericrock/turmericrock/catalog"
@@ -104,22 +105,33 @@
 }
 
 // KeepersChanged announces the flows whose keepers differ between two catalogs
-// to their new keepers. As in resendOwned, closed flows count as established.
-func (a *Agent) KeepersChanged(old, c *catalog.Catalog, out Output) {
+// to their new keepers. As in resendOwned, closed flows count as established. The new keepers of
+// flows that are searched for are told at which hosts packets were tried.
+func (a *Agent) KeepersChanged(now time.Duration, old, c *catalog.Catalog, out Output) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for key, fl := range a.flows {
 		if fl.state == flowOpening {
 			continue
 		}
-		hash := key.Hash()
-		first, second, _ := steering.Keepers(old, hash)
-		for _, keeper := range keepersOf(c, hash) {
-			if keeper != first && keeper != second {
-				a.sendOwnedToKeeper(keeper, key, fl.state != flowAccepted, out)
-			}
+		for _, keeper := range newKeepers(old, c, key) {
+			a.sendOwnedToKeeper(keeper, key, fl.state != flowAccepted, out)
 		}
 	}
+	if !a.limitsTrials(now, c) {
+		return
+	}
+	for key := range a.budgets {
+		a.sendTrials(now, key, newKeepers(old, c, key), out)
+	}
+}
+
+// newKeepers returns the keepers of a flow that it did not have in an older catalog.
+func newKeepers(old, c *catalog.Catalog, key flow.Key) [][4]byte {
+	before, keepers := keepersOf(old, key.Hash()), keepersOf(c, key.Hash())
+	return slices.DeleteFunc(slices.Compact(keepers[:]), func(keeper [4]byte) bool {
+		return keeper == before[0] || keeper == before[1]
+	})
 }
 
 // keepersOf returns the two keepers of the flow with the given hash, which are
--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -12,6 +12,10 @@
 	"github.com/turmericrock/turmericrock/steering"
 )
 
+// keeperTurn is how much longer than the first keeper of a flow other agents count a trial, so that
+// they do not go on at the same moment, before each has heard of the other's trial.
+const keeperTurn = 250 * time.Millisecond
+
 // trialReportPatience is how long a search with limited trials waits for agents to say
 // whether others have tried packets of the flow at their hosts.
 const trialReportPatience = 50 * time.Millisecond
@@ -25,9 +29,9 @@
 }
 
 // recordTrial records the trials at the host of an agent that the agent reports in its answer.
-func (s *ownerSearch) recordTrial(answer *flow.Frame, now time.Duration) {
+func (a *Agent) recordTrial(answer *flow.Frame, now time.Duration) {
 	if answer.TrialPackets > 0 {
-		s.trials.Report(answer.Sender, int(answer.TrialPackets), now-time.Duration(answer.TrialAgeMS)*time.Millisecond)
+		a.budget(answer.Key).Report(answer.Sender, int(answer.TrialPackets), now-time.Duration(answer.TrialAgeMS)*time.Millisecond)
 	}
 }
 
@@ -35,6 +39,12 @@
 // a flow may be at a host of a service that nobody knows to hold flows of its route. Flows of the
 // route that were found are no evidence against that: those of a former service may pause.
 func (a *Agent) limitsTrials(now time.Duration, c *catalog.Catalog) bool {
+	return a.routeKnowledge(now, c).LimitsTrials()
+}
+
+// routeKnowledge returns what is known of the configurations that were in force while flows were
+// opened.
+func (a *Agent) routeKnowledge(now time.Duration, c *catalog.Catalog) steering.RouteKnowledge {
 	known := time.Duration(0)
 	if c != nil {
 		known = now - c.ConfigsKnownSince
@@ -42,7 +52,72 @@
 	return steering.RouteKnowledge{
 		KnownFor: known, RunningFor: now - a.config.ClockStart,
 		FlowLifetime: a.config.FlowLifetime, RecoveryTime: a.config.RecoveryTime,
-	}.LimitsTrials()
+	}
+}
+
+// budget returns the trials of a flow. It adds an empty one if there is none.
+func (a *Agent) budget(key flow.Key) *steering.TrialBudget {
+	b := a.budgets[key]
+	if b == nil {
+		b = &steering.TrialBudget{}
+		a.budgets[key] = b
+	}
+	return b
+}
+
+// trialsLeft returns how many packets of a flow may be tried while trials are limited.
+func (a *Agent) trialsLeft(now time.Duration, c *catalog.Catalog, key flow.Key) int {
+	if !a.routeKnowledge(now, c).KnowsTrials(a.config.StrayWindow) {
+		return 0
+	}
+	window := a.config.StrayWindow
+	if keepersOf(c, key.Hash())[0] != a.config.Self.Addr {
+		window += keeperTurn
+	}
+	return a.budget(key).Left(window, now)
+}
+
+// shareTrials tells the other keepers of a flow, while trials are limited, at which hosts its
+// packets were tried. An agent that restarts forgets the trials at its host, and either keeper may
+// go on with the search.
+func (a *Agent) shareTrials(now time.Duration, c *catalog.Catalog, key flow.Key, out Output) {
+	if a.limitsTrials(now, c) {
+		keepers := keepersOf(c, key.Hash())
+		a.sendTrials(now, key, slices.Compact(keepers[:]), out)
+	}
+}
+
+// sendTrials tells agents at which hosts packets of a flow were tried.
+func (a *Agent) sendTrials(now time.Duration, key flow.Key, to [][4]byte, out Output) {
+	var trials []flow.Trial
+	for _, t := range a.budget(key).Recent(a.config.StrayWindow, now) {
+		trials = append(trials, flow.Trial{
+			Agent: t.Agent, AgeMS: uint16(min(math.MaxUint16, t.Age.Milliseconds())), Packets: uint8(min(math.MaxUint8, t.Packets)),
+		})
+	}
+	if len(trials) == 0 {
+		return
+	}
+	f := a.newReport(flow.Tried, key)
+	list := flow.AppendTrials(nil, trials[:min(flow.MaxTrials, len(trials))])
+	for _, agent := range to {
+		if agent != a.config.Self.Addr {
+			out.ToNode(a.endpoint(agent), &f, list)
+		}
+	}
+}
+
+// handleTried records the trials that another agent reports.
+func (a *Agent) handleTried(f *flow.Frame, list []byte, now time.Duration) {
+	trials, ok := flow.ParseTrials(list)
+	if !ok {
+		a.config.Events.Drop(DropMalformed)
+		return
+	}
+	b := a.budget(f.Key)
+	for _, t := range trials {
+		b.Report(t.Agent, int(t.Packets), now-time.Duration(t.AgeMS)*time.Millisecond)
+	}
 }
 
 // probeLimited sends a packet of the flow to the next of the agents that may hold it, if the
@@ -50,7 +125,7 @@
 // search for it, so it first waits for the agents that can tell of trials.
 func (a *Agent) probeLimited(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
 	window := a.config.StrayWindow
-	if s.trials.Left(window, now) == 0 {
+	if a.trialsLeft(now, c, key) == 0 {
 		a.logLimit(now, c, key, s)
 		return
 	}
@@ -61,8 +136,8 @@
 	if data == nil {
 		return
 	}
-	agents := a.trialOrder(now, c, key, s)
-	awaited := slices.ContainsFunc(agents, func(agent [4]byte) bool { return s.trials.Tried(agent, window, now) })
+	agents, trials := a.trialOrder(now, c, key, s), a.budget(key)
+	awaited := slices.ContainsFunc(agents, func(agent [4]byte) bool { return trials.Tried(agent, window, now) })
 	if len(agents) > 0 && !awaited {
 		a.probe(now, c, key, s, agents[0], data, out)
 	}
@@ -72,9 +147,9 @@
 // the trials allow, to one whose host has not returned the last one. A host that does not hold
 // the flow returns it soon, unless it is slow.
 func (a *Agent) probeLikelyOwners(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
-	window := a.config.StrayWindow
+	trials := a.budget(key)
 	for _, agent := range slices.Collect(maps.Keys(s.mayHold)) {
-		if s.owners[agent] || s.trials.IsUnreturned(agent, window, now) && s.trials.Left(window, now) > 0 {
+		if s.owners[agent] || trials.IsUnreturned(agent, a.config.StrayWindow, now) && a.trialsLeft(now, c, key) > 0 {
 			a.probe(now, c, key, s, agent, data, out)
 		}
 	}
@@ -83,8 +158,9 @@
 // logLimit logs once that the hosts that were tried do not hold the flow and no further ones
 // may be tried yet.
 func (a *Agent) logLimit(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch) {
+	trials := a.budget(key)
 	for agent := range s.mayHold {
-		if s.trials.Tried(agent, a.config.StrayWindow, now) {
+		if trials.Tried(agent, a.config.StrayWindow, now) {
 			return
 		}
 	}
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -43,8 +43,6 @@
 	pending, mayHold, notHeld map[[4]byte]bool
 	// owners holds the agents that have answered that they own the flow.
 	owners map[[4]byte]bool
-	// trials records at which hosts packets of the flow were tried.
-	trials steering.TrialBudget
 	// limitLogged reports that the end of the trials was logged (see Agent.logLimit).
 	limitLogged bool
 	// widened reports that the agents of all zones were asked, and those of services that
@@ -109,7 +107,7 @@
 		owners: make(map[[4]byte]bool),
 	}
 	if previous != nil {
-		s.notHeld, s.widened, s.trials, s.limitLogged = previous.notHeld, previous.widened, previous.trials, previous.limitLogged
+		s.notHeld, s.widened, s.limitLogged = previous.notHeld, previous.widened, previous.limitLogged
 	}
 	return s
 }
@@ -219,7 +217,7 @@
 	if s == nil || c == nil || !s.pending[agent] || s.mayHold[agent] {
 		return
 	}
-	s.recordTrial(f, now)
+	a.recordTrial(f, now)
 	s.mayHold[agent], s.owners[agent] = true, f.Established
 	if a.limitsTrials(now, c) && !f.Established {
 		if data := a.packetForTrial(s); data != nil {
@@ -253,7 +251,8 @@
 
 // probe sends a packet of the flow to an agent, so that it is tried at its host.
 func (a *Agent) probe(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agent [4]byte, data []byte, out Output) {
-	s.trials.Record(agent, a.config.StrayWindow, now)
+	a.budget(key).Record(agent, a.config.StrayWindow, now)
+	a.shareTrials(now, c, key, out)
 	f := s.frame
 	f.ServiceTag = a.probeServiceTag(c, a.searchScope(now, c, key, 0), agent, f.ServiceTag)
 	if agent != a.config.Self.Addr {
@@ -350,7 +349,7 @@
 	if s == nil || !s.pending[agent] {
 		return
 	}
-	s.recordTrial(f, now)
+	a.recordTrial(f, now)
 	delete(s.pending, agent)
 	delete(s.mayHold, agent)
 	s.notHeld[agent] = true
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -83,6 +83,9 @@
 	// Missing is sent by earlier builds for a flow that their searches have missed. It is
 	// ignored.
 	Missing
+	// Tried tells a keeper of a flow at which hosts packets of it were tried. The trials
+	// follow the header, see AppendTrials.
+	Tried
 )
 
 // Frame is the header of a datagram between processes. Which fields are sent
@@ -109,7 +112,7 @@
 	Avoided [maxAvoided][4]byte
 	// ReplyTo is the agent that receives the answers to a Probe.
 	ReplyTo [4]byte
-	// Key is the flow that Owned, Closed, NotHeld, MayHold and Missing refer to.
+	// Key is the flow that Owned, Closed, NotHeld, MayHold, Missing and Tried refer to.
 	Key Key
 	// Established reports in Owned that the requester has confirmed the flow at
 	// this owner. Several hosts may accept duplicates of an opening, the packet
@@ -165,7 +168,7 @@
 			copy(b[avoidOffset+4*i:], f.Avoided[i][:])
 		}
 	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold, UnlistedQuery, UnlistedReport,
-		QueryMany, NotHeldMany, Missing:
+		QueryMany, NotHeldMany, Missing, Tried:
 		if f.Established {
 			b[2] = 1
 		}
@@ -210,7 +213,7 @@
 			f.Avoided[i] = [4]byte(data[avoidOffset+4*i:])
 		}
 	case Owned, Closed, Load, NotHeld, AgentStarted, Ping, HostEnded, Unlisted, Query, MayHold, UnlistedQuery, UnlistedReport,
-		QueryMany, NotHeldMany, Missing:
+		QueryMany, NotHeldMany, Missing, Tried:
 		f.Established = data[2] == 1
 		f.FailureShare = data[3]
 		f.Key = decodeKey(data[4:])
@@ -323,3 +326,42 @@
 	}
 	return agents, true
 }
+
+// MaxTrials is how many trials a Tried can report.
+const MaxTrials = 100
+
+// trialSize is the size in bytes of a trial in a Tried.
+const trialSize = 8
+
+// Trial reports packets of a flow that were tried at a host.
+type Trial struct {
+	// Agent is the agent of the host.
+	Agent [4]byte
+	// AgeMS is the time in milliseconds since the last of the packets was tried, and Packets
+	// their number.
+	AgeMS   uint16
+	Packets uint8
+}
+
+// AppendTrials appends the trials of a Tried, at most MaxTrials, to to and returns the extended
+// slice.
+func AppendTrials(to []byte, trials []Trial) []byte {
+	for _, t := range trials {
+		to = append(to, t.Agent[:]...)
+		to = binary.LittleEndian.AppendUint16(to, t.AgeMS)
+		to = append(to, t.Packets, 0)
+	}
+	return to
+}
+
+// ParseTrials decodes the trials of a Tried. It reports false if data is not such a list.
+func ParseTrials(data []byte) ([]Trial, bool) {
+	if len(data) == 0 || len(data)%trialSize != 0 || len(data) > MaxTrials*trialSize {
+		return nil, false
+	}
+	trials := make([]Trial, 0, len(data)/trialSize)
+	for ; len(data) > 0; data = data[trialSize:] {
+		trials = append(trials, Trial{Agent: [4]byte(data[:4]), AgeMS: binary.LittleEndian.Uint16(data[4:]), Packets: data[6]})
+	}
+	return trials, true
+}
--- a/flow/frame_test.go
+++ b/flow/frame_test.go
@@ -24,7 +24,7 @@
 	for kind, frame := range map[flow.Kind]flow.Frame{
 		flow.MayHold: withTrial,
 		flow.Deliver: packetFrame, flow.Lookup: packetFrame, flow.Probe: packetFrame,
-		flow.Owned: agentFrame, flow.Closed: agentFrame, flow.Load: agentFrame, flow.NotHeld: withTrial, flow.AgentStarted: agentFrame,
+		flow.Owned: agentFrame, flow.Closed: agentFrame, flow.Load: agentFrame, flow.NotHeld: withTrial, flow.AgentStarted: agentFrame, flow.Tried: agentFrame,
 	} {
 		frame.Kind = kind
 		var read flow.Frame
@@ -150,3 +150,34 @@
 		}
 	})
 }
+
+// Guards against trials that a keeper reports being read as others, and against a list of odd
+// length being taken for trials.
+func TestTrialsRoundTrip(t *testing.T) {
+	trials := []flow.Trial{
+		{Agent: [4]byte{10, 0, 0, 1}, AgeMS: 1<<16 - 1, Packets: 2},
+		{Agent: [4]byte{10, 0, 0, 2}, AgeMS: 7, Packets: 255},
+	}
+	data := flow.AppendTrials(nil, trials)
+	read, ok := flow.ParseTrials(data)
+	must.True(t, ok)
+	must.Eq(t, trials, read)
+	tooLong := flow.AppendTrials(nil, make([]flow.Trial, flow.MaxTrials+1))
+	for _, invalid := range [][]byte{nil, data[:len(data)-1], tooLong} {
+		_, ok := flow.ParseTrials(invalid)
+		must.False(t, ok)
+	}
+}
+
+func FuzzTrials(f *testing.F) {
+	f.Add(flow.AppendTrials(nil, []flow.Trial{{Agent: [4]byte{10, 0, 0, 1}, AgeMS: 1, Packets: 2}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		trials, ok := flow.ParseTrials(data)
+		if !ok {
+			return
+		}
+		again, ok := flow.ParseTrials(flow.AppendTrials(nil, trials))
+		must.True(t, ok)
+		must.Eq(t, trials, again)
+	})
+}
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -399,7 +399,7 @@
 		}
 		if !slices.Equal(old.Agents, c.Agents) {
 			out := node.NewOutput()
-			a.KeepersChanged(old, c, out)
+			a.KeepersChanged(node.Now(), old, c, out)
 			a.AgentsListed(node.Now(), old, c, out)
 			a.HostsRemoved(node.Now(), old, c, out)
 		}
--- a/steering/trial_budget.go
+++ b/steering/trial_budget.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"github.com/turmericrock/turmericrock/placement"
@@ -42,6 +44,18 @@
 	return k.KnownFor < k.FlowLifetime && max(k.KnownFor, k.RunningFor) >= k.RecoveryTime
 }
 
+// KnowsTrials reports whether the process knows which packets of a flow were tried within a stray
+// window, so that it may try further ones while trials are limited.
+//
+// Load pattern: agents are restarted one after the other, while flows of a former service that
+// nobody knows are searched for. An agent that starts has forgotten the trials of its searches
+// and those at its host, and the other keeper of a flow hears of them from nobody else.
+func (k RouteKnowledge) KnowsTrials(window time.Duration) bool {
+	// Trials in the recovery time after a restart of all processes are not limited.
+	startedWithOthers := k.KnownFor-k.RunningFor <= k.RecoveryTime
+	return startedWithOthers || k.RunningFor >= window+strayMargin
+}
+
 // TrialBudget records at which hosts packets of one flow were tried, by the addresses of
 // their agents. It is not safe for concurrent use.
 type TrialBudget struct {
@@ -92,6 +106,26 @@
 	return b.Tried(agent, window, now) && now-b.trials[agent].at >= TrialReturnTimeout
 }
 
+// HostTrials is the trials of packets of one flow at a host.
+type HostTrials struct {
+	Agent   [4]byte
+	Packets int
+	// Age is the time since the last of them.
+	Age time.Duration
+}
+
+// Recent returns the trials within the stray window, sorted by agent.
+func (b *TrialBudget) Recent(window, now time.Duration) []HostTrials {
+	var recent []HostTrials
+	for agent, t := range b.trials {
+		if b.Tried(agent, window, now) {
+			recent = append(recent, HostTrials{Agent: agent, Packets: t.packets, Age: max(0, now-t.at)})
+		}
+	}
+	slices.SortFunc(recent, func(x, y HostTrials) int { return bytes.Compare(x.Agent[:], y.Agent[:]) })
+	return recent
+}
+
 // Left returns how many further packets may be tried.
 func (b *TrialBudget) Left(window, now time.Duration) int {
 	left := MaxStrayTrials
--- a/steering/trial_budget_test.go
+++ b/steering/trial_budget_test.go
@@ -78,3 +78,37 @@
 	must.Eq(t, 0, b.Left(strayWindow, 2*time.Second))
 	must.Eq(t, 2, b.Left(strayWindow, 4*time.Second))
 }
+
+// Guards against an agent that has restarted trying packets of a flow that were tried before: it
+// has forgotten its own trials and those at its host.
+func TestRestartedProcessDoesNotKnowTheTrialsOfOthers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		knownFor, runningFor time.Duration
+		knows                bool
+	}{
+		"all processes started at about the same time": {3 * time.Second, 2 * time.Second, true},
+		"restarted in the recovery time":               {4 * time.Second, 2 * time.Second, true},
+		"restarted later":                              {20 * time.Second, 2 * time.Second, false},
+		"restarted a stray window ago":                 {20 * time.Second, 2500 * time.Millisecond, true},
+		"the configuration came late":                  {100 * time.Millisecond, 3 * time.Second, true},
+	} {
+		k := steering.RouteKnowledge{
+			KnownFor: tc.knownFor, RunningFor: tc.runningFor, FlowLifetime: time.Minute, RecoveryTime: 2 * time.Second,
+		}
+		must.Eq(t, tc.knows, k.KnowsTrials(strayWindow), must.Sprint(name))
+	}
+}
+
+// Guards against a keeper being told of trials that no longer count, or of too few.
+func TestRecentTrialsAreThoseOfTheStrayWindow(t *testing.T) {
+	var b steering.TrialBudget
+	first, second, old := [4]byte{10, 0, 0, 1}, [4]byte{10, 0, 0, 2}, [4]byte{10, 0, 0, 3}
+	b.Record(old, strayWindow, time.Second)
+	b.Record(second, strayWindow, 3*time.Second)
+	b.Record(first, strayWindow, 3500*time.Millisecond)
+	b.Record(second, strayWindow, 4*time.Second)
+	must.Eq(t, []steering.HostTrials{
+		{Agent: first, Packets: 1, Age: 500 * time.Millisecond}, {Agent: second, Packets: 2},
+	}, b.Recent(strayWindow, 4*time.Second))
+	must.SliceEmpty(t, b.Recent(strayWindow, time.Minute))
+}
