Declare a flow lost only if the list of hosts is confirmed

Cause: a list of hosts counted as complete while it had been confirmed within 1.5 s. Other processes learn of a new host within milliseconds and send it flows, and a process whose reader is cut off cannot know that. Agents that restart lacked no evidence either.

Change: a reset needs a read of the store that began after the flow's last packet arrived. The host of an open flow was listed before, so that a list that is not from before the position of that read holds it. Readers confirm the list to others, one read for all that wait. Without an answer nothing is reset. A process that is behind the answer asks its sender for the changes. The same holds for an agent that takes its own host, which is not listed, for stopped.

--- a/catalog/export_test.go
+++ b/catalog/export_test.go
@@ -16,6 +16,11 @@
 	return p.decode(body, after)
 }
 
+// DecodeConfirmation decodes the body of a peer's confirmation.
+func DecodeConfirmation(body []byte) (Position, error) {
+	return decodeConfirmation(body)
+}
+
 // Remembered returns the number of keys that are remembered.
 func (r *RejectedValues) Remembered() int {
 	return len(r.logged)
--- a/catalog/fleet_test.go
+++ b/catalog/fleet_test.go
@@ -57,8 +57,10 @@
 	ip      string
 	tracker *catalog.Tracker
 	syncer  *catalog.Syncer
-	server  *http.Server
-	cancel  context.CancelFunc
+	// confirmer confirms the member's list of hosts.
+	confirmer *catalog.Confirmer
+	server    *http.Server
+	cancel    context.CancelFunc
 
 	logs logBuffer
 	mu   sync.Mutex
@@ -134,8 +136,6 @@
 	if f.wrapPeers != nil {
 		handler = f.wrapPeers(n, handler)
 	}
-	m.server = &http.Server{Handler: handler}
-	f.group.Go(func() { _ = m.server.Serve(listener) })
 	log := logrus.New()
 	log.SetOutput(&m.logs)
 	rejected := func(catalog.Value, error) {}
@@ -158,9 +158,16 @@
 	for _, seed := range f.seeds {
 		m.syncer.Seeds = append(m.syncer.Seeds, fmt.Sprintf("%s:%d", fleetIP(seed), fleetPort))
 	}
+	m.confirmer = catalog.NewConfirmer(m.syncer, func() {})
+	mux := http.NewServeMux()
+	mux.Handle("/", handler)
+	mux.Handle(catalog.ConfirmPath, m.confirmer.Handler())
+	m.server = &http.Server{Handler: mux}
+	f.group.Go(func() { _ = m.server.Serve(listener) })
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	f.group.Go(func() { m.syncer.Run(ctx) })
+	f.group.Go(func() { m.confirmer.Run(ctx) })
 	f.members[m.ip] = m
 	return m
 }
--- a/catalog/notice.go
+++ b/catalog/notice.go
@@ -9,29 +9,30 @@
 	"github.com/sirupsen/logrus"
 )
 
-// noticePatience is how long a newer configuration may take to arrive from a reader after a
-// notice of it. Most arrive within it, so that the process named in the notice need not be asked.
+// noticePatience is how long a newer state may take to arrive from a reader after a notice of
+// it. Most arrive within it, so that the process named in the notice need not be asked.
 const noticePatience = 30 * time.Millisecond
 
 // noticeInterval is the shortest time between two requests that follow notices.
 const noticeInterval = 100 * time.Millisecond
 
-// configNotices holds the latest notice of a newer configuration. It is safe for concurrent use.
-type configNotices struct {
+// notices holds the latest notice that another process has a newer state: a later version of the
+// configuration, or a later revision of the store. It is safe for concurrent use.
+type notices struct {
 	mu      sync.Mutex
 	process [4]byte
 	version uint64
 	// takenAt is when the last notice was taken, valid if taken is set.
 	takenAt time.Duration
 	taken   bool
-	// due reports that the configuration has not arrived within noticePatience.
+	// due reports that the version has not arrived within noticePatience.
 	due bool
 	// interrupt ends the request that is waiting for a reader, or is nil.
 	interrupt func()
 }
 
 // add records a notice, and reports whether it is newer than the one that waits, if any.
-func (n *configNotices) add(process [4]byte, version uint64, now time.Duration) bool {
+func (n *notices) add(process [4]byte, version uint64, now time.Duration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if version <= n.version || n.taken && now-n.takenAt < noticeInterval {
@@ -42,8 +43,8 @@
 }
 
 // expire makes the notice of a version due, unless there is a newer one, or forgets it if the
-// configuration has arrived.
-func (n *configNotices) expire(version uint64, arrived bool) {
+// version has arrived.
+func (n *notices) expire(version uint64, arrived bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
@@ -60,7 +61,7 @@
 }
 
 // take returns the process of the notice that is due, and false if none is.
-func (n *configNotices) take(now time.Duration) (process [4]byte, version uint64, due bool) {
+func (n *notices) take(now time.Duration) (process [4]byte, version uint64, due bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.due {
@@ -73,7 +74,7 @@
 
 // onDue makes a function be called when a notice is due, at once if one is, until release is
 // called.
-func (n *configNotices) onDue(interrupt func()) (release func()) {
+func (n *notices) onDue(interrupt func()) (release func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.interrupt = interrupt
@@ -87,13 +88,13 @@
 	}
 }
 
-// ConfigNoticeError reports that a request to a reader was ended, since another process has a
-// newer configuration.
-type ConfigNoticeError struct{}
+// NewerStateError reports that a request to a reader was ended, since another process has a
+// newer state.
+type NewerStateError struct{}
 
 // Error implements error.
-func (e *ConfigNoticeError) Error() string {
-	return "another process has a newer configuration"
+func (e *NewerStateError) Error() string {
+	return "another process has a newer state"
 }
 
 // NotifyConfig tells the syncer that another process acts on a version of the configuration. If
@@ -105,41 +106,64 @@
 // is handled by the new configuration, and the next one, to a host of its own zone, by the old.
 func (s *Syncer) NotifyConfig(process [4]byte, version uint64) {
 	c := s.Tracker.Current()
-	if c == nil || version <= c.Config.Version || !s.notices.add(process, version, s.Now()) {
+	if c == nil || version <= c.Config.Version || !s.configNotices.add(process, version, s.Now()) {
 		return
 	}
 	time.AfterFunc(noticePatience, func() {
-		s.notices.expire(version, s.Tracker.Current().Config.Version >= version)
+		s.configNotices.expire(version, s.Tracker.Current().Config.Version >= version)
 	})
 }
 
-// requestUntilNotice is like PeerClient.request, but returns a *ConfigNoticeError as soon as a
+// notifyPosition tells the syncer that another process knows the store up to a position. If the
+// applied state is older and no reader sends the changes soon, the process is asked for them. It
+// does not block and is safe for concurrent use.
+//
+// Load pattern: the reader of a zone is cut off from the store while hosts are replaced. The
+// processes that ask it would learn of the new hosts only once its data is too old to rely on.
+func (s *Syncer) notifyPosition(process [4]byte, position Position) {
+	c, revision := s.Tracker.Current(), uint64(position.Revision)
+	if process == s.Self || c == nil || !c.Position.Before(position) || !s.listNotices.add(process, revision, s.Now()) {
+		return
+	}
+	time.AfterFunc(noticePatience, func() {
+		s.listNotices.expire(revision, !s.Tracker.Current().Position.Before(position))
+	})
+}
+
+// requestUntilNotice is like PeerClient.request, but returns a *NewerStateError as soon as a
 // notice is due.
 func (s *Syncer) requestUntilNotice(ctx context.Context, address string, after Position, wait time.Duration, options peerOptions) (ReadResult, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	release := s.notices.onDue(func() { cancel(errors.WithStack(&ConfigNoticeError{})) })
-	defer release()
+	interrupt := func() { cancel(errors.WithStack(&NewerStateError{})) }
+	defer s.configNotices.onDue(interrupt)()
+	defer s.listNotices.onDue(interrupt)()
 	result, err := s.Peers.request(ctx, address, after, wait, options)
-	var noticed *ConfigNoticeError
+	var noticed *NewerStateError
 	if err != nil && errors.As(context.Cause(ctx), &noticed) {
 		return result, errors.WithStack(noticed)
 	}
 	return result, err
 }
 
-// syncFromNotified reads the changes from the process that is known to have a newer
-// configuration, if a notice is due.
+// syncFromNotified reads the changes from the processes that are known to have a newer
+// configuration or to know later changes of the store, if notices are due.
 func (s *Syncer) syncFromNotified(ctx context.Context) {
-	process, version, due := s.notices.take(s.Now())
-	if !due {
-		return
+	if process, version, due := s.configNotices.take(s.Now()); due {
+		err := s.syncFromPeer(ctx, s.peerAddress(process), 0)
+		s.logNotice("config_noticed", process, err, logrus.Fields{"config": version, "applied": s.appliedState().version})
+	}
+	if process, revision, due := s.listNotices.take(s.Now()); due {
+		err := s.syncFromPeer(ctx, s.peerAddress(process), 0)
+		s.logNotice("list_noticed", process, err, logrus.Fields{"revision": revision, "applied_revision": s.Tracker.Position().Revision})
 	}
-	address := s.peerAddress(process)
-	err := s.syncFromPeer(ctx, address, 0)
-	log := s.Log.WithFields(logrus.Fields{"peer": address, "config": version, "applied": s.appliedState().version})
+}
+
+// logNotice logs that a process was asked for its newer state, and the error, which may be nil.
+func (s *Syncer) logNotice(event string, process [4]byte, err error, fields logrus.Fields) {
+	log := s.Log.WithFields(fields).WithField("peer", s.peerAddress(process))
 	if err != nil {
 		log = log.WithError(err)
 	}
-	log.Info("config_noticed")
+	log.Info(event)
 }
--- a/catalog/stats.go
+++ b/catalog/stats.go
@@ -32,6 +32,18 @@
 
 func (c *readCounters) add(o readOutcome) { c[o].Add(1) }
 
+// confirmCounters counts confirmations of the list of hosts by outcome. It is safe for
+// concurrent use.
+type confirmCounters struct {
+	confirmed, failed atomic.Int64
+}
+
+// Collect implements metrics.Source. It emits the requested confirmations by outcome.
+func (f *Confirmer) Collect(emit func(metrics.Sample)) {
+	emit(metrics.Sample{Name: "catalog_confirmations", Cause: "confirmed", Value: f.counters.confirmed.Load()})
+	emit(metrics.Sample{Name: "catalog_confirmations", Cause: "failed", Value: f.counters.failed.Load()})
+}
+
 // Collect implements metrics.Source. It emits the reads by outcome, and the position,
 // the version and the age in milliseconds of the catalog.
 func (s *Syncer) Collect(emit func(metrics.Sample)) {
--- a/catalog/sync.go
+++ b/catalog/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -63,16 +64,20 @@
 	// watchStartedAt when the last watch of the store began.
 	readableSince, watchStartedAt time.Duration
 	ownReads                      pacing.OwnReads
-	readers                       readerStates
+	// pauseEnd ends the pause before the next watch. It is nil while there is none.
+	pauseEnd atomic.Pointer[context.CancelFunc]
+	readers  readerStates
 	// peerStateEra is the era of the last read from a peer that was not behind this
 	// process, or noEra. A peer that is behind may lack removals.
 	peerStateEra int64
 	// ignoring reports whether the last read was ignored, so that a series of such
 	// reads is logged once.
 	ignoring bool
-	notices  configNotices
-	reads    readCounters
-	changes  changeLog
+	// configNotices and listNotices hold what other processes are known to have: a later
+	// configuration, and later changes of the store.
+	configNotices, listNotices notices
+	reads                      readCounters
+	changes                    changeLog
 }
 
 // Run keeps the tracker up to date until the context ends.
@@ -105,6 +110,23 @@
 	}
 }
 
+// pauseWatch waits for a while, until endPause is called or until the context ends.
+func (s *Syncer) pauseWatch(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.pauseEnd.Store(&cancel)
+	defer s.pauseEnd.Store(nil)
+	pause(ctx, d)
+}
+
+// endPause makes the syncer watch the store at once, since there are changes that others wait for.
+// It is safe for concurrent use.
+func (s *Syncer) endPause() {
+	if end := s.pauseEnd.Load(); end != nil {
+		(*end)()
+	}
+}
+
 // syncOnce reads once and returns the delay until the next read.
 func (s *Syncer) syncOnce(ctx context.Context) time.Duration {
 	c := s.Tracker.Current()
@@ -116,7 +138,7 @@
 	if c != nil {
 		s.syncFromNotified(ctx)
 		var err error
-		var noticed *ConfigNoticeError
+		var noticed *NewerStateError
 		isReader, err = s.syncFromReaders(ctx, c)
 		if errors.As(err, &noticed) {
 			return 0
@@ -194,7 +216,7 @@
 	}
 	if s.Tracker.Position() != (Position{}) && !s.Tracker.NeedsFullRead(s.Now()) {
 		watch := s.nextWatch()
-		pause(ctx, watch.Pause)
+		s.pauseWatch(ctx, watch.Pause)
 		s.watchStartedAt = s.Now()
 		result, err := s.Store.Changes(ctx, s.Tracker.Position(), watch.Wait)
 		var historyLost *HistoryLostError
--- a/catalog/sync_peers.go
+++ b/catalog/sync_peers.go
@@ -76,7 +76,7 @@
 				s.readers.delayStale(s.Now())
 				return false, nil
 			}
-			var noticed *ConfigNoticeError
+			var noticed *NewerStateError
 			if errors.As(err, &noticed) {
 				return false, err
 			}
@@ -121,7 +121,7 @@
 		delete(s.readers.lost, address)
 		return nil
 	}
-	var noticed *ConfigNoticeError
+	var noticed *NewerStateError
 	if errors.As(err, &noticed) {
 		return err // The request was ended here, which says nothing of the reader.
 	}
--- a/datagram/agent.go
+++ b/datagram/agent.go
@@ -46,9 +46,12 @@
 	HostWasDown func() bool
 	// WakeAt asks for a call of Agent.Flush at the given time. It must not block. If it
 	// is nil, each question of a search is sent at once.
-	WakeAt  func(at time.Duration)
-	Codec   flow.Codec
-	Catalog CatalogFunc
+	WakeAt func(at time.Duration)
+	// ListConfirmer finds out whether the list of hosts is complete. If it is nil, no flow is
+	// declared lost because no listed host holds it.
+	ListConfirmer ListConfirmer
+	Codec         flow.Codec
+	Catalog       CatalogFunc
 	// NewerConfig is called if another process acts on a newer configuration than the agent.
 	// It must not block. It may be nil.
 	NewerConfig func(process [4]byte, version uint64)
@@ -159,8 +162,10 @@
 	budgets map[flow.Key]*steering.TrialBudget
 	// searches holds the flows whose owner this agent is asking all other
 	// agents for.
-	searches     map[flow.Key]*ownerSearch
-	questions    questions
+	searches  map[flow.Key]*ownerSearch
+	questions questions
+	// lostAt is when a search last found that a flow is lost.
+	lostAt       time.Duration
 	liveness     livenessTable
 	lookups      lookupTable
 	hostLiveness hostLiveness
--- a/datagram/harness_test.go
+++ b/datagram/harness_test.go
@@ -73,6 +73,8 @@
 	// onNewerConfig is called if a process learns of a newer configuration of another one. It
 	// may be nil.
 	onNewerConfig func(at, process [4]byte, version uint64)
+	// unconfirmed holds the machines whose agents get no confirmation of the list of hosts.
+	unconfirmed map[[4]byte]bool
 	// onFrame is called for each frame that a process sends. It may be nil.
 	onFrame func(from, to [4]byte, kind flow.Kind)
 }
@@ -200,7 +202,8 @@
 		WakeAt: wakeAt,
 		Self:   flow.Endpoint{Addr: addr(n), Port: peerPort}, Service: c.hosts[addr(n)].service, FlowLifetime: lifetime,
 		StrayWindow: strayWindow, RecoveryTime: recoveryTime,
-		ColdOverage: 1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started, ClockStart: c.now,
+		ListConfirmer: &clusterConfirmer{c: c, agent: addr(n)},
+		ColdOverage:   1.5, ColdSlack: 5, Restarted: restarted, StartedAt: started, ClockStart: c.now,
 		HostWasDown: func() bool { return c.hosts[addr(n)].wasDown },
 		Codec:       platform.Codec{}, Catalog: current, Events: newDiscardEvents(),
 		NewerConfig: c.newerConfigAt(n),
@@ -271,6 +274,24 @@
 	c.deliverAll()
 }
 
+// clusterConfirmer confirms at once up to which position a list of hosts must be complete, unless
+// the agent's machine is among those that get no confirmation.
+type clusterConfirmer struct {
+	c     *cluster
+	agent [4]byte
+}
+
+// Latest implements datagram.ListConfirmer.
+func (f *clusterConfirmer) Latest() catalog.Confirmation {
+	if f.c.unconfirmed[f.agent] {
+		return catalog.Confirmation{}
+	}
+	return catalog.Confirmation{Position: f.c.current.Position, AsOf: f.c.now}
+}
+
+// Request implements datagram.ListConfirmer.
+func (f *clusterConfirmer) Request(time.Duration) {}
+
 // clusterOutput is the Output of the cores of one machine.
 type clusterOutput struct {
 	c    *cluster
--- a/datagram/hostside.go
+++ b/datagram/hostside.go
@@ -64,11 +64,13 @@
 }
 
 // hostStopped reports whether the host has stopped: its catalog entry went
-// away while the store was readable, and it does not answer.
+// away while the store was readable, and it does not answer. A list from before the
+// host was listed does not show that.
 func (a *Agent) hostStopped(now time.Duration) bool {
 	c := a.config.Catalog()
 	return a.hostLiveness.waiting && a.pause.since(now, a.hostLiveness.waitingSince) >= hostResponseTimeout &&
-		c != nil && c.Hosts[a.config.Self.Addr] == nil && a.hostListEvidence(now, c).Complete()
+		c != nil && c.Hosts[a.config.Self.Addr] == nil && a.hostListEvidence(now, c).Complete() &&
+		a.isListCompleteAsOf(c, a.hostLiveness.waitingSince)
 }
 
 // HandleHost processes a packet sent by the host on this machine.
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -52,8 +52,9 @@
 	// delayed is how long the search's questions have waited at most to be sent together
 	// with others.
 	delayed time.Duration
-	// lastPacket is the header of the latest packet.
-	lastPacket flow.Packet
+	// lastPacket is the header of the latest packet, which arrived at lastPacketAt.
+	lastPacket   flow.Packet
+	lastPacketAt time.Duration
 	// reset reports that the flow was reset after its last packet.
 	reset bool
 }
@@ -84,13 +85,14 @@
 		a.config.Events.Drop(DropNoOwner)
 		return
 	}
-	s.lastPacket, s.reset = p, false
+	s.lastPacket, s.lastPacketAt, s.reset = p, now, false
 	s.packets = append(s.packets, slices.Clone(data))
 	s.frame = *f
 	s.frame.Kind, s.frame.ReplyTo = flow.Probe, a.config.Self.Addr
 	agents := a.candidateAgents(now, c, key)
 	a.pingUnlisted(now, c, agents, out)
 	if started {
+		a.requestConfirmation(now)
 		a.config.Events.Log(EventSearchStarted, key, "agents", len(agents), "not_held", len(s.notHeld), "limited", a.limitsTrials(now, c))
 		a.query(now, c, key, s, agents, out)
 		return
@@ -378,7 +380,8 @@
 
 // resetIfNotHeld resets the requester's flow once every agent has answered or
 // ended, so that the requester does not have to wait for its timeout. Nothing
-// is reset while the host list may be incomplete.
+// is reset while the host list may be incomplete: the host of a flow that was
+// open when its packet arrived was listed by then.
 func (a *Agent) resetIfNotHeld(now time.Duration, key flow.Key, s *ownerSearch, out Output) {
 	c := a.config.Catalog()
 	if c == nil || s.reset || s.lastPacket.Rst {
@@ -396,10 +399,16 @@
 			"steady_ms", (now - c.HealthySince).Milliseconds())
 		return
 	}
+	if !a.isListCompleteAsOf(c, s.lastPacketAt) {
+		a.config.Events.Log(EventOwnerUndecided, key, "reason", "list_unconfirmed", "list_age_ms", (now - c.ConfirmedAt).Milliseconds(),
+			"revision", c.Revision)
+		return
+	}
 	if a.askMissing(now, c, key, s, out) {
 		return
 	}
-	a.config.Events.Log(EventLost, key, "reason", "no_host_holds_flow", "list_age_ms", (now - c.ConfirmedAt).Milliseconds())
-	s.reset = true
+	a.config.Events.Log(EventLost, key, "reason", "no_host_holds_flow", "list_age_ms", (now - c.ConfirmedAt).Milliseconds(),
+		"revision", c.Revision)
+	s.reset, a.lostAt = true, now
 	reset(a.config.Codec, &s.lastPacket, out)
 }
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -72,15 +72,19 @@
 		if now-s.startedAt < searchInterval && a.limitsTrials(now, c) {
 			a.probeLimited(now, c, key, s, out)
 		}
-		if !complete {
-			continue
-		}
-		if _, waiting := a.pendingAgent(now, c, s); !waiting && !s.reset {
-			a.resetIfNotHeld(now, key, s, out)
+		if complete {
+			a.settleSearch(now, c, key, s, out)
 		}
 	}
 }
 
+// settleSearch resets the flow of a search that has ended, if it is lost.
+func (a *Agent) settleSearch(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, out Output) {
+	if _, waiting := a.pendingAgent(now, c, s); !waiting && !s.reset {
+		a.resetIfNotHeld(now, key, s, out)
+	}
+}
+
 // announceIfUnlisted tells all listed agents that this agent's host runs although
 // it is not listed. A host that does not run yet holds no flows and could not be
 // asked for any.
--- a/internal/cli/datagram.go
+++ b/internal/cli/datagram.go
@@ -107,6 +107,8 @@
 	stopping atomic.Bool
 	// syncer keeps the tracker up to date.
 	syncer *catalog.Syncer
+	// confirmer finds out whether the list of hosts is complete, and does so for peers.
+	confirmer *catalog.Confirmer
 	// metricSources are the sources of the metrics served at metricsPort.
 	metricSources []metrics.Source
 	// explain says where a new flow would go. It is served with the metrics.
@@ -114,6 +116,9 @@
 	// onCatalogChange is called with the previous catalog, which is nil at first,
 	// and the new one. It may be nil.
 	onCatalogChange func(old, c *catalog.Catalog)
+	// onListConfirmed is called when the list of hosts was found out to be complete, or where
+	// it is not. It may be nil.
+	onListConfirmed func()
 	// onStop is called when the process is told to stop. It may be nil.
 	onStop func()
 	// background runs until the process stops serving, in a goroutine of the node. It may be
@@ -157,9 +162,10 @@
 	}
 	n.tracker.SettleTime = catalog.SettleTime(loaded.HeartbeatInterval)
 	log.WithField("version", Version()).Info("started")
-	node := c.build(n)
 	n.syncer = n.newSyncer()
-	n.metricSources = append(n.metricSources, n.syncer)
+	n.confirmer = catalog.NewConfirmer(n.syncer, n.listConfirmed)
+	n.metricSources = append(n.metricSources, n.syncer, n.confirmer)
+	node := c.build(n)
 	if c.metricsPort != 0 {
 		address := netip.AddrPortFrom(loaded.IP, uint16(c.metricsPort)).String()
 		node.Servers = append(node.Servers, datagram.Server{
@@ -187,7 +193,7 @@
 	}
 	shutdownDelay = limitShutdownDelay(n.settings.ShutdownGrace, shutdownDelay)
 	node.StopTimeout = stopTimeout(n.settings.ShutdownGrace, shutdownDelay)
-	node.Background = append(node.Background, n.watchReload, n.syncer.Run, func(ctx context.Context) {
+	node.Background = append(node.Background, n.watchReload, n.syncer.Run, n.confirmer.Run, func(ctx context.Context) {
 		defer stopServing()
 		n.awaitStop(ctx, signalCtx, shutdownDelay)
 	})
@@ -265,9 +271,10 @@
 	}
 }
 
-// notifyConfig tells the syncer, which is made after the node, of a newer configuration.
-func (n *datagramNode) notifyConfig(process [4]byte, version uint64) {
-	n.syncer.NotifyConfig(process, version)
+func (n *datagramNode) listConfirmed() {
+	if n.onListConfirmed != nil {
+		n.onListConfirmed()
+	}
 }
 
 // watchReload logs SIGHUP and otherwise ignores it. No setting of a running process
@@ -307,7 +314,9 @@
 }
 
 func (n *datagramNode) servers() []datagram.Server {
-	peers := catalog.PeerHandler(n.tracker, n.now)
+	peers := http.NewServeMux()
+	peers.Handle("/", catalog.PeerHandler(n.tracker, n.now))
+	peers.Handle(catalog.ConfirmPath, n.confirmer.Handler())
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !n.isReady() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -324,9 +333,9 @@
 	e := datagram.NewEntry(datagram.EntryConfig{
 		Zone: n.settings.Zone, Self: flow.EndpointOf(n.peerAddr()), PeerPort: n.settings.PeerPort,
 		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
-		NewerConfig: n.notifyConfig,
+		NewerConfig: n.syncer.NotifyConfig,
 	})
-	n.metricSources, n.explain = []metrics.Source{n.events, e}, e.Explain
+	n.metricSources, n.explain = append(n.metricSources, n.events, e), e.Explain
 	node := n.newNode()
 	node.Sockets.Requesters = n.settings.PacketAddr
 	node.OnRequester = e.HandlePacket
@@ -386,10 +395,11 @@
 		ColdOverage: n.settings.ColdOverage, ColdSlack: n.settings.ColdSlack,
 		Restarted: !n.settings.FirstStart, StartedAt: n.started,
 		HostRunning: n.hostRunning.Load, HostWasDown: n.hostWasDown.Load,
-		Codec: platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
-		NewerConfig: n.notifyConfig,
+		ListConfirmer: n.confirmer,
+		Codec:         platform.Codec{}, Catalog: n.tracker.Current, Events: n.events,
+		NewerConfig: n.syncer.NotifyConfig,
 	})
-	n.metricSources, n.explain = []metrics.Source{n.events, a}, a.Explain
+	n.metricSources, n.explain = append(n.metricSources, n.events, a), a.Explain
 	n.background = n.watchUnlistedHost
 	node := n.newNode()
 	n.onCatalogChange = func(old, c *catalog.Catalog) {
@@ -412,6 +422,7 @@
 			a.HostEnded(node.NewOutput())
 		}
 	}
+	n.onListConfirmed = func() { a.ListConfirmed(node.Now(), node.NewOutput()) }
 	node.Flush, node.Alarm = a.Flush, alarm
 	node.OnPeer = a.HandleFrame
 	node.OnHost = a.HandleHost
--- a/steering/pacing/pacing.go
+++ b/steering/pacing/pacing.go
@@ -55,6 +55,15 @@
 	// hosts to count as complete by itself. Hosts whose entries lapsed during an outage
 	// are listed again within 2 s.
 	StoreSettleTime = 2500 * time.Millisecond
+	// ConfirmReadInterval is the shortest time between two reads of the store by a reader that
+	// confirms the list of hosts to others, and ConfirmRequestInterval that between two
+	// requests of a process. ConfirmPatience is how long a reader may take until the next one
+	// is asked as well, and ConfirmTimeout how long all of them may take. A slow store takes
+	// 0.3 s.
+	ConfirmReadInterval    = 10 * time.Millisecond
+	ConfirmRequestInterval = 10 * time.Millisecond
+	ConfirmPatience        = 200 * time.Millisecond
+	ConfirmTimeout         = 700 * time.Millisecond
 	// RetryInterval is the delay before a reader repeats a failed read of the store.
 	RetryInterval = 250 * time.Millisecond
 	// minOwnReadInterval and maxOwnReadInterval are the delays after the first and after
