--- a/datagram/limited_search_test.go
+++ b/datagram/limited_search_test.go
@@ -284,6 +284,23 @@
 	}
 }
 
+// Guards against packets straying once they count because they strayed before, in the recovery
+// time: a flow that all hosts of the known services have returned is not tried there again.
+func TestFlowMissedInTheRecoveryTimeIsNotTriedAgain(t *testing.T) {
+	c, flows := newForgottenRoute(t)
+	c.advance(recoveryTime / 2)
+	must.Eq(t, 0, c.sendAll(flows)[0])
+	since := c.now
+	c.advance(recoveryTime)
+	c.sendAll(flows, 200, 400, 800, 1600, 1600, 1600, 1600)
+	for _, r := range flows {
+		must.SliceNotEmpty(t, c.arrivals[r.key()])
+		for _, p := range c.arrivals[r.key()] {
+			must.LessEq(t, since, p.at, must.Sprintf("%v at %v", r.key(), p.host))
+		}
+	}
+}
+
 // newHalfForgottenRoute returns a cluster in which hosts of service s hold flows of a route that
 // has moved to service u, and hosts of u others that were opened later. All processes have just
 // restarted, and none knows the earlier configuration.
