--- a/catalog/confirm.go
+++ b/catalog/confirm.go
@@ -37,11 +37,11 @@
 	return confirmed.Revision > 0 && confirmed.AsOf >= at && c.Era == confirmed.Era && !c.Position.Before(confirmed.Position)
 }
 
-// Confirmer finds out, when asked to, up to which position the list of hosts must be complete. A
-// list that was confirmed a while ago may lack hosts that others know and have sent flows to. A
-// confirmation takes a read of the store that begins after the request, so that it depends on no
-// clock. Readers do it for others, one read for all requests that wait. It is safe for concurrent
-// use.
+// Confirmer finds out on request up to which position the list of hosts must be complete. A list
+// that matched the store a while ago may lack hosts that other processes know and have sent flows
+// to. A confirmation takes a read of the store that begins after the request, so that it depends
+// on no clock. Readers do the reads for other processes, one for all requests that wait. It is
+// safe for concurrent use.
 type Confirmer struct {
 	syncer *Syncer
 	// onConfirmed is called after each confirmation.
@@ -53,11 +53,11 @@
 	counters  confirmCounters
 
 	mu sync.Mutex
-	// startedAt is when the latest request began. It is valid if underway is set, until the
-	// request ends.
+	// startedAt is when the latest request began, and inFlight reports that it has not ended.
 	startedAt time.Duration
-	underway  bool
-	// failedAt is when readers last failed to answer soon. They are asked last for a while.
+	inFlight  bool
+	// failedAt holds when readers last failed or did not answer within pacing.ConfirmPatience.
+	// They are asked last for failedReaderBackoff.
 	failedAt map[[4]byte]time.Duration
 }
 
@@ -82,7 +82,7 @@
 // block. If the store cannot be read, there is none, and it has to be asked for again.
 func (f *Confirmer) Request(asOf time.Duration) {
 	f.mu.Lock()
-	suffices := f.underway && f.startedAt >= asOf
+	suffices := f.inFlight && f.startedAt >= asOf
 	f.mu.Unlock()
 	if suffices {
 		return
@@ -93,7 +93,7 @@
 	}
 }
 
-// Run serves requests until the context ends. Several may be under way, so that a request need not
+// Run serves requests until the context ends. Several may be in flight, so that a request does not
 // wait for the answer to an earlier one.
 func (f *Confirmer) Run(ctx context.Context) {
 	var running sync.WaitGroup
@@ -115,14 +115,14 @@
 func (f *Confirmer) begin(now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.startedAt, f.underway = now, true
+	f.startedAt, f.inFlight = now, true
 }
 
-// end notes the end of the request that began at a time.
+// end records the end of the request that began at a time.
 func (f *Confirmer) end(startedAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.underway = f.underway && f.startedAt != startedAt
+	f.inFlight = f.inFlight && f.startedAt != startedAt
 }
 
 // serve serves a request that begins at the given time.
@@ -156,8 +156,8 @@
 	err      error
 }
 
-// confirm asks the readers, and then the agents that take their place, until one answers. One that
-// does not answer soon is not waited for, but may still.
+// confirm asks the readers, and then their substitutes, until one answers. If one does not answer
+// within pacing.ConfirmPatience, the next one is asked as well.
 func (f *Confirmer) confirm(ctx context.Context) (confirmAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, pacing.ConfirmTimeout)
 	defer cancel()
@@ -203,12 +203,11 @@
 	f.failedAt[reader] = f.syncer.Now()
 }
 
-// readers returns the agents to ask: the readers, then their substitutes, and those that have
-// failed of late at the end. While no agent is listed, this process reads the store itself.
+// readers returns the agents to ask: the readers, then their substitutes, with those that failed
+// recently at the end. While no agent is listed, this process reads the store itself.
 //
-// Load pattern: all machines lose power, and each agent has lost flows to declare for some
-// seconds. Half of the readers serve the others, one of them a fleet of up to 100 agents, so that
-// few reads of the store serve all.
+// Load pattern: all machines lose power, and each agent finds lost flows for some seconds. Each
+// process asks one of the first half of the readers, so that few reads of the store serve all.
 func (f *Confirmer) readers(c *Catalog) [][4]byte {
 	readers := Readers(c)
 	if len(readers) == 0 {
@@ -264,7 +263,7 @@
 	return result.Position, nil
 }
 
-// mayListHost reports whether a change may bring a host that the snapshot does not list.
+// mayListHost reports whether a change may add a host that the snapshot does not list.
 func (c *Catalog) mayListHost(change Change) bool {
 	if change.Config != nil {
 		return true
@@ -288,7 +287,7 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		body, err := cbor.Marshal(wireConfirmation{Era: position.Era, Revision: position.Revision})
+		body, err := cbor.Marshal(wireConfirmation(position))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -333,10 +332,10 @@
 	}
 	checker := peerFieldChecker{}
 	checker.position("revision", wire.Revision, wire.Era)
-	return Position{Era: wire.Era, Revision: wire.Revision}, checker.err
+	return Position(wire), checker.err
 }
 
-// storeReads does one read for all that wait for one.
+// storeReads shares each read among all requests that wait for one.
 type storeReads struct {
 	// requested is filled while next waits to begin.
 	requested chan struct{}
--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -12,9 +12,10 @@
 	"github.com/turmericrock/turmericrock/steering"
 )
 
-// keeperTurn is how much longer than the first keeper of a flow other agents count a trial, so that
-// they do not go on at the same moment, before each has heard of the other's trial.
-const keeperTurn = 250 * time.Millisecond
+// secondKeeperDelay is how much longer than the first keeper of a flow other agents count a trial.
+// Otherwise both keepers would try a packet at the same moment, once an earlier trial no longer
+// counts, before either has received the other's report.
+const secondKeeperDelay = 250 * time.Millisecond
 
 // trialReportPatience is how long a search with limited trials waits for agents to say
 // whether others have tried packets of the flow at their hosts.
@@ -72,7 +73,7 @@
 	}
 	window := a.config.StrayWindow
 	if keepersOf(c, key.Hash())[0] != a.config.Self.Addr {
-		window += keeperTurn
+		window += secondKeeperDelay
 	}
 	return a.budget(key).Left(window, now)
 }
