Do not limit trials where all services are known to hold flows of the route

Callers see: after a restart of all processes, requests on flows that paused for 3 s are lost, although their route names every service of the deployment.

Cause: the limit protects flows at hosts of a service that nobody knows to have held the route. It applied as well where there is no such service: each host that is listed, was removed or has announced itself is of a service that the route names, so that the flow's own host is among those that are tried.

Change: the limit holds only while some running host may be of another service: one that is declared and has hosts, of an undeclared service that the store lists, of a removed or unlisted host, or if the list of hosts may be incomplete.

TestFlowsOfARouteThatNamesAllServicesAreFoundAtOnce fails before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -178,6 +178,9 @@
 	ByTag        map[uint32]*Service
 	// Hosts maps the address of a machine to the host that holds it (see holderOf).
 	Hosts map[[4]byte]*Host
+	// HasUndeclaredHosts reports that the store lists hosts of services that the configuration
+	// does not declare. They are left out.
+	HasUndeclaredHosts bool
 	// Agents are the addresses of all agents, sorted.
 	Agents [][4]byte
 	// LapsedAt is when the hosts in Service.Lapsed were found to be removed.
@@ -250,6 +253,7 @@
 	contenders := make(map[[4]byte][]*Host) // The entries for each address that more than one gives.
 	for _, h := range hosts {
 		if _, declared := c.Config.Services[h.Service]; !declared {
+			c.HasUndeclaredHosts = true
 			continue
 		}
 		addr := h.Addr.Addr
--- a/datagram/forgotten_random_test.go
+++ b/datagram/forgotten_random_test.go
@@ -26,8 +26,10 @@
 	random  *rand.Rand
 	version int64
 	target  string
-	events  []string
-	flows   []*historyFlow
+	// split is another service that the route names as well, or "".
+	split  string
+	events []string
+	flows  []*historyFlow
 	// killedAt is when the agent of a machine was killed. Stray packets at a machine, or of flows
 	// whose host is there, do not count until it is in touch again.
 	killedAt map[[4]byte][]time.Duration
@@ -84,7 +86,7 @@
 		config := &(*values)[0]
 		config.Data = bytes.Replace(config.Data, []byte(`"services":[`),
 			[]byte(`"services":[{"name":"t","health_path":"/health","max_conns":2000,"warmup_s":2.0,"warmup_per_s":0},`), 1)
-	}, h.target)
+	}, slices.DeleteFunc([]string{h.target, h.split}, func(s string) bool { return s == "" })...)
 }
 
 func (h *forgottenHistory) log(format string, args ...any) {
@@ -93,11 +95,14 @@
 
 // moveRoute moves the route to a service, and opens flows there.
 func (h *forgottenHistory) moveRoute(target int, flows uint16) {
-	h.target = serviceName(target)
+	h.target, h.split = serviceName(target), ""
+	if other := serviceName(h.random.IntN(forgottenServices)); other != h.target && h.random.IntN(3) == 0 {
+		h.split = other
+	}
 	h.publishNext()
-	h.log("route moves to %s, %d flows", h.target, flows)
+	h.log("route moves to %s%s, %d flows", h.target, h.split, flows)
 	for _, r := range h.openFlows(uint16(1000+len(h.flows)), flows) {
-		f := &historyFlow{requester: r, service: h.target, openedAt: h.now, aliveAt: h.now}
+		f := &historyFlow{requester: r, service: h.hosts[h.holder(r.key())].service, openedAt: h.now, aliveAt: h.now}
 		h.flows = append(h.flows, f)
 	}
 }
--- a/datagram/keepers.go
+++ b/datagram/keepers.go
@@ -118,7 +118,7 @@
 			a.sendOwnedToKeeper(keeper, key, fl.state != flowAccepted, out)
 		}
 	}
-	if !a.limitsTrials(now, c) {
+	if !a.routeKnowledge(now, c).LimitsTrials() {
 		return
 	}
 	for key := range a.budgets {
--- a/datagram/limited_search.go
+++ b/datagram/limited_search.go
@@ -36,11 +36,34 @@
 	}
 }
 
-// limitsTrials reports whether packets of unknown flows may be tried at a few hosts only, since
-// a flow may be at a host of a service that nobody knows to hold flows of its route. Flows of the
-// route that were found are no evidence against that: those of a former service may pause.
-func (a *Agent) limitsTrials(now time.Duration, c *catalog.Catalog) bool {
-	return a.routeKnowledge(now, c).LimitsTrials()
+// limitsTrials reports whether packets of an unknown flow may be tried at a few hosts only, since
+// the flow may be at a host of a service that nobody knows to hold flows of its route. Flows of the
+// route that were found are no evidence against that: those of a former service may pause. If the
+// hosts of all services are known to hold flows of the route, the flow's own host is among those
+// that are tried.
+func (a *Agent) limitsTrials(now time.Duration, c *catalog.Catalog, key flow.Key) bool {
+	return a.routeKnowledge(now, c).LimitsTrials() && (c == nil || a.mayBeAtOtherService(now, c, key))
+}
+
+// mayBeAtOtherService reports whether a running host may be of a service that is not known to hold
+// flows of the route.
+func (a *Agent) mayBeAtOtherService(now time.Duration, c *catalog.Catalog, key flow.Key) bool {
+	if c.HasUndeclaredHosts || !a.hostListEvidence(now, c).Complete() {
+		return true
+	}
+	scope := a.searchScope(now, c, key, 0)
+	isOther := func(agent [4]byte) bool { return !a.isNamed(c, scope, agent) }
+	for _, s := range c.Services {
+		if len(s.Hosts) > 0 && !scope.Names(s.Name) {
+			return true
+		}
+	}
+	for _, r := range c.Removed {
+		if c.Hosts[r.Agent] == nil && !scope.Names(r.Service) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(slices.Collect(maps.Keys(a.announcements.received)), isOther)
 }
 
 // routeKnowledge returns what is known of the configurations that were in force while flows were
@@ -82,7 +105,7 @@
 // packets were tried. An agent that restarts forgets the trials at its host, and either keeper may
 // go on with the search.
 func (a *Agent) shareTrials(now time.Duration, c *catalog.Catalog, key flow.Key, out Output) {
-	if a.limitsTrials(now, c) {
+	if a.limitsTrials(now, c, key) {
 		keepers := keepersOf(c, key.Hash())
 		a.sendTrials(now, key, slices.Compact(keepers[:]), out)
 	}
--- a/datagram/limited_search_test.go
+++ b/datagram/limited_search_test.go
@@ -301,6 +301,36 @@
 	}
 }
 
+// Guards against flows of a route that names all services being lost after a restart of all
+// processes because the trials are limited, although their own hosts are among those that are
+// tried, and against the limit ending while another host may hold them.
+func TestFlowsOfARouteThatNamesAllServicesAreFoundAtOnce(t *testing.T) {
+	const undeclared = `{"backend":"w","address":"10.0.0.77:8080","zone":"a","version":"v1","concurrency":2,"state":"ready","warmup_left_ms":0,"sequence":1,"born":1}`
+	for name, tc := range map[string]struct {
+		targets []string
+		edit    func(values *[]catalog.Value)
+		limited bool
+	}{
+		"all services":        {[]string{"s", "u"}, nil, false},
+		"one of two services": {[]string{"s"}, nil, true},
+		"a host of an undeclared service is listed": {[]string{"s", "u"}, func(values *[]catalog.Value) {
+			*values = append(*values, catalog.Value{Key: "servers/h77", Position: catalog.Position{Revision: 1}, Data: []byte(undeclared)})
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTwoServices(t, 4)
+			c.publish(1, tc.edit, tc.targets...)
+			flows := c.openFlows(1000, 60)
+			c.tracker = nil
+			c.publish(2, tc.edit, tc.targets...)
+			c.restartAllAtOnce()
+			c.advance(hostListSettleTime)
+			answered := c.sendAll(flows)[0]
+			must.Eq(t, tc.limited, answered < len(flows))
+		})
+	}
+}
+
 // newHalfForgottenRoute returns a cluster in which hosts of service s hold flows of a route that
 // has moved to service u, and hosts of u others that were opened later. All processes have just
 // restarted, and none knows the earlier configuration.
--- a/datagram/ownership.go
+++ b/datagram/ownership.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	t := a.trials[key]
-	if t != nil && t.packets >= steering.MaxStrayTrials && now-t.lastSentAt < a.config.StrayWindow && a.limitsTrials(now, a.config.Catalog()) {
+	if t != nil && t.packets >= steering.MaxStrayTrials && now-t.lastSentAt < a.config.StrayWindow && a.limitsTrials(now, a.config.Catalog(), key) {
 		// Its host is slow to return the packets, or answers them soon.
 		return !t.returned
 	}
--- a/datagram/search.go
+++ b/datagram/search.go
@@ -93,7 +93,7 @@
 	a.pingUnlisted(now, c, agents, out)
 	if started {
 		a.requestConfirmation(now)
-		a.config.Events.Log(EventSearchStarted, key, "agents", len(agents), "not_held", len(s.notHeld), "limited", a.limitsTrials(now, c))
+		a.config.Events.Log(EventSearchStarted, key, "agents", len(agents), "not_held", len(s.notHeld), "limited", a.limitsTrials(now, c, key))
 		a.query(now, c, key, s, agents, out)
 		return
 	}
@@ -221,15 +221,27 @@
 	}
 	a.recordTrial(f, now)
 	s.mayHold[agent], s.owners[agent] = true, f.Established
-	if a.limitsTrials(now, c) && !f.Established {
+	if a.limitsTrials(now, c, key) && !f.Established {
 		if data := a.packetForTrial(s); data != nil {
 			a.probeLikelyOwners(now, c, key, s, data, out)
 		}
 		a.probeLimited(now, c, key, s, out)
 		return
 	}
-	for _, data := range s.packets {
-		a.probe(now, c, key, s, agent, data, out)
+	a.probeUntried(now, c, key, s, agent, out)
+}
+
+// probeUntried sends the packets of the flow to an agent and, if the trials were limited until now,
+// to the others that may hold it, so that the flow's own host is among those that are tried.
+func (a *Agent) probeUntried(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, agent [4]byte, out Output) {
+	trials := a.budget(key)
+	for _, other := range slices.Collect(maps.Keys(s.mayHold)) {
+		if other != agent && trials.Tried(other, a.config.StrayWindow, now) {
+			continue
+		}
+		for _, data := range s.packets {
+			a.probe(now, c, key, s, other, data, out)
+		}
 	}
 }
 
@@ -237,7 +249,7 @@
 // packets, and to those that have left the query unanswered and whose services are known
 // to hold flows of the route.
 func (a *Agent) probeAgain(now time.Duration, c *catalog.Catalog, key flow.Key, s *ownerSearch, data []byte, out Output) {
-	if a.limitsTrials(now, c) {
+	if a.limitsTrials(now, c, key) {
 		a.probeLikelyOwners(now, c, key, s, data, out)
 		a.probeLimited(now, c, key, s, out)
 		return
@@ -356,7 +368,7 @@
 	delete(s.mayHold, agent)
 	s.notHeld[agent] = true
 	c := a.config.Catalog()
-	if c != nil && a.limitsTrials(now, c) {
+	if c != nil && a.limitsTrials(now, c, key) {
 		a.probeLimited(now, c, key, s, out)
 	}
 	a.resetIfNotHeld(now, key, s, out)
--- a/datagram/unlisted.go
+++ b/datagram/unlisted.go
@@ -69,7 +69,7 @@
 		if !s.widened && now-s.startedAt >= searchWidenAfter {
 			a.widen(now, c, key, s, out)
 		}
-		if now-s.startedAt < searchInterval && a.limitsTrials(now, c) {
+		if now-s.startedAt < searchInterval && a.limitsTrials(now, c, key) {
 			a.probeLimited(now, c, key, s, out)
 		}
 		if complete {
