--- a/catalog/confirm_test.go
+++ b/catalog/confirm_test.go
@@ -120,7 +120,8 @@
 	})
 }
 
-// blockedStore is a store whose reads take a while. It records when they begin.
+// blockedStore is a store whose reads take a while. It records when they begin. The tests that use
+// it run on synctest's fake clock, on which sleeping takes no real time.
 type blockedStore struct {
 	catalog.Source
 	now func() time.Duration
